--- /dev/null
+++ b/internal/timeline/event.go
@@ -0,0 +1,124 @@
+// Package timeline records typed events in a bounded ring per process and
+// merges the rings of several processes into one history.
+package timeline
+
+import (
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/result"
+)
+
+// Kind names what happened. Kinds are stable: operators' scripts read them.
+type Kind string
+
+// Kinds of the request path.
+const (
+	RequestReceived   Kind = "request.received"   // Request, Organisation, Class, Tier, Idempotent
+	RequestQueued     Kind = "request.queued"     // Tier, Class
+	RequestAdmitted   Kind = "request.admitted"   // Tier, Class
+	RequestShed       Kind = "request.shed"       // Tier, Class, Code; OtherTier: lowest tier then waiting
+	RequestPreempted  Kind = "request.preempted"  // Tier, Server; OtherTier: tier that took the slot
+	RequestAnswered   Kind = "request.answered"   // whole answer delivered; Count: events or 1; Server, Attempt
+	RequestRefused    Kind = "request.refused"    // Code, NotRun
+	RequestFailed     Kind = "request.failed"     // Code, NotRun; ended after something was sent
+	AttemptStarted    Kind = "attempt.started"    // Request, Attempt, Server, Zone, Organisation, Tier, Idempotent, KeyDigest
+	AttemptSent       Kind = "attempt.sent"       // first byte is about to be written; same fields
+	AttemptAnswered   Kind = "attempt.answered"   // Attempt, Server
+	AttemptFailed     Kind = "attempt.failed"     // Attempt, Server, Code, Detail
+	AttemptDiscarded  Kind = "attempt.discarded"  // Attempt; Detail: the id that the answer bore
+	KeyAccepted       Kind = "key.accepted"       // Request, Organisation, KeyDigest
+	RecordInserted    Kind = "record.inserted"    // Record, Attempt: this attempt alone may dispatch
+	RecordAnswered    Kind = "record.answered"    // Record
+	RecordReleased    Kind = "record.released"    // Record, Attempt: proved not run
+	QuarantineAdded   Kind = "quarantine.added"   // Fingerprint in Record, Server; Count: crashes seen
+	QuarantineRefused Kind = "quarantine.refused" // Fingerprint in Record, Request
+)
+
+// Kinds of configuration, membership and duties.
+const (
+	ConfigAccepted  Kind = "config.accepted"  // Version: committed in the table service
+	ConfigApplied   Kind = "config.applied"   // Version: in force on Instance
+	KeyGranted      Kind = "key.granted"      // KeyDigest, Organisation, Version
+	KeyWithdrawn    Kind = "key.withdrawn"    // KeyDigest, Organisation, Version
+	ZoneOut         Kind = "zone.out"         // Zone, Version
+	ZoneIn          Kind = "zone.in"          // Zone, Version
+	InstanceStarted Kind = "instance.started" // Zone
+	InstanceDrains  Kind = "instance.drains"
+	InstanceStopped Kind = "instance.stopped" // Count: requests cut off
+	InstanceStale   Kind = "instance.stale"   // takes no new work: configuration may be old
+	PeerUp          Kind = "peer.up"          // Peer
+	PeerDown        Kind = "peer.down"        // Peer
+	LeaseAcquired   Kind = "lease.acquired"   // Duty, Token, Until
+	LeaseRenewed    Kind = "lease.renewed"    // Duty, Token, Until
+	LeaseLost       Kind = "lease.lost"       // Duty, Token
+	LeaseReleased   Kind = "lease.released"   // Duty, Token
+	OrderIntended   Kind = "order.intended"   // Order, Duty, Token
+	OrderSent       Kind = "order.sent"       // Order, Duty, Token, Server or Zone
+	OrderConfirmed  Kind = "order.confirmed"  // Order, Duty, Token
+	UsageFrozen     Kind = "usage.frozen"     // Window, Organisation, Count: tokens
+	UsageReported   Kind = "usage.reported"   // Window, Organisation, Count, Duty, Token
+	UsageMetered    Kind = "usage.metered"    // Request, Organisation, Count: tokens
+	ServerState     Kind = "server.state"     // Server, Zone, State
+	ServerLimit     Kind = "server.limit"     // Server, Count: requests that a cold server bears
+	StateEntered    Kind = "state.entered"    // Chart, Subject, From, State, Detail: the event
+)
+
+// Kinds recorded by the stand-ins; they state what truly happened.
+const (
+	BackendRan      Kind = "backend.ran"      // Server, Attempt, Record: an execution took effect
+	BackendReceived Kind = "backend.received" // Server, Attempt, Count: now in flight; KeyDigest if a key was seen
+	PlatformOrder   Kind = "platform.order"   // Order, Duty, Token: an order took effect
+	PlatformUsage   Kind = "platform.usage"   // Window, Organisation, Count, Token: a report took effect
+)
+
+// Event is one entry of the time line. Fields that a kind does not use are zero
+// and are omitted from the encoded form.
+type Event struct {
+	Time     time.Time `json:"time"`     // wall clock of the recording process
+	Instance string    `json:"instance"` // name of the recording process
+	Sequence uint64    `json:"sequence"` // rises by one per event of one process
+	Kind     Kind      `json:"kind"`
+
+	Request      string        `json:"request,omitempty"`
+	Attempt      string        `json:"attempt,omitempty"`
+	Organisation string        `json:"organisation,omitempty"`
+	Class        string        `json:"class,omitempty"`
+	Tier         int           `json:"tier,omitempty"`       // 1 is the highest; 0 is unset
+	OtherTier    int           `json:"other_tier,omitempty"` // see the kind
+	Idempotent   bool          `json:"idempotent,omitempty"`
+	Server       string        `json:"server,omitempty"`
+	Zone         string        `json:"zone,omitempty"`
+	Service      string        `json:"service,omitempty"` // model or plain service
+	KeyDigest    string        `json:"key_digest,omitempty"`
+	Record       string        `json:"record,omitempty"` // digest of organisation and idempotency key
+	Code         result.Code   `json:"code,omitempty"`
+	NotRun       bool          `json:"not_run,omitempty"`
+	Version      uint64        `json:"version,omitempty"` // configuration version
+	Peer         string        `json:"peer,omitempty"`
+	Duty         string        `json:"duty,omitempty"`
+	Token        uint64        `json:"token,omitempty"` // fencing number
+	Until        time.Time     `json:"until,omitzero"`
+	Order        string        `json:"order,omitempty"`
+	Window       string        `json:"window,omitempty"`
+	Count        int64         `json:"count,omitempty"`
+	Duration     time.Duration `json:"duration,omitempty"` // nanoseconds
+	Chart        string        `json:"chart,omitempty"`
+	Subject      string        `json:"subject,omitempty"`
+	From         string        `json:"from,omitempty"`
+	State        string        `json:"state,omitempty"`
+	Detail       string        `json:"detail,omitempty"` // free text without secrets
+}
+
+// Recorder takes events. Implementations set Instance and Sequence, and Time
+// where it is zero. They are safe for concurrent use and never block on I/O.
+type Recorder interface {
+	Record(Event)
+}
+
+// Discard is a Recorder that keeps nothing.
+var Discard Recorder = discard{}
+
+type discard struct{}
+
+// Record implements Recorder.
+func (discard) Record(Event) {}
