--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -2,7 +2,11 @@
 // validation, and the immutable snapshot that the request path reads.
 package config
 
-import "time"
+import (
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/yamlfault"
+)
 
 // Config is the operators' text after decoding. It says nothing about keys and
 // zone outages, which change by commands of their own.
@@ -131,4 +135,4 @@
 )
 
 // Duration is a time.Duration that is written with a unit, such as 250ms.
-type Duration time.Duration
+type Duration = yamlfault.Duration
--- a/internal/config/source.go
+++ b/internal/config/source.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
-	"strings"
+
+	"github.com/hawthornwick/hawthornwick/internal/yamlfault"
 )
 
 // Source gives the configuration in force on this instance.
@@ -43,27 +43,7 @@
 }
 
 // Fault is one fault of an operators' text.
-type Fault struct {
-	File    string `json:"file"`
-	Line    int    `json:"line"`   // 1 is the first; 0 if it concerns the whole text
-	Column  int    `json:"column"` // 1 is the first
-	Field   string `json:"field"`  // path such as classes[2].floor
-	Message string `json:"message"`
-}
+type Fault = yamlfault.Fault
 
 // FaultsError lists every fault of a text, in order of line.
-type FaultsError struct{ Faults []Fault }
-
-// Error implements the error interface with one fault a line.
-func (e *FaultsError) Error() string {
-	lines := make([]string, 0, len(e.Faults))
-	for _, f := range e.Faults {
-		lines = append(lines, f.String())
-	}
-	return strings.Join(lines, "\n")
-}
-
-// String formats the fault as file:line:column: field: message.
-func (f Fault) String() string {
-	return fmt.Sprintf("%s:%d:%d: %s: %s", f.File, f.Line, f.Column, f.Field, f.Message)
-}
+type FaultsError = yamlfault.FaultsError
