Interpret state charts that are written in YAML

The states of requests, backend servers, records, leases, usage windows, configuration and instances were to live in files that the code runs and the docs draw, so that the three cannot differ. Rejected events state what must not happen, such as a refusal as not run after the first byte.

--- /dev/null
+++ b/internal/charts/charts.go
@@ -0,0 +1,35 @@
+// Package charts embeds the state charts that the router interprets.
+package charts
+
+import (
+	"embed"
+
+	"github.com/hawthornwick/hawthornwick/internal/statechart"
+)
+
+//go:embed *.yaml
+var files embed.FS
+
+// The charts, each checked when the process starts.
+var (
+	Request       = load("request.yaml")
+	Server        = load("server.yaml")
+	Record        = load("record.yaml")
+	Lease         = load("lease.yaml")
+	UsageWindow   = load("usage_window.yaml")
+	Configuration = load("configuration.yaml")
+	Instance      = load("instance.yaml")
+)
+
+// All returns every chart in the order of the documentation.
+func All() []*statechart.Chart {
+	return []*statechart.Chart{Request, Server, Record, Lease, UsageWindow, Configuration, Instance}
+}
+
+func load(name string) *statechart.Chart {
+	text, err := files.ReadFile(name)
+	if err != nil {
+		panic(err)
+	}
+	return statechart.MustLoad(name, text)
+}
--- /dev/null
+++ b/internal/statechart/check.go
@@ -0,0 +1,165 @@
+package statechart
+
+import (
+	"fmt"
+	"regexp"
+
+	"github.com/hawthornwick/hawthornwick/internal/yamlfault"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9_]*$`)
+
+// names maps a declared name to its index.
+type names map[string]int
+
+// checker adds every fault of a chart to the document.
+type checker struct {
+	doc  *yamlfault.Document
+	file *file
+
+	states, events, guards, actions     names
+	usedEvents, usedGuards, usedActions map[string]bool
+}
+
+func newChecker(doc *yamlfault.Document, f *file) *checker {
+	return &checker{
+		doc: doc, file: f,
+		usedEvents: map[string]bool{}, usedGuards: map[string]bool{}, usedActions: map[string]bool{},
+	}
+}
+
+func (c *checker) run() {
+	if !namePattern.MatchString(c.file.Name) {
+		c.doc.Fault("chart", "%q is not a name of lower-case letters, digits and '_'", c.file.Name)
+	}
+	c.events = c.declare("events", c.file.Events)
+	c.guards = c.declare("guards", c.file.Guards)
+	c.actions = c.declare("actions", c.file.Actions)
+	c.states = c.declare("states", stateDeclarations(c.file.States))
+	if _, ok := c.states[c.file.Initial]; !ok {
+		c.doc.Fault("initial", "state %q is not declared", c.file.Initial)
+	}
+	for i := range c.file.States {
+		c.state(indexed("states", i), &c.file.States[i])
+	}
+	c.unused("events", c.file.Events, c.usedEvents)
+	c.unused("guards", c.file.Guards, c.usedGuards)
+	c.unused("actions", c.file.Actions, c.usedActions)
+	c.reachability()
+}
+
+func indexed(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
+
+func stateDeclarations(states []state) []declaration {
+	declared := make([]declaration, 0, len(states))
+	for _, s := range states {
+		declared = append(declared, declaration{s.Name, s.Doc})
+	}
+	return declared
+}
+
+func (c *checker) declare(list string, declared []declaration) names {
+	if len(declared) > maxNames {
+		c.doc.Fault(list, "%d names exceed the limit of %d", len(declared), maxNames)
+	}
+	indices := make(names, len(declared))
+	for i, d := range declared {
+		at := indexed(list, i)
+		if !namePattern.MatchString(d.Name) {
+			c.doc.Fault(at+".name", "%q is not a name of lower-case letters, digits and '_'", d.Name)
+		}
+		if _, twice := indices[d.Name]; twice {
+			c.doc.Fault(at+".name", "%q is declared twice", d.Name)
+		}
+		if d.Doc == "" {
+			c.doc.Fault(at+".doc", "required")
+		}
+		indices[d.Name] = i
+	}
+	return indices
+}
+
+func (c *checker) unused(list string, declared []declaration, used map[string]bool) {
+	for i, d := range declared {
+		if !used[d.Name] {
+			c.doc.Fault(indexed(list, i)+".name", "%q is declared and not used", d.Name)
+		}
+	}
+}
+
+// refer reports an undeclared name and marks a declared one as used.
+func (c *checker) refer(declared names, used map[string]bool, path, kind, name string) {
+	if _, ok := declared[name]; !ok {
+		c.doc.Fault(path, "%s %q is not declared", kind, name)
+		return
+	}
+	used[name] = true
+}
+
+func (c *checker) state(path string, s *state) {
+	if s.Final && len(s.On) > 0 {
+		c.doc.Fault(path+".on", "final state %q cannot have transitions", s.Name)
+	}
+	reactions := make(map[string]string) // event to the field that treats it
+	for i, t := range s.On {
+		at := indexed(path+".on", i)
+		c.transition(at, t)
+		c.order(at, s, i)
+		reactions[t.Event] = at
+	}
+	c.listed(path+".ignore", s.Ignore, reactions)
+	c.listed(path+".reject", s.Reject, reactions)
+	for _, e := range c.file.Events {
+		if reactions[e.Name] == "" {
+			c.doc.Fault(path, "state %q neither handles nor ignores nor rejects event %q", s.Name, e.Name)
+		}
+	}
+}
+
+func (c *checker) transition(path string, t transition) {
+	c.refer(c.events, c.usedEvents, path+".event", "event", t.Event)
+	if t.If != "" {
+		c.refer(c.guards, c.usedGuards, path+".if", "guard", t.If)
+	}
+	if _, ok := c.states[t.To]; t.To != "" && !ok {
+		c.doc.Fault(path+".to", "state %q is not declared", t.To)
+	}
+	if t.To == "" && len(t.Do) == 0 {
+		c.doc.Fault(path, "transition has neither a next state nor actions; list the event under ignore")
+	}
+	for i, action := range t.Do {
+		c.refer(c.actions, c.usedActions, indexed(path+".do", i), "action", action)
+	}
+}
+
+// order reports transitions of one event that leave open which one is taken:
+// all but the last need a guard of their own, and the last must have none.
+func (c *checker) order(path string, s *state, i int) {
+	event, last := s.On[i].Event, true
+	for _, later := range s.On[i+1:] {
+		if later.Event != event {
+			continue
+		}
+		last = false
+		if later.If == s.On[i].If {
+			c.doc.Fault(path, "event %q has two transitions with the same guard", event)
+		}
+	}
+	if last && s.On[i].If != "" {
+		c.doc.Fault(path, "event %q needs a last transition without a guard", event)
+	}
+	if !last && s.On[i].If == "" {
+		c.doc.Fault(path, "a transition without a guard must be the last of event %q", event)
+	}
+}
+
+func (c *checker) listed(path string, events []string, reactions map[string]string) {
+	for i, name := range events {
+		at := indexed(path, i)
+		c.refer(c.events, c.usedEvents, at, "event", name)
+		if other := reactions[name]; other != "" {
+			c.doc.Fault(at, "event %q is treated already by %s", name, other)
+		}
+		reactions[name] = at
+	}
+}
