Add a stand-in model engine with fault switches

Cause: the request path needs an engine to be tested and shown against. Change: internal/standin/engine serves the OpenAI API with deterministic text, load reports, cache events and orders; internal/standin/fault gives crashes, silence, refusal, cut, crossed and late answers. engineapi gains RecordHeader and Prefixes, the digest of prompt blocks that router and engines share.

--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -19,6 +19,9 @@
 	EpochHeader = "Hawthornwick-Epoch"
 	// DeadlineHeader carries the remaining milliseconds of the caller's deadline.
 	DeadlineHeader = "Hawthornwick-Deadline-Ms"
+	// RecordHeader carries the digest of organisation and idempotency key of a
+	// non-idempotent request.
+	RecordHeader = "Hawthornwick-Record"
 )
 
 // Paths that engines serve beside the OpenAI API.
--- a/internal/engineapi/prefix.go
+++ b/internal/engineapi/prefix.go
@@ -3,24 +3,21 @@
 import "github.com/cespare/xxhash/v2"
 
 const (
-	// PrefixBlockBytes is the length of prompt text that one prefix block covers.
-	PrefixBlockBytes = 512
-	// MaxPrefixBlocks bounds the digests computed per prompt.
-	MaxPrefixBlocks = 64
+	prefixBlockBytes = 512
+	maxPrefixBlocks  = 64
 )
 
-// PrefixDigests returns a digest for each leading run of whole blocks of the
-// prompt's raw JSON text, shortest first. Each digest covers all blocks before
-// it, so that equal digests mean equal prefixes. Engines report the same
-// digests in cache events.
-func PrefixDigests(prompt []byte) []uint64 {
-	blocks := min(len(prompt)/PrefixBlockBytes, MaxPrefixBlocks)
+// Prefixes returns the digests of a prompt's leading blocks, shortest prefix
+// first. The prompt is the raw JSON of "messages" or "prompt". Router and
+// engines use the same function, so that cache events can be matched. A prompt
+// shorter than one block has no prefixes.
+func Prefixes(prompt []byte) []uint64 {
+	blocks := min(len(prompt)/prefixBlockBytes, maxPrefixBlocks)
 	digests := make([]uint64, 0, blocks)
-	var h xxhash.Digest
-	h.Reset()
+	running := xxhash.New()
 	for i := range blocks {
-		_, _ = h.Write(prompt[i*PrefixBlockBytes : (i+1)*PrefixBlockBytes])
-		digests = append(digests, h.Sum64())
+		_, _ = running.Write(prompt[i*prefixBlockBytes : (i+1)*prefixBlockBytes])
+		digests = append(digests, running.Sum64())
 	}
 	return digests
 }
--- /dev/null
+++ b/internal/standin/fault/listener.go
@@ -0,0 +1,143 @@
+// Package fault gives stand-in servers the faults of real ones: crashes,
+// silence, slowness, broken and crossed answers.
+package fault
+
+import (
+	"fmt"
+	"net"
+	"sync"
+)
+
+// Listener is a TCP listener whose open connections can be reset or silenced,
+// and which can refuse connections for a time and come back at the same address.
+type Listener struct {
+	address string
+
+	mu     sync.Mutex
+	opened *sync.Cond
+	inner  net.Listener // nil while refusing
+	conns  map[*conn]struct{}
+	closed bool
+}
+
+// Listen opens a listener; an empty address means a free port of 127.0.0.1.
+func Listen(address string) (*Listener, error) {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	l := &Listener{address: inner.Addr().String(), inner: inner, conns: make(map[*conn]struct{})}
+	l.opened = sync.NewCond(&l.mu)
+	return l, nil
+}
+
+// Address returns the IP and port.
+func (l *Listener) Address() string { return l.address }
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr {
+	addr, _ := net.ResolveTCPAddr("tcp", l.address)
+	return addr
+}
+
+// Accept implements net.Listener. It waits while connections are refused.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		inner := l.current()
+		if inner == nil {
+			return nil, net.ErrClosed
+		}
+		accepted, err := inner.Accept()
+		if err != nil {
+			continue // closed by Refuse or Close; current tells which
+		}
+		return l.track(accepted), nil
+	}
+}
+
+// current waits until the listener is open; nil means that it was closed.
+func (l *Listener) current() net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.inner == nil && !l.closed {
+		l.opened.Wait()
+	}
+	return l.inner
+}
+
+func (l *Listener) track(accepted net.Conn) net.Conn {
+	c := &conn{Conn: accepted, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c
+}
+
+// Refuse makes new connections fail, or lets them through again.
+func (l *Listener) Refuse(refuse bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || refuse == (l.inner == nil) {
+		return nil
+	}
+	if refuse {
+		err := l.inner.Close()
+		l.inner = nil
+		return err
+	}
+	inner, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return fmt.Errorf("listen again on %s: %w", l.address, err)
+	}
+	l.inner = inner
+	l.opened.Broadcast()
+	return nil
+}
+
+// Reset closes every open connection without a goodbye.
+func (l *Listener) Reset() {
+	for _, c := range l.open() {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// Silence makes every connection that is open now drop all bytes in both
+// directions. Later connections work.
+func (l *Listener) Silence() {
+	for _, c := range l.open() {
+		c.silent.Store(true)
+	}
+}
+
+func (l *Listener) open() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conns := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Close implements net.Listener. It is idempotent.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	l.opened.Broadcast()
+	if l.inner == nil {
+		return nil
+	}
+	err := l.inner.Close()
+	l.inner = nil
+	return err
+}
