Add a stand-in plain service

Cause: routes to plain services need a server whose executions can be told apart. Change: internal/standin/plain answers each execution with a fresh run id, echoes bodies while they stream, and has the engine's fault switches. The engine bears the attempt id on refusals too.

--- a/internal/standin/engine/request.go
+++ b/internal/standin/engine/request.go
@@ -54,7 +54,7 @@
 	}
 	g := &generation{chat: chat, attempt: r.Header.Get(engineapi.AttemptHeader)}
 	if err := json.Unmarshal(body, &g.request); err != nil {
-		return nil, body, fmt.Errorf("decode body: %w", err)
+		return nil, nil, fmt.Errorf("decode body: %w", err)
 	}
 	g.prompt = g.request.Prompt
 	if chat {
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -24,11 +24,13 @@
 	defer cancel()
 	g, body, err := e.readGeneration(w, r, chat)
 	if err != nil {
+		w.Header().Set(engineapi.AttemptHeader, r.Header.Get(engineapi.AttemptHeader))
 		e.writeError(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	previous := e.attempts.begin(g.attempt, cancel)
 	defer e.attempts.end(g.attempt)
+	e.setHeaders(w.Header(), g, previous)
 	e.received(r, g)
 	defer e.inFlight.Add(-1)
 	if e.Poisoned(body) {
@@ -48,7 +50,6 @@
 	}
 	defer e.slots.release()
 	e.ran(g)
-	e.setHeaders(w.Header(), g, previous)
 	if g.request.Stream {
 		e.stream(ctx, w, g)
 	} else {
--- /dev/null
+++ b/internal/standin/plain/plain.go
@@ -0,0 +1,231 @@
+// Package plain is a stand-in for a plain HTTP service. Each execution answers
+// with a fresh random run id, so that a caller can see whether it ran twice.
+package plain
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+// EchoPath answers with the request's body as it arrives.
+const EchoPath = "/echo"
+
+// Options describe one service. Only Service is required.
+type Options struct {
+	// Name is the backend server's name. Default "plain".
+	Name string
+	// Zone is its availability zone.
+	Zone string
+	// Service is the name of the service.
+	Service string
+	// Address to listen on. Default: a free port of 127.0.0.1.
+	Address string
+	// Latency is the time that an execution takes. Default 0.
+	Latency time.Duration
+	// Recorder takes the time line's events. Nil: none.
+	Recorder timeline.Recorder
+}
+
+// Service is a running stand-in service. Its embedded server holds the faults.
+type Service struct {
+	*fault.Server
+	options  Options
+	inFlight atomic.Int64
+
+	mu   sync.Mutex
+	runs map[string]int // executions by record
+}
+
+// Run is the answer of one execution.
+type Run struct {
+	Run     string `json:"run"`
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Method  string `json:"method"`
+	// BodyBytes is the length of the request's body.
+	BodyBytes int `json:"body_bytes"`
+}
+
+// Start runs a service until Close.
+func Start(o Options) (*Service, error) {
+	if o.Name == "" {
+		o.Name = "plain"
+	}
+	if o.Recorder == nil {
+		o.Recorder = timeline.Discard
+	}
+	s := &Service{options: o, runs: make(map[string]int)}
+	mux := http.NewServeMux()
+	mux.HandleFunc(EchoPath, s.serveEcho)
+	mux.HandleFunc("/", s.serveRun)
+	server, err := fault.Serve(o.Address, mux)
+	if err != nil {
+		return nil, err
+	}
+	s.Server = server
+	return s, nil
+}
+
+// Name returns the backend server's name.
+func (s *Service) Name() string { return s.options.Name }
+
+// Zone returns the availability zone.
+func (s *Service) Zone() string { return s.options.Zone }
+
+// Service returns the service's name.
+func (s *Service) Service() string { return s.options.Service }
+
+// Crash resets every connection and raises the epoch.
+func (s *Service) Crash() { s.Restart() }
+
+// Runs returns how often requests with the record ran; an empty record counts
+// requests without one.
+func (s *Service) Runs(record string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[record]
+}
+
+// TotalRuns returns the number of executions.
+func (s *Service) TotalRuns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, n := range s.runs {
+		total += n
+	}
+	return total
+}
+
+func (s *Service) serveRun(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.received(r)
+	defer s.inFlight.Add(-1)
+	ctx := r.Context()
+	if err := s.Delay(ctx, 0); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.ran(r)
+	if s.Poisoned(body) {
+		s.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	s.work(ctx)
+	s.setHeaders(w.Header(), r)
+	run := Run{
+		Run: uuid.NewString(), Service: s.options.Service,
+		Path: r.URL.Path, Method: r.Method, BodyBytes: len(body),
+	}
+	if s.Get().Late {
+		fault.WriteTwice(w, run)
+		return
+	}
+	s.writeRun(w, run)
+}
+
+// work takes the latency. An execution goes on when its caller is gone.
+func (s *Service) work(ctx context.Context) {
+	_ = s.Delay(context.WithoutCancel(ctx), s.options.Latency)
+}
+
+func (s *Service) writeRun(w http.ResponseWriter, run Run) {
+	payload, err := json.Marshal(run)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(payload)))
+	if after := s.TakeBreak(); after > 0 && after < len(payload) {
+		_, _ = w.Write(payload[:after])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(payload)
+}
+
+func (s *Service) received(r *http.Request) {
+	s.options.Recorder.Record(timeline.Event{
+		Kind: timeline.BackendReceived, Server: s.options.Name, Zone: s.options.Zone,
+		Service: s.options.Service, Attempt: r.Header.Get(engineapi.AttemptHeader),
+		Count: s.inFlight.Add(1), KeyDigest: string(fault.SeenKey(r)),
+	})
+}
+
+func (s *Service) ran(r *http.Request) {
+	record := r.Header.Get(engineapi.RecordHeader)
+	s.mu.Lock()
+	s.runs[record]++
+	s.mu.Unlock()
+	s.options.Recorder.Record(timeline.Event{
+		Kind: timeline.BackendRan, Server: s.options.Name, Zone: s.options.Zone,
+		Service: s.options.Service, Attempt: r.Header.Get(engineapi.AttemptHeader), Record: record,
+	})
+}
+
+func (s *Service) setHeaders(h http.Header, r *http.Request) {
+	attempt := r.Header.Get(engineapi.AttemptHeader)
+	if s.Get().Crossed {
+		attempt = "crossed-" + attempt
+	}
+	h.Set(engineapi.AttemptHeader, attempt)
+	h.Set(engineapi.EpochHeader, strconv.FormatUint(s.Epoch(), 10))
+}
+
+// serveEcho sends each piece of the body back as soon as it has arrived.
+func (s *Service) serveEcho(w http.ResponseWriter, r *http.Request) {
+	s.received(r)
+	defer s.inFlight.Add(-1)
+	s.ran(r)
+	s.setHeaders(w.Header(), r)
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
+	if contentType := r.Header.Get("Content-Type"); contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	}
+	w.WriteHeader(http.StatusOK)
+	_ = control.Flush()
+	breakAfter := s.TakeBreak()
+	sent := 0
+	piece := make([]byte, 32<<10)
+	for {
+		n, err := r.Body.Read(piece)
+		sent += n
+		if !forward(w, control, piece[:n]) || (breakAfter > 0 && sent >= breakAfter) {
+			panic(http.ErrAbortHandler)
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if s.Delay(r.Context(), 0) != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func forward(w io.Writer, control *http.ResponseController, piece []byte) bool {
+	if len(piece) == 0 {
+		return true
+	}
+	if _, err := w.Write(piece); err != nil {
+		return false
+	}
+	return control.Flush() == nil
+}
