Keep the configuration in the table service with one rising version

Cause: instances need one configuration whose version never falls, in a platform store that is slow, limited and sometimes away. Change: package confsync implements config.Source and config.Editor. A lost reply is resolved by the change's id in the log. Withdrawals are a set that merges and is written when the table service is back.

--- /dev/null
+++ b/internal/confsync/store.go
@@ -0,0 +1,272 @@
+package confsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+// Defaults of Options.
+const (
+	DefaultPollInterval = time.Second
+	DefaultReadTimeout  = 2 * time.Second
+	DefaultFreshLimit   = 5 * time.Second
+)
+
+// Compile decodes and validates the operators' text. It returns
+// *config.FaultsError for a text with faults.
+type Compile func(text string) (config.Config, error)
+
+// Options configure a Store.
+type Options struct {
+	// Instance is the name of this instance. Required.
+	Instance string
+	// Zone is the availability zone of this instance.
+	Zone string
+	// Table is the platform's table service. Required.
+	Table platform.Table
+	// Compile decodes and validates texts. Required.
+	Compile Compile
+	// Network carries messages to other instances. Nil means that there are none.
+	Network Network
+	// Recorder takes events. Nil means timeline.Discard.
+	Recorder timeline.Recorder
+	// Logger takes log lines. Nil means none.
+	Logger hclog.Logger
+	// Now is the clock. Nil means time.Now.
+	Now func() time.Time
+	// PollInterval is the mean time between reads of the head row. Default 1s.
+	PollInterval time.Duration
+	// ReadTimeout bounds one exchange with the table service. Default 2s.
+	ReadTimeout time.Duration
+	// FreshLimit is how old the proof that the configuration is current may be
+	// while Fresh holds. Default 5s.
+	FreshLimit time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Recorder == nil {
+		o.Recorder = timeline.Discard
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.PollInterval <= 0 {
+		o.PollInterval = DefaultPollInterval
+	}
+	if o.ReadTimeout <= 0 {
+		o.ReadTimeout = DefaultReadTimeout
+	}
+	if o.FreshLimit <= 0 {
+		o.FreshLimit = DefaultFreshLimit
+	}
+	return o
+}
+
+// Store holds the configuration in force on this instance and commits changes
+// for all instances. It implements config.Source and config.Editor. All
+// methods are safe for concurrent use.
+type Store struct {
+	options Options
+	newID   func() string
+	wake    chan struct{} // asks Run for an early poll
+
+	snapshot atomic.Pointer[config.Snapshot]
+
+	// writing is held while a newer state is compiled and put in force; it is
+	// taken before mu.
+	writing  sync.Mutex
+	compiled compiledText
+
+	mu      sync.Mutex
+	state   State
+	pending Withdrawals
+	swapped chan struct{} // closed when snapshot is replaced
+	proof   proof
+	stale   bool // last freshness that was recorded
+}
+
+// compiledText is the newest text that compiled.
+type compiledText struct {
+	version uint64 // TextVersion that it was compiled from
+	text    string
+	config  config.Config
+}
+
+var (
+	_ config.Source = (*Store)(nil)
+	_ config.Editor = (*Store)(nil)
+)
+
+// New returns a store that has read nothing yet. Run keeps it current.
+func New(o Options) *Store {
+	return &Store{
+		options: o.withDefaults(),
+		newID:   uuid.NewString,
+		wake:    make(chan struct{}, 1),
+		swapped: make(chan struct{}),
+		stale:   true,
+	}
+}
+
+// Current implements config.Source.
+func (s *Store) Current() *config.Snapshot { return s.snapshot.Load() }
+
+// Changed implements config.Source. The channel is also closed when a
+// withdrawal that has no version yet takes effect, so a waiter reads Current
+// anew and calls Changed again.
+func (s *Store) Changed(version uint64) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if snapshot := s.Current(); snapshot != nil && snapshot.Version > version {
+		closed := make(chan struct{})
+		close(closed)
+		return closed
+	}
+	return s.swapped
+}
+
+// Run polls the table service until ctx ends.
+func (s *Store) Run(ctx context.Context) error {
+	for {
+		s.poll(ctx)
+		timer := time.NewTimer(s.pollDelay())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-s.wake:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// pollDelay spreads the reads of many instances over time.
+func (s *Store) pollDelay() time.Duration {
+	half := s.options.PollInterval / 2
+	return half + rand.N(s.options.PollInterval)
+}
+
+// poll reads the head row once and catches up with it.
+func (s *Store) poll(ctx context.Context) {
+	err := s.refresh(ctx)
+	if err != nil && ctx.Err() == nil {
+		s.options.Logger.Debug("table service not read", "error", err)
+	}
+	s.recordFreshness()
+	if err == nil {
+		s.flushWithdrawals(ctx)
+	}
+}
+
+// refresh brings the state to the head row's version and counts that as proof
+// of being current at the time when the read began.
+func (s *Store) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.options.ReadTimeout)
+	defer cancel()
+	began := s.options.Now()
+	_, head, err := readHead(ctx, s.options.Table)
+	if err != nil {
+		return err
+	}
+	return s.catchUp(ctx, head, began)
+}
+
+func (s *Store) catchUp(ctx context.Context, head uint64, began time.Time) error {
+	before := s.State()
+	next, err := catchUp(ctx, s.options.Table, before, head)
+	if err != nil {
+		return err
+	}
+	if head < before.Version {
+		s.options.Logger.Warn("table service holds an older configuration",
+			"version", head, "in_force", before.Version)
+	}
+	s.advance(next)
+	s.prove(proof{at: began, version: head})
+	return nil
+}
+
+// State returns the newest state known here.
+func (s *Store) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
+}
+
+// advance puts a state in force unless a newer one is known.
+func (s *Store) advance(next State) bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if next.Version <= s.State().Version {
+		return false
+	}
+	s.compileText(next)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = next
+	s.pending = s.pending.Settle(next)
+	s.publish()
+	return true
+}
+
+// publish replaces the snapshot. The caller holds both locks.
+func (s *Store) publish() {
+	if s.compiled.version == 0 {
+		return // nothing can be served before the first text
+	}
+	before := uint64(0)
+	if old := s.Current(); old != nil {
+		before = old.Version
+	}
+	version := s.state.Version
+	if s.compiled.version != s.state.TextVersion {
+		version = before // the newest text is not in force
+	}
+	s.snapshot.Store(config.NewSnapshot(version, s.compiled.text, s.compiled.config,
+		s.state.snapshotKeys(s.pending), s.state.snapshotZones()))
+	close(s.swapped)
+	s.swapped = make(chan struct{})
+	if version > before {
+		s.options.Recorder.Record(timeline.Event{
+			Time: s.options.Now(), Kind: timeline.ConfigApplied, Version: version,
+		})
+	}
+}
+
+// compileText decodes the state's text if it is new. A text that does not
+// compile, such as one written by a newer release, leaves the older one in
+// force and the instance stale. The caller holds writing.
+func (s *Store) compileText(next State) {
+	if next.TextVersion == s.compiled.version {
+		return
+	}
+	c, err := s.options.Compile(next.Text)
+	if err != nil {
+		s.options.Logger.Error("configuration does not compile",
+			"version", next.TextVersion, "error", err)
+		return
+	}
+	s.compiled = compiledText{version: next.TextVersion, text: next.Text, config: c}
+}
+
+// requestPoll makes Run poll at once.
+func (s *Store) requestPoll() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/confsync/table_test.go
@@ -0,0 +1,89 @@
+package confsync
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+)
+
+// fakeTable is a table service in memory with faults.
+type fakeTable struct {
+	mu        sync.Mutex
+	rows      map[string]platform.Row
+	down      bool // no call has an effect
+	loseReply int  // that many commits take effect but report an error
+
+	reads, writes atomic.Int64
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: make(map[string]platform.Row)} }
+
+func (t *fakeTable) setDown(down bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.down = down
+}
+
+func (t *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads.Add(1)
+	if t.down {
+		return nil, platform.ErrUnavailable
+	}
+	rows := make([]platform.Row, len(keys))
+	for i, key := range keys {
+		rows[i] = t.rows[key]
+		rows[i].Key = key
+	}
+	return rows, nil
+}
+
+func (t *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads.Add(1)
+	if t.down {
+		return nil, platform.ErrUnavailable
+	}
+	var rows []platform.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (t *fakeTable) Commit(_ context.Context, txn platform.Txn) ([]uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writes.Add(1)
+	if t.down {
+		return nil, platform.ErrUnavailable
+	}
+	for _, c := range txn.Checks {
+		if current := t.rows[c.Key].Version; current != c.Version {
+			return nil, &platform.ConflictError{Key: c.Key, Current: current}
+		}
+	}
+	versions := make([]uint64, len(txn.Writes))
+	for i, w := range txn.Writes {
+		if w.Delete {
+			delete(t.rows, w.Key)
+			continue
+		}
+		versions[i] = t.rows[w.Key].Version + 1
+		t.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: versions[i]}
+	}
+	if t.loseReply > 0 {
+		t.loseReply--
+		return nil, platform.ErrUnavailable
+	}
+	return versions, nil
+}
--- /dev/null
+++ b/internal/confsync/withdraw.go
@@ -0,0 +1,110 @@
+package confsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+// withdrawTimeout bounds the wait for the table service; the withdrawal is in
+// force before.
+const withdrawTimeout = 2 * time.Second
+
+// WithdrawKey implements config.Editor.
+func (s *Store) WithdrawKey(ctx context.Context, d config.KeyDigest) (uint64, error) {
+	known := s.knowsKey(d)
+	if known {
+		s.withdrawNow(d)
+	}
+	commitCtx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+	defer cancel()
+	version, err := s.commitWithdrawal(commitCtx, d, known)
+	if isResult(err, result.StoreUnavailable) {
+		s.withdrawNow(d) // also a key that only the table service may know
+		return 0, nil
+	}
+	return s.accept(ctx, version, err, timeline.Event{
+		Kind: timeline.KeyWithdrawn, KeyDigest: string(d), Organisation: s.organisationOf(d),
+	})
+}
+
+func (s *Store) organisationOf(d config.KeyDigest) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.keys[d].Organisation
+}
+
+func (s *Store) knowsKey(d config.KeyDigest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.state.keys[d]
+	return ok
+}
+
+// commitWithdrawal writes a withdrawal. Unless force is set, the key must exist.
+func (s *Store) commitWithdrawal(ctx context.Context, d config.KeyDigest, force bool) (uint64, error) {
+	return s.commit(ctx, func(state State) (Change, rowWrite, error) {
+		k, ok := state.keys[d]
+		if !ok && !force {
+			return Change{}, rowWrite{}, refused(result.UnknownName, "the key was never granted")
+		}
+		if k.Withdrawn {
+			return Change{}, rowWrite{}, errUnchanged
+		}
+		row := rowWrite{key: keyRowKey(d), value: func(v uint64) any {
+			return keyRow{Version: v, Organisation: k.Organisation, Withdrawn: true}
+		}}
+		return Change{Kind: ChangeKeyWithdraw, Key: d}, row, nil
+	})
+}
+
+// withdrawNow puts a withdrawal in force here and tells the peers.
+func (s *Store) withdrawNow(d config.KeyDigest) {
+	if !s.mergeWithdrawals([]config.KeyDigest{d}) {
+		return
+	}
+	s.options.Recorder.Record(timeline.Event{
+		Time: s.options.Now(), Kind: timeline.KeyWithdrawn,
+		KeyDigest: string(d), Organisation: s.organisationOf(d),
+	})
+}
+
+// mergeWithdrawals adds withdrawals and reports whether any was new here.
+func (s *Store) mergeWithdrawals(digests []config.KeyDigest) bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	merged, grew := s.pending.Merge(digests)
+	if !grew {
+		return false
+	}
+	merged = merged.Settle(s.state)
+	if len(merged) == len(s.pending) {
+		return false // all of them were already written
+	}
+	s.pending = merged
+	s.publish()
+	return true
+}
+
+// Pending returns the withdrawals that are in force but not known to be written.
+func (s *Store) Pending() []config.KeyDigest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pending.Digests()
+}
+
+// flushWithdrawals writes the pending withdrawals. Every holder tries; the one
+// that comes second finds nothing to change.
+func (s *Store) flushWithdrawals(ctx context.Context) {
+	for _, d := range s.Pending() {
+		if _, err := s.commitWithdrawal(ctx, d, true); err != nil {
+			s.options.Logger.Warn("withdrawal not written yet", "error", err)
+			return
+		}
+	}
+}
