timeline: name the fields that the invariant checks read

The kinds left open which fields the events of one pool, one usage line and one return order bear, so the checks could not tell them apart. The comments now list them; no kind or field changed.

--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -14,16 +14,16 @@
 // Kinds of the request path.
 const (
 	RequestReceived   Kind = "request.received"   // Request, Organisation, Class, Tier, Idempotent
-	RequestQueued     Kind = "request.queued"     // Tier, Class
-	RequestAdmitted   Kind = "request.admitted"   // Tier, Class
-	RequestShed       Kind = "request.shed"       // Tier, Class, Code; OtherTier: lowest tier then waiting
-	RequestPreempted  Kind = "request.preempted"  // Tier, Server; OtherTier: tier that took the slot
-	RequestAnswered   Kind = "request.answered"   // whole answer delivered; Count: events or 1; Server, Attempt
-	RequestRefused    Kind = "request.refused"    // Code, NotRun
-	RequestFailed     Kind = "request.failed"     // Code, NotRun; ended after something was sent
-	AttemptStarted    Kind = "attempt.started"    // Request, Attempt, Server, Zone, Organisation, Tier, Idempotent, KeyDigest
+	RequestQueued     Kind = "request.queued"     // Request, Tier, Class, Service
+	RequestAdmitted   Kind = "request.admitted"   // Request, Tier, Class, Service
+	RequestShed       Kind = "request.shed"       // Request, Tier, Class, Service, Code; OtherTier: lowest tier then waiting
+	RequestPreempted  Kind = "request.preempted"  // Request, Tier, Server; OtherTier: tier that took the slot
+	RequestAnswered   Kind = "request.answered"   // whole answer delivered; Request, Server, Count: events or 1; Attempt, or Record for a stored answer
+	RequestRefused    Kind = "request.refused"    // Request, Code, NotRun; Record if there is one
+	RequestFailed     Kind = "request.failed"     // Request, Code, NotRun; ended after something was sent
+	AttemptStarted    Kind = "attempt.started"    // Request, Attempt, Server, Zone, Organisation, Tier, Idempotent, Record, KeyDigest
 	AttemptSent       Kind = "attempt.sent"       // first byte is about to be written; same fields
-	AttemptAnswered   Kind = "attempt.answered"   // Attempt, Server
+	AttemptAnswered   Kind = "attempt.answered"   // Attempt, Server; Count: events of the whole answer, those before a resume included
 	AttemptFailed     Kind = "attempt.failed"     // Attempt, Server, Code, Detail
 	AttemptDiscarded  Kind = "attempt.discarded"  // Attempt; Detail: the id that the answer bore
 	KeyAccepted       Kind = "key.accepted"       // Request, Organisation, KeyDigest
@@ -44,7 +44,7 @@
 	ZoneIn          Kind = "zone.in"          // Zone, Version
 	InstanceStarted Kind = "instance.started" // Zone
 	InstanceDrains  Kind = "instance.drains"
-	InstanceStopped Kind = "instance.stopped" // Count: requests cut off
+	InstanceStopped Kind = "instance.stopped" // Count: requests cut off; State "forced" when an operator gave them up
 	InstanceStale   Kind = "instance.stale"   // takes no new work: configuration may be old
 	PeerUp          Kind = "peer.up"          // Peer
 	PeerDown        Kind = "peer.down"        // Peer
@@ -53,13 +53,13 @@
 	LeaseLost       Kind = "lease.lost"       // Duty, Token
 	LeaseReleased   Kind = "lease.released"   // Duty, Token
 	OrderIntended   Kind = "order.intended"   // Order, Duty, Token
-	OrderSent       Kind = "order.sent"       // Order, Duty, Token, Server or Zone
+	OrderSent       Kind = "order.sent"       // Order, Duty, Token, Server or Zone; State: kind of order, such as "return"
 	OrderConfirmed  Kind = "order.confirmed"  // Order, Duty, Token
-	UsageFrozen     Kind = "usage.frozen"     // Window, Organisation, Count: tokens
-	UsageReported   Kind = "usage.reported"   // Window, Organisation, Count, Duty, Token
+	UsageFrozen     Kind = "usage.frozen"     // a line: Window, Organisation, Class, Service, Count: tokens; Subject: earlier window of a late line
+	UsageReported   Kind = "usage.reported"   // a line: as frozen, and Duty, Token
 	UsageMetered    Kind = "usage.metered"    // Request, Organisation, Count: tokens
 	ServerState     Kind = "server.state"     // Server, Zone, State
-	ServerLimit     Kind = "server.limit"     // Server, Count: requests that a cold server bears
+	ServerLimit     Kind = "server.limit"     // Server, Count: requests that a cold server bears; 0 when warm
 	StateEntered    Kind = "state.entered"    // Chart, Subject, From, State, Detail: the event
 )
 
@@ -68,7 +68,7 @@
 	BackendRan      Kind = "backend.ran"      // Server, Attempt, Record: an execution took effect
 	BackendReceived Kind = "backend.received" // Server, Attempt, Count: now in flight; KeyDigest if a key was seen
 	PlatformOrder   Kind = "platform.order"   // Order, Duty, Token: an order took effect
-	PlatformUsage   Kind = "platform.usage"   // Window, Organisation, Count, Token: a report took effect
+	PlatformUsage   Kind = "platform.usage"   // a line as reported, Duty, Token: it took effect
 )
 
 // Event is one entry of the time line. Fields that a kind does not use are zero
