invariant: check each promise over the merged time line

One named check for each of the thirteen promises, over the events of all processes in any order, with a bound on clock skew and an option for rings that lost events. Every check has sound time lines that it accepts and doctored ones that it must reject; a property test found a nil dereference on an answer without a request id, mended here.

--- /dev/null
+++ b/internal/invariant/answers.go
@@ -0,0 +1,202 @@
+package invariant
+
+import (
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+// checkWholeAnswer reads request.received, request.answered (Request, Attempt,
+// Record; Count: events delivered), request.refused, request.failed,
+// attempt.answered (Count: events of the whole answer, those before a resume
+// included; 0 if unknown) and attempt.discarded. Each request ends once, with
+// the answer of its own attempt or of its own idempotency record.
+func checkWholeAnswer(h *history, report reportFunc) {
+	answered := make(map[string]bool) // records with a stored answer
+	for _, e := range h.events {
+		if e.Kind == timeline.RecordAnswered {
+			answered[e.Record] = true
+		}
+		if e.Kind == timeline.RequestAnswered {
+			checkAnswer(h, e, answered, report)
+		}
+	}
+	for _, r := range h.requests {
+		checkEnds(h, r, report)
+	}
+}
+
+func checkAnswer(h *history, e timeline.Event, answered map[string]bool, report reportFunc) {
+	if e.Attempt == "" {
+		if h.Complete && !answered[e.Record] {
+			report(e, "request %q was answered by no attempt and no idempotency record", e.Request)
+		}
+		return
+	}
+	a, ok := h.attempts[e.Attempt]
+	if !ok || a.first() == nil {
+		if h.Complete {
+			report(e, "request %q was answered by attempt %q, which nobody started", e.Request, e.Attempt)
+		}
+		return
+	}
+	first := a.first()
+	sameRecord := e.Record != "" && e.Record == first.Record && answered[e.Record]
+	if first.Request != e.Request && !sameRecord {
+		report(e, "request %q got the answer of request %q", e.Request, first.Request)
+		return
+	}
+	if a.discarded {
+		report(e, "request %q was answered by discarded attempt %q", e.Request, e.Attempt)
+		return
+	}
+	if a.answered == nil {
+		if h.Complete {
+			report(e, "request %q was answered by attempt %q, which did not end whole", e.Request, e.Attempt)
+		}
+		return
+	}
+	if a.answered.Count > 0 && e.Count != a.answered.Count && !sameRecord {
+		report(e, "request %q got %d events of %d", e.Request, e.Count, a.answered.Count)
+	}
+}
+
+// checkEnds reports a request that ended twice or never.
+func checkEnds(h *history, r *request, report reportFunc) {
+	if len(r.ends) > 1 {
+		report(r.ends[1], "request %q ended as %s and as %s", r.id, r.ends[0].Kind, r.ends[1].Kind)
+		return
+	}
+	if len(r.ends) == 1 || r.received == nil {
+		return
+	}
+	deadline := r.received.Time.Add(h.RequestBound)
+	if h.last.After(deadline) && h.recordedAfter(r.received.Instance, r.received.Sequence) > 0 && !h.diedAfter(*r.received) {
+		report(*r.received, "request %q never ended", r.id)
+	}
+}
+
+// recordedAfter counts the events that an instance recorded after a sequence.
+func (h *history) recordedAfter(instance string, sequence uint64) int {
+	n := 0
+	for _, e := range h.events {
+		if e.Instance == instance && e.Sequence > sequence {
+			n++
+		}
+	}
+	return n
+}
+
+// diedAfter reports whether the recording process of e ended without a planned
+// stop: it started again, and never drained in between.
+func (h *history) diedAfter(e timeline.Event) bool {
+	for _, later := range h.events {
+		if later.Instance != e.Instance || later.Time.Before(e.Time) {
+			continue
+		}
+		switch later.Kind {
+		case timeline.InstanceDrains:
+			return false
+		case timeline.InstanceStarted:
+			return true
+		}
+	}
+	return false
+}
+
+// checkNotRunIsTrue reads request.refused and request.failed with NotRun,
+// attempt.sent, backend.received and backend.ran. A request that was declared
+// not run never reached a backend server, before or after. A code that was
+// decided from an idempotency record speaks for every request of that record.
+func checkNotRunIsTrue(h *history, report reportFunc) {
+	reached := make(map[string]bool) // requests
+	ran := make(map[string]bool)     // idempotency records
+	for _, e := range h.events {
+		switch e.Kind {
+		case timeline.BackendRan, timeline.BackendReceived:
+			if r := h.requestOf(e.Attempt); r != nil {
+				reached[r.id] = true
+			}
+			if e.Record != "" {
+				ran[e.Record] = true
+			}
+		case timeline.AttemptSent:
+			reached[e.Request] = true
+		}
+	}
+	for _, r := range h.requests {
+		for _, e := range r.ends {
+			if !e.NotRun {
+				continue
+			}
+			if reached[r.id] {
+				report(e, "request %q was declared not run but reached a backend server", r.id)
+			}
+			if decidedFromRecord(e.Code) && ran[e.Record] {
+				report(e, "request %q was declared not run but its idempotency record ran", r.id)
+			}
+		}
+	}
+}
+
+func decidedFromRecord(c result.Code) bool {
+	return c == result.AlreadyRunning || c == result.WillNotRunAgain || c == result.OutcomeUnknown
+}
+
+// checkAtMostOnce reads record.inserted, record.released, attempt.sent
+// (Idempotent, Record) and backend.ran (Attempt, Record). Of the attempts of one
+// non-idempotent request, known by its record, at most one is ever sent, and it
+// is the one that inserted the record.
+func checkAtMostOnce(h *history, report reportFunc) {
+	inserted := make(map[string]string) // record to attempt
+	sent := make(map[string]string)     // record or request to attempt
+	ran := make(map[string]bool)        // record
+	for _, e := range h.events {
+		switch e.Kind {
+		case timeline.RecordInserted:
+			inserted[e.Record] = e.Attempt
+		case timeline.RecordReleased:
+			if a, ok := h.attempts[e.Attempt]; ok && a.sent != nil {
+				report(e, "record %q was released though attempt %q was sent", e.Record, e.Attempt)
+			}
+		case timeline.AttemptSent:
+			if !e.Idempotent {
+				checkSentOnce(h, e, inserted, sent, report)
+			}
+		case timeline.BackendRan:
+			checkRanOnce(h, e, ran, report)
+		}
+	}
+}
+
+func checkSentOnce(h *history, e timeline.Event, inserted, sent map[string]string, report reportFunc) {
+	id := e.Record
+	if id == "" {
+		id = "request " + e.Request
+		report(e, "attempt %q of a non-idempotent request has no record", e.Attempt)
+	}
+	if owner, ok := inserted[e.Record]; (ok || h.Complete) && owner != e.Attempt {
+		report(e, "attempt %q was sent, record %q belongs to attempt %q", e.Attempt, e.Record, owner)
+	}
+	if other, ok := sent[id]; ok && other != e.Attempt {
+		report(e, "record %q was sent by attempts %q and %q", e.Record, other, e.Attempt)
+	}
+	sent[id] = e.Attempt
+}
+
+func checkRanOnce(h *history, e timeline.Event, ran map[string]bool, report reportFunc) {
+	a, ok := h.attempts[e.Attempt]
+	if ok && a.first() != nil && a.first().Idempotent {
+		return
+	}
+	id := e.Record
+	if id == "" && ok && a.first() != nil {
+		id = a.first().Record
+	}
+	if id == "" {
+		id = "attempt " + e.Attempt
+	}
+	if ran[id] {
+		report(e, "record %q ran twice, now as attempt %q", e.Record, e.Attempt)
+	}
+	ran[id] = true
+}
--- /dev/null
+++ b/internal/invariant/check_test.go
@@ -0,0 +1,427 @@
+package invariant
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+type event = timeline.Event
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// at places an event of instance a or b at a time in milliseconds.
+func at(ms int, instance string, e event) event {
+	e.Time = epoch.Add(time.Duration(ms) * time.Millisecond)
+	e.Instance = instance
+	return e
+}
+
+func until(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// number sets sequences in the order of the slice.
+func number(events []event) []event {
+	next := make(map[string]uint64)
+	for i := range events {
+		events[i].Sequence = next[events[i].Instance]
+		next[events[i].Instance]++
+	}
+	return events
+}
+
+// whole is one idempotent request from its arrival to its answer.
+func whole(ms int, id string) []event {
+	attempt := "att-" + id
+	sent := event{Request: id, Attempt: attempt, Server: "s1", Zone: "z1", Organisation: "o", KeyDigest: "k", Idempotent: true, Tier: 1}
+	started, first := sent, sent
+	started.Kind, first.Kind = timeline.AttemptStarted, timeline.AttemptSent
+	return []event{
+		at(ms, "a", event{Kind: timeline.RequestReceived, Request: id, Organisation: "o"}),
+		at(ms, "a", event{Kind: timeline.KeyAccepted, Request: id, Organisation: "o", KeyDigest: "k"}),
+		at(ms+1, "a", event{Kind: timeline.RequestQueued, Request: id, Tier: 1, Class: "c", Service: "m"}),
+		at(ms+2, "a", event{Kind: timeline.RequestAdmitted, Request: id, Tier: 1, Class: "c", Service: "m"}),
+		at(ms+2, "a", started),
+		at(ms+3, "a", first),
+		at(ms+9, "a", event{Kind: timeline.AttemptAnswered, Request: id, Attempt: attempt, Server: "s1", Count: 5}),
+		at(ms+9, "a", event{Kind: timeline.RequestAnswered, Request: id, Attempt: attempt, Server: "s1", Count: 5}),
+	}
+}
+
+// once is a non-idempotent request whose record is inserted before it is sent.
+func once(ms int, id, record string) []event {
+	events := whole(ms, id)
+	for i := range events {
+		events[i].Idempotent = false
+		if events[i].Attempt != "" {
+			events[i].Record = record
+		}
+	}
+	inserted := at(ms+2, "a", event{Kind: timeline.RecordInserted, Record: record, Attempt: "att-" + id})
+	ran := at(ms+5, "s1", event{Kind: timeline.BackendRan, Server: "s1", Record: record, Attempt: "att-" + id})
+	return append([]event{inserted}, append(events, ran)...)
+}
+
+// lease is a belief of an instance between two times.
+func lease(instance string, token uint64, from, to int) event {
+	return at(from, instance, event{Kind: timeline.LeaseAcquired, Duty: "d", Token: token, Until: until(to)})
+}
+
+func ordered(ms int, instance string, token uint64) event {
+	return at(ms, instance, event{Kind: timeline.OrderSent, Duty: "d", Token: token, Order: fmt.Sprint("o", ms)})
+}
+
+func reported(ms int, instance string, token uint64, count int64) event {
+	return at(ms, instance, event{Kind: timeline.UsageReported, Duty: "d", Token: token, Window: "w", Organisation: "o", Count: count})
+}
+
+func sentTo(ms int, id, server, zone string) event {
+	return at(ms, "a", event{Kind: timeline.AttemptSent, Request: "r" + id, Attempt: id, Server: server, Zone: zone, Idempotent: true})
+}
+
+func received(ms int, inFlight int64) event {
+	return at(ms, "s1", event{Kind: timeline.BackendReceived, Server: "s1", Count: inFlight})
+}
+
+func limit(ms int, n int64) event {
+	return at(ms, "a", event{Kind: timeline.ServerLimit, Server: "s1", Count: n})
+}
+
+func state(ms int, instance, s string) event {
+	return at(ms, instance, event{Kind: timeline.ServerState, Server: "s1", State: s})
+}
+
+func version(ms int, instance string, kind timeline.Kind, v uint64) event {
+	return at(ms, instance, event{Kind: kind, Version: v})
+}
+
+// starved is a class that waits while n requests of another class start.
+func starved(n int) []event {
+	events := []event{at(0, "a", event{Kind: timeline.RequestQueued, Request: "poor", Class: "low", Tier: 7, Service: "m"})}
+	for i := range n {
+		id := fmt.Sprint("rich", i)
+		events = append(events, at(i+1, "a", event{Kind: timeline.RequestAdmitted, Request: id, Class: "high", Tier: 1, Service: "m"}))
+	}
+	return events
+}
+
+// refusedOnly is a class whose requests are all refused for overload at arrival.
+func refusedOnly(n int) []event {
+	events := starved(n)[1:]
+	for i := range 3 {
+		id := fmt.Sprint("poor", i)
+		events = append(events,
+			at(i, "a", event{Kind: timeline.RequestQueued, Request: id, Class: "low", Tier: 7, Service: "m"}),
+			at(i, "a", event{Kind: timeline.RequestRefused, Request: id, Code: result.Shed, NotRun: true}))
+	}
+	return events
+}
+
+// shedElsewhere sheds tier 1 on a while b starts n requests of tier 5.
+func shedElsewhere(n int) []event {
+	events := []event{at(0, "a", event{Kind: timeline.RequestQueued, Request: "r", Class: "high", Tier: 1, Service: "m"})}
+	for i := range n {
+		events = append(events, at(10+i, "b", event{Kind: timeline.RequestAdmitted, Request: fmt.Sprint("l", i), Class: "low", Tier: 5, Service: "m"}))
+	}
+	return append(events, at(100, "a", event{Kind: timeline.RequestShed, Request: "r", Class: "high", Tier: 1, Service: "m", Code: result.Shed}))
+}
+
+func drop(events []event, kind timeline.Kind) []event {
+	return slices.DeleteFunc(slices.Clone(events), func(e event) bool { return e.Kind == kind })
+}
+
+func edit(events []event, kind timeline.Kind, f func(*event)) []event {
+	events = slices.Clone(events)
+	for i := range events {
+		if events[i].Kind == kind {
+			f(&events[i])
+		}
+	}
+	return events
+}
+
+func refusedNotRun(ms int, id string, c result.Code, record string) event {
+	return at(ms, "a", event{Kind: timeline.RequestRefused, Request: id, Code: c, NotRun: true, Record: record})
+}
+
+// timeLines holds, by check, time lines that it must accept and must reject.
+var timeLines = map[string]struct{ sound, doctored map[string][]event }{
+	"tier_order": {
+		sound: map[string][]event{
+			"lower tier gives way":      {at(1, "a", event{Kind: timeline.RequestPreempted, Tier: 5, OtherTier: 1}), at(2, "a", event{Kind: timeline.RequestShed, Tier: 5, OtherTier: 5})},
+			"lower class has its floor": shedElsewhere(1),
+		},
+		doctored: map[string][]event{
+			"preempted for a lower tier":  {at(1, "a", event{Kind: timeline.RequestPreempted, Tier: 1, OtherTier: 5})},
+			"preempted for its own tier":  {at(1, "a", event{Kind: timeline.RequestPreempted, Tier: 3, OtherTier: 3})},
+			"shed before a lower tier":    {at(1, "a", event{Kind: timeline.RequestShed, Tier: 1, OtherTier: 2})},
+			"lower tier starts elsewhere": shedElsewhere(5),
+		},
+	},
+	"no_starvation": {
+		sound:    map[string][]event{"within the floor": starved(150), "few refusals": refusedOnly(150)},
+		doctored: map[string][]event{"waits for good": starved(250), "always refused": refusedOnly(250)},
+	},
+	"key_scope": {
+		sound: map[string][]event{
+			"withdrawn later": append(whole(0, "r"), at(20, "a", event{Kind: timeline.KeyWithdrawn, KeyDigest: "k", Organisation: "o"})),
+			"granted again": append([]event{
+				at(0, "a", event{Kind: timeline.KeyWithdrawn, KeyDigest: "k", Organisation: "o", Version: 1}),
+				at(1, "a", event{Kind: timeline.KeyGranted, KeyDigest: "k", Organisation: "o", Version: 2}),
+				at(2, "b", event{Kind: timeline.KeyWithdrawn, KeyDigest: "k", Organisation: "o", Version: 1})}, whole(5000, "r")...),
+			"open route": edit(sentOnly(), timeline.AttemptSent, func(e *event) { e.Organisation, e.KeyDigest = "", "" }),
+		},
+		doctored: map[string][]event{
+			"works after withdrawal":  append(whole(5000, "r"), at(0, "a", event{Kind: timeline.KeyWithdrawn, KeyDigest: "k", Organisation: "o"})),
+			"stream outlives its key": append(edit(whole(0, "r"), timeline.RequestAnswered, func(e *event) { e.Time = until(5000) }), at(20, "a", event{Kind: timeline.KeyWithdrawn, KeyDigest: "k", Organisation: "o"})),
+			"other organisation":      edit(whole(0, "r"), timeline.AttemptSent, func(e *event) { e.Organisation = "p" }),
+			"grant of another":        append(whole(5, "r"), at(0, "a", event{Kind: timeline.KeyGranted, KeyDigest: "k", Organisation: "p"})),
+			"without a key":           edit(whole(0, "r"), timeline.AttemptSent, func(e *event) { e.KeyDigest = "" }),
+			"backend sees the key":    {at(0, "s1", event{Kind: timeline.BackendReceived, Server: "s1", KeyDigest: "k"})},
+		},
+	},
+	"single_order_sender": {
+		sound: map[string][]event{
+			"takeover after expiry":  {lease("a", 1, 0, 100), ordered(50, "a", 1), lease("b", 2, 150, 300), ordered(200, "b", 2)},
+			"takeover after release": {lease("a", 1, 0, 100), at(10, "a", event{Kind: timeline.LeaseReleased, Duty: "d", Token: 1}), lease("b", 2, 20, 100), ordered(50, "b", 2)},
+			"renewed":                {lease("a", 1, 0, 100), at(90, "a", event{Kind: timeline.LeaseRenewed, Duty: "d", Token: 1, Until: until(200)}), ordered(150, "a", 1)},
+		},
+		doctored: map[string][]event{
+			"two holders":            {lease("a", 1, 0, 100), lease("b", 2, 50, 300), ordered(70, "b", 2)},
+			"after expiry":           {lease("a", 1, 0, 100), ordered(120, "a", 1)},
+			"after release":          {lease("a", 1, 0, 100), at(10, "a", event{Kind: timeline.LeaseReleased, Duty: "d", Token: 1}), ordered(50, "a", 1)},
+			"without a lease":        {ordered(10, "a", 1)},
+			"same token":             {lease("a", 1, 0, 100), lease("b", 1, 200, 300), ordered(250, "b", 1)},
+			"old token takes effect": {at(0, "p", event{Kind: timeline.PlatformOrder, Duty: "d", Token: 2, Order: "x"}), at(1, "p", event{Kind: timeline.PlatformOrder, Duty: "d", Token: 1, Order: "y"})},
+			"ordered twice":          {at(0, "p", event{Kind: timeline.PlatformOrder, Duty: "d", Token: 2, Order: "x"}), at(1, "p", event{Kind: timeline.PlatformOrder, Duty: "d", Token: 2, Order: "x"})},
+		},
+	},
+	"usage_reported_once": {
+		sound: map[string][]event{
+			"resent with the same figures": {lease("a", 1, 0, 100), reported(10, "a", 1, 7), lease("b", 2, 150, 300), reported(200, "b", 2, 7)},
+			"late line of its own":         {lease("a", 1, 0, 100), reported(10, "a", 1, 7), at(20, "a", event{Kind: timeline.UsageReported, Duty: "d", Token: 1, Window: "w", Organisation: "o", Subject: "v", Count: 2})},
+		},
+		doctored: map[string][]event{
+			"different figures": {lease("a", 1, 0, 100), reported(10, "a", 1, 7), reported(20, "a", 1, 8)},
+			"not as frozen":     {at(0, "a", event{Kind: timeline.UsageFrozen, Window: "w", Organisation: "o", Count: 6}), lease("a", 1, 0, 100), reported(10, "a", 1, 7)},
+			"two reporters":     {lease("a", 1, 0, 100), lease("b", 2, 50, 300), reported(70, "a", 1, 7)},
+			"old reporter":      {at(0, "p", event{Kind: timeline.PlatformUsage, Duty: "d", Token: 2, Window: "w", Organisation: "o"}), at(1, "p", event{Kind: timeline.PlatformUsage, Duty: "d", Token: 1, Window: "x", Organisation: "o"})},
+		},
+	},
+	"cold_limit": {
+		sound: map[string][]event{
+			"within the limit":     {limit(0, 1), received(1, 1), limit(2, 2), received(3, 2), limit(4, 0), received(5, 9)},
+			"cold without warning": {received(0, 9), limit(1, 1), received(2, 9)},
+			"sum of attempts":      {limit(0, 1), sentTo(1, "x", "s1", "z1"), at(2, "a", event{Kind: timeline.AttemptFailed, Attempt: "x", Server: "s1"}), sentTo(3, "y", "s1", "z1")},
+		},
+		doctored: map[string][]event{
+			"fresh server overrun": {limit(0, 1), received(1, 2)},
+			"notice passed":        {received(0, 9), limit(1, 1), received(4000, 9)},
+			"sum over instances":   {limit(0, 1), sentTo(1, "x", "s1", "z1"), at(2, "b", sentTo(0, "y", "s1", "z1"))},
+		},
+	},
+	"zone_out": {
+		sound: map[string][]event{
+			"in again": {at(0, "a", event{Kind: timeline.ZoneOut, Zone: "z1", Version: 1}), at(9000, "a", event{Kind: timeline.ZoneIn, Zone: "z1", Version: 2}),
+				at(9001, "b", event{Kind: timeline.ZoneOut, Zone: "z1", Version: 1}), sentTo(20000, "x", "s1", "z1")},
+			"other zone": {at(0, "a", event{Kind: timeline.ZoneOut, Zone: "z1"}), sentTo(20000, "x", "s1", "z2")},
+		},
+		doctored: map[string][]event{"still used": {at(0, "a", event{Kind: timeline.ZoneOut, Zone: "z1"}), sentTo(6000, "x", "s1", "z1")}},
+	},
+	"whole_answer": {
+		sound: map[string][]event{
+			"whole": whole(0, "r"),
+			"stored answer": append(once(0, "r", "rec"), at(30, "a", event{Kind: timeline.RecordAnswered, Record: "rec"}),
+				at(40, "b", event{Kind: timeline.RequestReceived, Request: "r2"}), at(41, "b", event{Kind: timeline.RequestAnswered, Request: "r2", Record: "rec", Count: 1})),
+			"instance died": {at(0, "a", event{Kind: timeline.RequestReceived, Request: "r"}), at(1, "a", event{Kind: timeline.InstanceStarted}), at(3600_000, "a", event{Kind: timeline.PeerUp})},
+		},
+		doctored: map[string][]event{
+			"another's answer":    append(whole(0, "r"), at(20, "a", event{Kind: timeline.RequestAnswered, Request: "q", Attempt: "att-r"})),
+			"missing events":      edit(whole(0, "r"), timeline.RequestAnswered, func(e *event) { e.Count = 4 }),
+			"discarded answer":    append(whole(0, "r"), at(5, "a", event{Kind: timeline.AttemptDiscarded, Attempt: "att-r"})),
+			"attempt never ended": drop(whole(0, "r"), timeline.AttemptAnswered),
+			"never ended":         {at(0, "a", event{Kind: timeline.RequestReceived, Request: "r"}), at(3600_000, "a", event{Kind: timeline.PeerUp})},
+			"ended twice":         append(whole(0, "r"), at(20, "a", event{Kind: timeline.RequestFailed, Request: "r"})),
+			"no stored answer":    {at(41, "b", event{Kind: timeline.RequestAnswered, Request: "r2", Record: "rec"})},
+		},
+	},
+	"not_run_is_true": {
+		sound: map[string][]event{
+			"refused in the queue": {at(0, "a", event{Kind: timeline.RequestReceived, Request: "r"}), refusedNotRun(1, "r", result.Shed, "")},
+			"may have run":         append(drop(whole(0, "r"), timeline.RequestAnswered), at(9, "a", event{Kind: timeline.RequestFailed, Request: "r", Code: result.StreamBroken})),
+		},
+		doctored: map[string][]event{
+			"sent before":           append(drop(whole(0, "r"), timeline.RequestAnswered), refusedNotRun(20, "r", result.Shed, "")),
+			"sent later":            append(drop(whole(50, "r"), timeline.RequestAnswered), refusedNotRun(20, "r", result.QueueTimeout, "")),
+			"backend server saw it": {at(0, "a", event{Kind: timeline.AttemptStarted, Request: "r", Attempt: "x"}), at(1, "s1", event{Kind: timeline.BackendReceived, Attempt: "x"}), refusedNotRun(2, "r", result.ConnectFailed, "")},
+			"its record ran":        append(once(0, "r", "rec"), refusedNotRun(90, "dup", result.AlreadyRunning, "rec")),
+		},
+	},
+	"at_most_once": {
+		sound: map[string][]event{
+			"once": once(0, "r", "rec"),
+			"released and inserted anew": append([]event{at(0, "b", event{Kind: timeline.RecordInserted, Record: "rec", Attempt: "x"}),
+				at(1, "b", event{Kind: timeline.RecordReleased, Record: "rec", Attempt: "x"})}, once(5, "r", "rec")...),
+		},
+		doctored: map[string][]event{
+			"ran twice":           append(once(0, "r", "rec"), at(50, "s2", event{Kind: timeline.BackendRan, Record: "rec", Attempt: "other"})),
+			"sent twice":          append(once(0, "r", "rec"), once(50, "q", "rec")...),
+			"sent without insert": drop(once(0, "r", "rec"), timeline.RecordInserted),
+			"no record":           edit(whole(0, "r"), timeline.AttemptSent, func(e *event) { e.Idempotent = false }),
+			"released after sent": append(once(0, "r", "rec"), at(50, "a", event{Kind: timeline.RecordReleased, Record: "rec", Attempt: "att-r"})),
+			"another's insert":    edit(once(0, "r", "rec"), timeline.RecordInserted, func(e *event) { e.Attempt = "x" }),
+		},
+	},
+	"leaving_server": {
+		sound: map[string][]event{
+			"no new work":   {state(0, "a", "leaving"), sentTo(100, "x", "s1", "z1")},
+			"started again": {state(0, "a", "leaving"), state(7000, "b", "starting"), sentTo(9000, "x", "s1", "z1")},
+		},
+		doctored: map[string][]event{
+			"still used":         {state(0, "a", "leaving"), sentTo(6000, "x", "s1", "z1")},
+			"late view of other": {state(0, "a", "draining"), state(100, "b", "warm"), sentTo(6000, "x", "s1", "z1")},
+		},
+	},
+	"graceful_stop": {
+		sound: map[string][]event{
+			"all ended":       append(whole(0, "r"), at(5, "a", event{Kind: timeline.InstanceDrains}), at(20, "a", event{Kind: timeline.InstanceStopped})),
+			"operator forced": {at(0, "a", event{Kind: timeline.InstanceDrains}), at(1, "a", event{Kind: timeline.InstanceStopped, Count: 3, State: "forced"})},
+			"returned idle":   append(whole(0, "r"), at(20, "b", event{Kind: timeline.OrderSent, State: "return", Server: "s1"})),
+		},
+		doctored: map[string][]event{
+			"cut off":        {at(0, "a", event{Kind: timeline.InstanceDrains}), at(1, "a", event{Kind: timeline.InstanceStopped, Count: 1})},
+			"open request":   {at(0, "a", event{Kind: timeline.InstanceDrains}), at(1, "a", event{Kind: timeline.RequestReceived, Request: "r"}), at(2, "a", event{Kind: timeline.InstanceStopped})},
+			"failed by stop": {at(0, "a", event{Kind: timeline.RequestFailed, Request: "r", Code: result.InstanceDraining})},
+			"returned busy":  append(whole(0, "r"), at(5, "b", event{Kind: timeline.OrderSent, State: "return", Server: "s1"})),
+		},
+	},
+	"config_in_force": {
+		sound: map[string][]event{
+			"spread": {version(0, "a", timeline.ConfigApplied, 1), version(0, "b", timeline.ConfigApplied, 1), version(10, "a", timeline.ConfigAccepted, 2), version(11, "a", timeline.ConfigApplied, 2),
+				version(900, "b", timeline.ConfigApplied, 2), at(9000, "b", event{Kind: timeline.RequestAdmitted})},
+			"cut off and stale": {version(0, "b", timeline.ConfigApplied, 1), version(10, "a", timeline.ConfigAccepted, 2), at(4000, "b", event{Kind: timeline.InstanceStale}), at(9000, "b", event{Kind: timeline.PeerDown})},
+		},
+		doctored: map[string][]event{
+			"reverts":         {version(0, "a", timeline.ConfigApplied, 2), at(1, "a", event{Kind: timeline.InstanceStarted}), version(2, "a", timeline.ConfigApplied, 1)},
+			"old version":     {version(0, "b", timeline.ConfigApplied, 1), version(10, "a", timeline.ConfigAccepted, 2), at(9000, "b", event{Kind: timeline.RequestAdmitted}), version(9001, "b", timeline.ConfigApplied, 2)},
+			"never applied":   {version(0, "b", timeline.ConfigApplied, 1), version(10, "a", timeline.ConfigAccepted, 2), at(9000, "b", event{Kind: timeline.PeerUp})},
+			"committed twice": {version(0, "a", timeline.ConfigAccepted, 2), version(1, "b", timeline.ConfigAccepted, 2)},
+		},
+	},
+}
+
+func sentOnly() []event { return []event{sentTo(0, "x", "s1", "z1")} }
+
+func TestChecksAcceptSoundAndRejectDoctoredTimeLines(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(timeLines), len(Checks()))
+	for _, c := range Checks() {
+		lines := timeLines[c.Name]
+		is.True(len(lines.sound) > 0 && len(lines.doctored) > 0) // both kinds for every check
+		o := Options{Complete: true, Only: []string{c.Name}}
+		for name, events := range lines.sound {
+			if found := Check(number(events), o); len(found) > 0 {
+				t.Errorf("%s: sound time line %q: %v", c.Name, name, found)
+			}
+		}
+		for name, events := range lines.doctored {
+			if len(Check(number(events), o)) == 0 {
+				t.Errorf("%s: doctored time line %q passes", c.Name, name)
+			}
+		}
+	}
+}
+
+func TestWholeRunsPassEveryCheck(t *testing.T) {
+	is := is.New(t)
+	events := append(whole(0, "r1"), once(5, "r2", "rec")...)
+	is.Equal(Check(number(events), Options{Complete: true}), nil)
+}
+
+func TestClockSkewExcusesOnlyItsBound(t *testing.T) {
+	is := is.New(t)
+	events := number([]event{lease("a", 1, 0, 100), lease("b", 2, 60, 300), ordered(90, "b", 2)})
+	o := Options{Only: []string{"single_order_sender"}, ClockSkew: 50 * time.Millisecond}
+	is.Equal(len(Check(events, o)), 0)
+	o.ClockSkew = 5 * time.Millisecond
+	is.Equal(len(Check(events, o)), 1)
+}
+
+func TestLostEventsAreNoViolation(t *testing.T) {
+	is := is.New(t)
+	events := number(once(0, "r", "rec"))
+	for cut := range events {
+		is.Equal(Check(events[cut:], Options{}), nil)
+	}
+}
+
+func TestEventsWithoutFieldsDoNotPanic(t *testing.T) {
+	for _, kind := range kinds {
+		Check([]event{{Kind: kind}}, Options{Complete: true})
+		Check([]event{{Kind: kind}}, Options{})
+	}
+}
+
+var kinds = []timeline.Kind{
+	timeline.RequestReceived, timeline.RequestQueued, timeline.RequestAdmitted, timeline.RequestShed, timeline.RequestPreempted,
+	timeline.RequestAnswered, timeline.RequestRefused, timeline.RequestFailed, timeline.AttemptStarted, timeline.AttemptSent,
+	timeline.AttemptAnswered, timeline.AttemptFailed, timeline.AttemptDiscarded, timeline.KeyAccepted, timeline.RecordInserted,
+	timeline.RecordAnswered, timeline.RecordReleased, timeline.ConfigAccepted, timeline.ConfigApplied, timeline.KeyGranted,
+	timeline.KeyWithdrawn, timeline.ZoneOut, timeline.ZoneIn, timeline.InstanceStarted, timeline.InstanceDrains,
+	timeline.InstanceStopped, timeline.InstanceStale, timeline.LeaseAcquired, timeline.LeaseRenewed, timeline.LeaseLost,
+	timeline.LeaseReleased, timeline.OrderSent, timeline.UsageFrozen, timeline.UsageReported, timeline.ServerState,
+	timeline.ServerLimit, timeline.BackendRan, timeline.BackendReceived, timeline.PlatformOrder, timeline.PlatformUsage,
+}
+
+func TestCheckTakesAnyTimeLineInAnyOrder(t *testing.T) {
+	name := rapid.SampledFrom([]string{"", "x", "y"})
+	small := rapid.IntRange(0, 3)
+	rapid.Check(t, func(t *rapid.T) {
+		events := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+			return event{
+				Time: epoch.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "s")) * time.Second), Kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
+				Instance: name.Draw(t, "instance"), Sequence: rapid.Uint64Range(0, math.MaxInt64).Draw(t, "sequence"), Request: name.Draw(t, "request"),
+				Attempt: name.Draw(t, "attempt"), Server: name.Draw(t, "server"), Record: name.Draw(t, "record"), Duty: name.Draw(t, "duty"),
+				Tier: small.Draw(t, "tier"), OtherTier: small.Draw(t, "other"), Version: uint64(small.Draw(t, "version")), Count: int64(small.Draw(t, "count")),
+				KeyDigest: name.Draw(t, "key"), Organisation: name.Draw(t, "organisation"), NotRun: rapid.Bool().Draw(t, "notRun"),
+			}
+		}), 0, 40).Draw(t, "events")
+		shuffled := rapid.Permutation(events).Draw(t, "order")
+		a, b := Check(events, Options{}), Check(shuffled, Options{})
+		if distinctSequences(events) && fmt.Sprint(a) != fmt.Sprint(b) {
+			t.Fatalf("order of rings matters: %v and %v", a, b)
+		}
+	})
+}
+
+func distinctSequences(events []event) bool {
+	seen := make(map[string]bool)
+	for _, e := range events {
+		id := fmt.Sprint(e.Instance, "#", e.Sequence)
+		if seen[id] {
+			return false
+		}
+		seen[id] = true
+	}
+	return true
+}
+
+func BenchmarkCheck(b *testing.B) {
+	var events []event
+	for i := range 10_000 {
+		events = append(events, whole(i*10, fmt.Sprint("r", i))...)
+	}
+	number(events)
+	for b.Loop() {
+		if found := Check(events, Options{Complete: true}); len(found) > 0 {
+			b.Fatal(found[0])
+		}
+	}
+}
--- /dev/null
+++ b/internal/invariant/history.go
@@ -0,0 +1,167 @@
+package invariant
+
+import (
+	"sort"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+// history indexes a merged time line for the checks.
+type history struct {
+	Options
+	events   []timeline.Event
+	requests map[string]*request
+	attempts map[string]*attempt
+	leases   map[string][]*belief        // by duty
+	starts   map[string][]timeline.Event // request.admitted by pool
+	last     time.Time                   // time of the last event
+}
+
+// request collects the events of one request.
+type request struct {
+	id       string
+	received *timeline.Event
+	queued   *timeline.Event
+	key      *timeline.Event  // key.accepted
+	ends     []timeline.Event // answered, refused or failed
+	sent     []*attempt
+}
+
+// attempt collects the events of one attempt.
+type attempt struct {
+	id        string
+	started   *timeline.Event
+	sent      *timeline.Event
+	answered  *timeline.Event
+	end       *timeline.Event // first of answered, failed and discarded
+	discarded bool
+}
+
+// first returns the event that carries the attempt's fields, nil when unknown.
+func (a *attempt) first() *timeline.Event {
+	if a.sent != nil {
+		return a.sent
+	}
+	return a.started
+}
+
+func newHistory(events []timeline.Event, o Options) *history {
+	h := &history{
+		Options:  o,
+		events:   events,
+		requests: make(map[string]*request),
+		attempts: make(map[string]*attempt),
+		leases:   make(map[string][]*belief),
+		starts:   make(map[string][]timeline.Event),
+	}
+	for i := range events {
+		h.add(&events[i])
+	}
+	return h
+}
+
+func (h *history) add(e *timeline.Event) {
+	h.last = e.Time
+	h.addLease(e)
+	h.addAttempt(e)
+	h.addRequest(e)
+}
+
+func (h *history) addRequest(e *timeline.Event) {
+	if e.Request == "" {
+		return
+	}
+	r := h.request(e.Request)
+	switch e.Kind {
+	case timeline.RequestReceived:
+		r.received = e
+	case timeline.RequestQueued:
+		r.queued = e
+	case timeline.RequestAdmitted:
+		h.starts[e.Service] = append(h.starts[e.Service], *e)
+	case timeline.KeyAccepted:
+		r.key = e
+	case timeline.RequestAnswered, timeline.RequestRefused, timeline.RequestFailed:
+		r.ends = append(r.ends, *e)
+	case timeline.AttemptSent:
+		r.sent = append(r.sent, h.attempt(e.Attempt))
+	}
+}
+
+func (h *history) addAttempt(e *timeline.Event) {
+	switch e.Kind {
+	case timeline.AttemptStarted:
+		h.attempt(e.Attempt).started = e
+	case timeline.AttemptSent:
+		h.attempt(e.Attempt).sent = e
+	case timeline.AttemptAnswered:
+		a := h.attempt(e.Attempt)
+		a.answered = e
+		a.endAt(e)
+	case timeline.AttemptFailed:
+		h.attempt(e.Attempt).endAt(e)
+	case timeline.AttemptDiscarded:
+		a := h.attempt(e.Attempt)
+		a.discarded = true
+		a.endAt(e)
+	}
+}
+
+func (a *attempt) endAt(e *timeline.Event) {
+	if a.end == nil {
+		a.end = e
+	}
+}
+
+func (h *history) request(id string) *request {
+	r, ok := h.requests[id]
+	if !ok {
+		r = &request{id: id}
+		h.requests[id] = r
+	}
+	return r
+}
+
+func (h *history) attempt(id string) *attempt {
+	a, ok := h.attempts[id]
+	if !ok {
+		a = &attempt{id: id}
+		h.attempts[id] = a
+	}
+	return a
+}
+
+// requestOf returns the request of an attempt, nil when unknown.
+func (h *history) requestOf(attemptID string) *request {
+	a, ok := h.attempts[attemptID]
+	if !ok || a.first() == nil {
+		return nil
+	}
+	return h.requests[a.first().Request]
+}
+
+// startedBetween returns what a pool started surely after from and surely before to.
+func (h *history) startedBetween(pool string, from, to time.Time) []timeline.Event {
+	starts := h.starts[pool]
+	low := sort.Search(len(starts), func(i int) bool { return h.surelyAfter(starts[i].Time, from) })
+	high := sort.Search(len(starts), func(i int) bool { return !h.surelyAfter(to, starts[i].Time) })
+	if low >= high {
+		return nil
+	}
+	return starts[low:high]
+}
+
+// floor returns the smallest share of dispatches of a class.
+func (h *history) floor(class string) float64 {
+	if f, ok := h.Floors[class]; ok && f > 0 {
+		return f
+	}
+	return minimumFloor
+}
+
+// surelyAfter reports whether t lies after the limit whatever the clocks of the
+// two recording processes show.
+func (h *history) surelyAfter(t, limit time.Time) bool {
+	return t.After(limit.Add(h.ClockSkew))
+}
--- /dev/null
+++ b/internal/invariant/tiers.go
@@ -0,0 +1,163 @@
+package invariant
+
+import (
+	"math"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+const minimumFloor = config.MinimumFloor
+
+// checkTierOrder reads request.shed and request.preempted, which name the other
+// tier concerned, and request.queued, request.admitted and request.shed of one
+// pool (Service) over all instances: from the time that a request was queued
+// until it was shed, no lower class may have started more than its floor.
+func checkTierOrder(h *history, report reportFunc) {
+	for _, e := range h.events {
+		switch e.Kind {
+		case timeline.RequestPreempted:
+			checkPreemption(e, report)
+		case timeline.RequestShed:
+			checkShedVictim(e, report)
+			checkShedElsewhere(h, e, report)
+		}
+	}
+}
+
+func checkPreemption(e timeline.Event, report reportFunc) {
+	if e.OtherTier == 0 {
+		report(e, "preemption of request %q names no tier that took the slot", e.Request)
+		return
+	}
+	if e.OtherTier >= e.Tier {
+		report(e, "request %q of tier %d was preempted for tier %d", e.Request, e.Tier, e.OtherTier)
+	}
+}
+
+func checkShedVictim(e timeline.Event, report reportFunc) {
+	if e.OtherTier > e.Tier {
+		report(e, "request %q of tier %d was shed while tier %d waited", e.Request, e.Tier, e.OtherTier)
+	}
+}
+
+// checkShedElsewhere counts what lower classes started while the victim waited.
+func checkShedElsewhere(h *history, shed timeline.Event, report reportFunc) {
+	r, ok := h.requests[shed.Request]
+	if !ok || r.queued == nil || shed.Service == "" {
+		return
+	}
+	started := make(map[string]int)
+	tiers := make(map[string]int)
+	instances := make(map[string]bool)
+	starts := h.startedBetween(shed.Service, r.queued.Time, shed.Time)
+	for _, e := range starts {
+		started[e.Class]++
+		tiers[e.Class] = e.Tier
+		instances[e.Instance] = true
+	}
+	for class, n := range started {
+		// Each instance may owe the class one dispatch from before.
+		allowed := int(math.Ceil(h.floor(class)*float64(len(starts)))) + len(instances)
+		if tiers[class] > shed.Tier && n > allowed {
+			report(shed, "request %q of tier %d was shed while class %q of tier %d started %d of %d requests",
+				shed.Request, shed.Tier, class, tiers[class], n, len(starts))
+		}
+	}
+}
+
+const (
+	// starvationSlack multiplies the number of dispatches that a floor implies.
+	starvationSlack = 2
+	// minOverloadRefusals is the number of refusals that show lasting demand.
+	minOverloadRefusals = 3
+)
+
+// classInPool is one class that competes for one pool on one instance.
+type classInPool struct{ instance, pool, class string }
+
+// demand is what one class asked for since its last dispatch.
+type demand struct {
+	waiting      map[string]bool // request ids
+	passed       int             // dispatches of other classes while it waited
+	refused      int             // refusals for overload
+	passedRefuse int             // dispatches of other classes since the first refusal
+	reported     bool
+}
+
+// checkNoStarvation reads request.queued, request.admitted, request.refused and
+// the ends of requests with Class and Service. While a class waits on an
+// instance or is refused for overload, at most starvationSlack/floor requests of
+// other classes may start in its pool without one of its own.
+func checkNoStarvation(h *history, report reportFunc) {
+	demands := make(map[classInPool]*demand)
+	places := make(map[string]classInPool) // by request id
+	for _, e := range h.events {
+		switch e.Kind {
+		case timeline.RequestQueued:
+			place := classInPool{e.Instance, e.Service, e.Class}
+			places[e.Request] = place
+			demandOf(demands, place).waiting[e.Request] = true
+		case timeline.RequestAdmitted:
+			place := classInPool{e.Instance, e.Service, e.Class}
+			demands[place] = &demand{waiting: without(demands[place], e.Request)}
+			passOthers(h, demands, place, e, report)
+		case timeline.RequestRefused, timeline.RequestFailed, timeline.RequestAnswered:
+			place, ok := places[e.Request]
+			if !ok {
+				continue
+			}
+			d := demandOf(demands, place)
+			delete(d.waiting, e.Request)
+			if isOverload(e.Code) {
+				d.refused++
+			}
+		}
+	}
+}
+
+func isOverload(c result.Code) bool {
+	return c == result.Shed || c == result.DeadlineHopeless || c == result.QueueTimeout
+}
+
+func demandOf(demands map[classInPool]*demand, place classInPool) *demand {
+	d, ok := demands[place]
+	if !ok {
+		d = &demand{waiting: make(map[string]bool)}
+		demands[place] = d
+	}
+	return d
+}
+
+// without returns the waiting requests of d but the one with the id.
+func without(d *demand, id string) map[string]bool {
+	if d == nil {
+		return make(map[string]bool)
+	}
+	delete(d.waiting, id)
+	return d.waiting
+}
+
+// passOthers counts a dispatch against every other class that wants the pool.
+func passOthers(h *history, demands map[classInPool]*demand, started classInPool, e timeline.Event, report reportFunc) {
+	for place, d := range demands {
+		if place.instance != started.instance || place.pool != started.pool || place.class == started.class {
+			continue
+		}
+		if len(d.waiting) > 0 {
+			d.passed++
+		} else {
+			d.passed = 0
+		}
+		if d.refused > 0 {
+			d.passedRefuse++
+		}
+		limit := int(math.Ceil(starvationSlack / h.floor(place.class)))
+		starved := d.passed > limit || (d.refused >= minOverloadRefusals && d.passedRefuse > limit)
+		if starved && !d.reported {
+			d.reported = true
+			report(e, "class %q got none of %d dispatches of pool %q on %s", place.class, max(d.passed, d.passedRefuse), place.pool, place.instance)
+		}
+	}
+}
