--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,163 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"net/http/pprof"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+// StatusProvider tells the state of the instance. It is safe for concurrent use.
+type StatusProvider interface {
+	// Status returns what the instance knows. Config fields and zones out are
+	// filled in by the handler.
+	Status(ctx context.Context) Status
+	// Ready reports whether the instance takes new requests, and why not.
+	Ready() (ready bool, reason string)
+}
+
+// Drainer stops the instance.
+type Drainer interface {
+	// Drain starts a planned stop and returns at once. With force it cuts off
+	// what still runs. It is idempotent.
+	Drain(force bool)
+}
+
+// Options are what the API needs of the instance. All fields are required
+// unless noted.
+type Options struct {
+	Source   config.Source
+	Editor   config.Editor
+	Timeline *timeline.Ring
+	Status   StatusProvider
+	Drainer  Drainer
+	// Metrics writes the metrics in the Prometheus text format.
+	Metrics func(w io.Writer)
+	// TokenDigest is the SHA-256 digest, in hexadecimal, of the bearer token.
+	// Empty means that none is asked for.
+	TokenDigest string
+	Log         hclog.Logger
+}
+
+// Timeouts of the listener for operators.
+const (
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 2 * time.Minute
+	idleTimeout       = 2 * time.Minute
+)
+
+// NewServer returns an HTTP server for the API. The caller sets the listener
+// and TLS.
+func NewServer(o Options) *http.Server {
+	return &http.Server{
+		Handler:           NewHandler(o),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          o.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+type handler struct{ Options }
+
+// NewHandler returns the handler of the API.
+func NewHandler(o Options) http.Handler {
+	h := &handler{o}
+	open, closed := http.NewServeMux(), http.NewServeMux()
+	open.HandleFunc("GET "+LivePath, h.live)
+	open.HandleFunc("GET "+ReadyPath, h.ready)
+	open.HandleFunc("GET "+MetricsPath, h.metrics)
+	open.Handle("/", h.authorised(closed))
+
+	closed.HandleFunc("GET "+TimelinePath, h.timeline)
+	closed.HandleFunc("GET "+ConfigPath, h.showConfig)
+	closed.HandleFunc("PUT "+ConfigPath, h.applyConfig)
+	closed.HandleFunc("POST "+ConfigCheckPath, h.checkConfig)
+	closed.HandleFunc("GET "+KeysPath, h.listKeys)
+	closed.HandleFunc("POST "+KeysPath, h.grantKey)
+	closed.HandleFunc("DELETE "+KeyPath+"{digest}", h.withdrawKey)
+	closed.HandleFunc("PUT "+ZonePath+"{zone}", h.setZone)
+	closed.HandleFunc("GET "+StatusPath, h.status)
+	closed.HandleFunc("POST "+DrainPath, h.drain)
+	closed.HandleFunc("GET "+InForcePath, h.inForce)
+	closed.HandleFunc("GET "+ProfilePath, pprof.Index)
+	closed.HandleFunc("GET "+ProfilePath+"profile", pprof.Profile)
+	closed.HandleFunc("GET "+ProfilePath+"trace", pprof.Trace)
+	closed.HandleFunc("GET "+ProfilePath+"symbol", pprof.Symbol)
+	closed.HandleFunc("/", h.unknown)
+	return open
+}
+
+// authorised lets a request through when it bears the operators' token.
+func (h *handler) authorised(next http.Handler) http.Handler {
+	if h.TokenDigest == "" {
+		return next
+	}
+	want := strings.ToLower(h.TokenDigest)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(token))
+		got := hex.EncodeToString(sum[:])
+		switch {
+		case !ok || token == "":
+			writeError(w, refuse(result.KeyMissing, "the operators' token is missing"))
+		case subtle.ConstantTimeCompare([]byte(got), []byte(want)) != 1:
+			writeError(w, refuse(result.KeyUnknown, "the operators' token is wrong"))
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+func (h *handler) unknown(w http.ResponseWriter, r *http.Request) {
+	writeError(w, refuse(result.UnknownRoute, "no %s %s; see docs/OPERATING.md", r.Method, r.URL.Path))
+}
+
+func (h *handler) live(w http.ResponseWriter, _ *http.Request) {
+	io.WriteString(w, "live\n")
+}
+
+func (h *handler) ready(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := h.Status.Ready()
+	if !ready {
+		http.Error(w, "not ready: "+reason, http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
+func (h *handler) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	h.Metrics(w)
+}
+
+func (h *handler) status(w http.ResponseWriter, r *http.Request) {
+	s := h.Status.Status(r.Context())
+	s.Ready, s.Reason = h.Status.Ready()
+	s.Fresh = h.Source.Fresh()
+	if snapshot := h.Source.Current(); snapshot != nil {
+		s.Version, s.ZonesOut = snapshot.Version, sortedZones(snapshot)
+	}
+	writeJSON(w, http.StatusOK, s)
+}
+
+func (h *handler) drain(w http.ResponseWriter, r *http.Request) {
+	var request DrainRequest
+	if r.ContentLength != 0 && !readJSON(w, r, &request) {
+		return
+	}
+	h.Log.Info("operator drains the instance", "force", request.Force)
+	h.Drainer.Drain(request.Force)
+	w.WriteHeader(http.StatusAccepted)
+}
