--- /dev/null
+++ b/internal/cli/timeline.go
@@ -0,0 +1,220 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/invariant"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+const timelineHelp = `Fetch the events of several instances and print them as one time line, in order
+of time, instance and sequence. Formats: text for people, json with one event a
+line, chrome for Perfetto and chrome://tracing. Saved json files can be read
+again with --input.
+
+--check checks the router's promises over the time line and fails when one is
+broken. Events that an instance no longer keeps are not held against it.`
+
+// timelineCommand merges the events of instances.
+type timelineCommand struct {
+	app     *app
+	Format  string   `long:"format" choice:"text" choice:"json" choice:"chrome" default:"text" description:"Form of the output"`
+	JSON    bool     `long:"json" description:"Short for --format json"`
+	Request string   `long:"request" value-name:"ID" description:"Show one request only, over all instances"`
+	Check   bool     `long:"check" description:"Check the router's promises in place of printing events"`
+	Stats   bool     `long:"stats" description:"Sum up requests by class in place of printing events"`
+	Inputs  []string `long:"input" value-name:"FILE" description:"Read saved events in place of asking instances; may be repeated"`
+	targets
+}
+
+// history is a merged time line.
+type history struct {
+	events   []timeline.Event
+	lost     uint64             // events that some instance no longer keeps
+	floors   map[string]float64 // of the configuration; nil when unknown
+	failures []error            // instances that could not be asked
+}
+
+// Execute implements flags.Commander.
+func (c *timelineCommand) Execute(args []string) error {
+	if c.JSON {
+		c.Format = "json"
+	}
+	c.app.json = c.Format == "json"
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	h, err := c.collect()
+	if err != nil {
+		return err
+	}
+	return errors.Join(append(h.failures, c.show(h))...)
+}
+
+func (c *timelineCommand) show(h history) error {
+	if c.Check {
+		return c.check(h)
+	}
+	if c.Request != "" {
+		h.events = timeline.OfRequest(h.events, c.Request)
+	}
+	if c.Stats {
+		stats := timeline.Stats(h.events)
+		return c.app.print(output{c.app.json}, stats, func(w io.Writer) { writeStats(w, stats) })
+	}
+	switch c.Format {
+	case "json":
+		return timeline.WriteJSON(c.app.Out, h.events)
+	case "chrome":
+		return timeline.WriteChrome(c.app.Out, h.events)
+	}
+	if h.lost > 0 {
+		fmt.Fprintf(c.app.Err, "%d older events are no longer kept\n", h.lost)
+	}
+	return timeline.WriteText(c.app.Out, h.events)
+}
+
+func (c *timelineCommand) collect() (history, error) {
+	if len(c.Inputs) > 0 {
+		return c.fromFiles()
+	}
+	return c.fromInstances()
+}
+
+func (c *timelineCommand) fromFiles() (history, error) {
+	var h history
+	var rings [][]timeline.Event
+	for _, name := range c.Inputs {
+		file, err := os.Open(name)
+		if err != nil {
+			return h, invalid("read events: %w", err)
+		}
+		events, err := timeline.ReadJSON(file)
+		file.Close()
+		if err != nil {
+			return h, invalid("read events of %s: %w", name, err)
+		}
+		rings = append(rings, events)
+	}
+	h.events = timeline.Merge(rings...)
+	h.lost = firstSequences(h.events)
+	return h, nil
+}
+
+// firstSequences returns how many events are missing before the first one of
+// each instance.
+func firstSequences(events []timeline.Event) uint64 {
+	first := make(map[string]uint64)
+	for _, e := range events {
+		if s, ok := first[e.Instance]; !ok || e.Sequence < s {
+			first[e.Instance] = e.Sequence
+		}
+	}
+	var missing uint64
+	for _, s := range first {
+		missing += s
+	}
+	return missing
+}
+
+func (c *timelineCommand) fromInstances() (history, error) {
+	var h history
+	var rings [][]timeline.Event
+	for _, address := range c.Operators {
+		instance, err := c.client(address)
+		if err != nil {
+			return h, err
+		}
+		events, lost, err := instance.Timeline(c.app.ctx)
+		if err != nil {
+			h.failures = append(h.failures, atAddress(instance, err))
+			continue
+		}
+		rings = append(rings, events)
+		h.lost += lost
+		if current, err := instance.Config(c.app.ctx); err == nil && h.floors == nil {
+			h.floors = floorsOf(current.Text)
+		}
+	}
+	h.events = timeline.Merge(rings...)
+	return h, nil
+}
+
+// floorsOf returns the floor of each class, nil when the text is not valid.
+func floorsOf(text string) map[string]float64 {
+	decoded, err := config.Decode("text in force", []byte(text))
+	if err != nil {
+		return nil
+	}
+	floors := make(map[string]float64, len(decoded.Classes))
+	for i := range decoded.Classes {
+		floors[decoded.Classes[i].Name] = decoded.Classes[i].EffectiveFloor()
+	}
+	return floors
+}
+
+// checkReport is what `timeline --check` prints.
+type checkReport struct {
+	Events     int                   `json:"events"`
+	Lost       uint64                `json:"lost"`
+	Checks     []string              `json:"checks"`
+	Violations []invariant.Violation `json:"violations"`
+}
+
+// violationsError reports broken promises.
+type violationsError struct{ count int }
+
+// Error implements the error interface.
+func (e *violationsError) Error() string {
+	return fmt.Sprintf("%d violations of the router's promises", e.count)
+}
+
+func (c *timelineCommand) check(h history) error {
+	options := invariant.DefaultOptions()
+	options.Complete = h.lost == 0 && len(h.failures) == 0
+	options.Floors = h.floors
+	report := checkReport{Events: len(h.events), Lost: h.lost, Violations: invariant.Check(h.events, options)}
+	for _, info := range invariant.Checks() {
+		report.Checks = append(report.Checks, info.Name)
+	}
+	if report.Violations == nil {
+		report.Violations = []invariant.Violation{}
+	}
+	if err := c.app.print(output{c.app.json}, report, report.text); err != nil {
+		return err
+	}
+	if len(report.Violations) > 0 {
+		return &violationsError{len(report.Violations)}
+	}
+	return nil
+}
+
+func (r checkReport) text(w io.Writer) {
+	for _, v := range r.Violations {
+		fmt.Fprintln(w, v)
+	}
+	fmt.Fprintf(w, "%d checks over %d events (%d older ones no longer kept): %d violations\n",
+		len(r.Checks), r.Events, r.Lost, len(r.Violations))
+}
+
+func writeStats(w io.Writer, stats []timeline.ClassStats) {
+	table(w, func(row func(string, ...any)) {
+		row("CLASS\tTIER\tRECEIVED\tANSWERED\tREFUSED\tFAILED\tATTEMPTS\tQUEUE P50\tP99\tANSWER P50\tP99 (ms)\tCODES")
+		for _, s := range stats {
+			row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%s", s.Class, s.Tier, s.Received, s.Answered,
+				s.Refused, s.Failed, s.Attempts, s.QueueP50, s.QueueP99, s.AnswerP50, s.AnswerP99, codesText(s.Codes))
+		}
+	})
+}
+
+func codesText(codes []timeline.CodeCount) string {
+	text := ""
+	for _, c := range codes {
+		text += fmt.Sprintf("%d×%s ", c.Count, c.Code)
+	}
+	return text
+}
