--- /dev/null
+++ b/internal/admission/tenant.go
@@ -0,0 +1,81 @@
+package admission
+
+// tenant is one organisation's part of a class's queue.
+type tenant[T any] struct {
+	name    string
+	weight  float64
+	waiting list[T]
+	cost    float64 // sum of the waiting entries' costs
+	// start is the virtual time at which the oldest entry starts: service
+	// received divided by weight.
+	start float64
+	// Positions in the class's heaps; -1 when nothing waits.
+	startIndex, tailIndex int
+}
+
+// tail is the virtual time at which the newest entry would end: how far the
+// organisation is over its share if everything it asked for ran.
+func (t *tenant[T]) tail() float64 { return t.start + t.cost/t.weight }
+
+// byStart is a min-heap (container/heap) of tenants by virtual start.
+type byStart[T any] []*tenant[T]
+
+func (h byStart[T]) Len() int { return len(h) }
+
+func (h byStart[T]) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if a.start != b.start {
+		return a.start < b.start
+	}
+	return a.waiting.head.Arrived.Before(b.waiting.head.Arrived)
+}
+
+func (h byStart[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].startIndex, h[j].startIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (h *byStart[T]) Push(x any) {
+	t := x.(*tenant[T])
+	t.startIndex = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop implements heap.Interface.
+func (h *byStart[T]) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.startIndex = -1
+	return t
+}
+
+// byTail is a max-heap (container/heap) of tenants by virtual tail.
+type byTail[T any] []*tenant[T]
+
+func (h byTail[T]) Len() int           { return len(h) }
+func (h byTail[T]) Less(i, j int) bool { return h[i].tail() > h[j].tail() }
+
+func (h byTail[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].tailIndex, h[j].tailIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (h *byTail[T]) Push(x any) {
+	t := x.(*tenant[T])
+	t.tailIndex = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop implements heap.Interface.
+func (h *byTail[T]) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	t.tailIndex = -1
+	return t
+}
--- /dev/null
+++ b/internal/placement/retry.go
@@ -0,0 +1,77 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/admission"
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
+)
+
+// maxAttempts bounds the attempts of one request.
+const maxAttempts = 4
+
+// Retry asks for another target after a failed attempt. The listener hears the
+// outcome. An attempt that was sent draws on the class's retry budget; one that
+// was not cost the backend servers nothing and only counts as an attempt.
+func (e *Engine) Retry(now time.Time, j *Job, failed traffic.Failure) {
+	r := j.request
+	if refusal := e.mayRetry(now, j, failed); refusal != nil {
+		j.listener.Refused(refusal)
+		return
+	}
+	j.tried = append(j.tried, failed.Target.Server)
+	j.expires = deadlineOf(r)
+	j.entry = admission.Entry[*Job]{
+		Value:        j,
+		Class:        j.class.spec.Name,
+		Organisation: r.Organisation,
+		Arrived:      r.Arrived,
+		Urgent:       true,
+	}
+	if _, err := j.pool.queue.Push(&j.entry); err != nil {
+		j.listener.Refused(r.Gate.Refuse(result.UnknownClass, "%v", err))
+		return
+	}
+	j.pool.refresh(now, e.store.Members)
+	e.pump(now, j.pool)
+}
+
+// mayRetry returns why the job may have no further attempt, nil when it may.
+func (e *Engine) mayRetry(now time.Time, j *Job, failed traffic.Failure) *result.Error {
+	r := j.request
+	switch {
+	case j.pool == nil || e.stopped || e.pools[j.pool.name] != j.pool:
+		return r.Gate.Refuse(failed.Code, "attempt on %q failed and no other is possible", failed.Target.Server)
+	case failed.Sent && !r.Idempotent:
+		return result.MayHaveRun(result.OutcomeUnknown, "the answer of %q was lost", failed.Target.Server)
+	case j.attempts >= maxAttempts:
+		return r.Gate.Refuse(failed.Code, "%d attempts failed, the last on %q", j.attempts, failed.Target.Server)
+	case !now.Before(deadlineOf(r)):
+		return r.Gate.Refuse(failed.Code, "the deadline passed after an attempt on %q", failed.Target.Server)
+	case failed.Sent && !e.options.NoRetryBudget && !j.class.budget.Take(now):
+		return r.Gate.Refuse(result.RetryBudgetSpent, "class %q has no retries left", j.class.spec.Name).
+			WithRetryAfter(e.retryAfter(0))
+	}
+	return nil
+}
+
+// Hedge returns a second target beside a running attempt. It needs a free slot
+// that nobody waits for, and a retry from the class's budget.
+func (e *Engine) Hedge(now time.Time, j *Job, running traffic.Target) (traffic.Target, bool) {
+	p := j.pool
+	if p == nil || !j.request.Idempotent || j.attempts >= maxAttempts || p.queue.Len() > 0 {
+		return traffic.Target{}, false
+	}
+	p.refresh(now, e.store.Members)
+	if p.free <= 0 || !e.beyondReserve(now, j) {
+		return traffic.Target{}, false
+	}
+	q := e.query(now, j)
+	q.Tried = append([]string{running.Server}, j.tried...)
+	c := e.router.Pick(&q, p.servers, p.prefixes)
+	if c == nil || !j.class.budget.Take(now) {
+		return traffic.Target{}, false
+	}
+	return e.hold(now, j, c), true
+}
--- /dev/null
+++ b/internal/placement/start.go
@@ -0,0 +1,142 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/admission"
+	"github.com/hawthornwick/hawthornwick/internal/routing"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
+)
+
+// pump starts waiting jobs while servers have free slots.
+func (e *Engine) pump(now time.Time, p *pool) {
+	fits := func(entry *admission.Entry[*Job], due bool) bool {
+		return e.fits(now, entry.Value, due)
+	}
+	for p.free > 0 {
+		entry := p.queue.Next(fits)
+		if entry == nil {
+			return
+		}
+		e.start(now, entry.Value)
+	}
+}
+
+// fits reports whether a server can take the job now and remembers which. It
+// also reports true for a job that it refused, which then waits no more.
+func (e *Engine) fits(now time.Time, j *Job, due bool) bool {
+	if e.expireJob(now, j) {
+		return true
+	}
+	j.floor = due
+	if !due && !e.beyondReserve(now, j) {
+		return false
+	}
+	j.chosen = e.pick(now, j)
+	return j.chosen != nil
+}
+
+// beyondReserve reports whether the pool has more free slots than it keeps for
+// higher tiers.
+func (e *Engine) beyondReserve(now time.Time, j *Job) bool {
+	if e.options.Queue.FIFO {
+		return true
+	}
+	p := j.pool
+	return p.free > admission.Reserve(p.slots, p.tiersAbove(now, j.tier()))
+}
+
+// pick chooses a server for the job's next attempt, nil when none is free. A
+// retry goes to a server already used only when no other can take it at all.
+func (e *Engine) pick(now time.Time, j *Job) *routing.Candidate {
+	q := e.query(now, j)
+	if c := e.router.Pick(&q, j.pool.servers, j.pool.prefixes); c != nil || len(q.Tried) == 0 {
+		return c
+	}
+	if e.router.Any(&q, j.pool.servers) {
+		return nil
+	}
+	q.Tried = nil
+	return e.router.Pick(&q, j.pool.servers, j.pool.prefixes)
+}
+
+func (e *Engine) query(now time.Time, j *Job) routing.Query {
+	r, p := j.request, j.pool
+	q := routing.Query{
+		Now:          now,
+		Zone:         e.options.Zone,
+		Region:       e.region(),
+		Tier:         j.tier(),
+		CheapAllowed: j.class.spec.Cheap && r.Idempotent,
+		Prefixes:     r.Prefixes,
+		InputTokens:  r.InputTokens,
+		Tried:        j.tried,
+		Members:      e.store.Members,
+	}
+	if q.CheapAllowed && p.cheapCount > 0 && j.tier() < p.lowest {
+		p.cheapFull = append(p.cheapFull[:0], make([]bool, len(p.use.cheap))...)
+		p.use.fillCheapFull(j.tier(), p.cheapFull)
+		q.CheapFull = p.cheapFull
+	}
+	return q
+}
+
+func (e *Engine) region() string {
+	for i := range e.config.Config.Zones {
+		if z := &e.config.Config.Zones[i]; z.Name == e.options.Zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
+// start gives the chosen server to a job that left the queue.
+func (e *Engine) start(now time.Time, j *Job) {
+	target := e.hold(now, j, j.chosen)
+	if !j.admitted {
+		j.admitted = true
+		j.class.budget.Attempt()
+		j.pool.starts[j.tier()].Add(now)
+		j.pool.running[j.tier()].add(j)
+		e.recorder.Record(timeline.Event{
+			Kind: timeline.RequestAdmitted, Request: j.request.ID, Organisation: j.request.Organisation,
+			Class: j.class.spec.Name, Tier: j.tier(), Duration: now.Sub(j.request.Arrived),
+		})
+	}
+	j.listener.Started(target)
+}
+
+// hold takes a slot of a server for the job.
+func (e *Engine) hold(now time.Time, j *Job, c *routing.Candidate) traffic.Target {
+	target := traffic.Target{
+		Server:  c.Name,
+		Address: c.Address,
+		Zone:    c.Zone,
+		Epoch:   c.Live.Epoch(),
+		Cold:    c.Live.Cold(),
+		Cheap:   c.Cheap,
+	}
+	c.Live.Started(now)
+	j.held = append(j.held, held{target: target, candidate: c, started: now})
+	j.attempts++
+	j.chosen = nil
+	j.pool.free--
+	j.pool.use.add(c, j.tier(), 1)
+	e.hint(now, j, c)
+	return target
+}
+
+// hintEnds is the number of the shortest and of the longest prefixes that a start
+// notes for its server.
+const hintEnds = 4
+
+// hint notes that the server will soon hold the request's prefixes.
+func (e *Engine) hint(now time.Time, j *Job, c *routing.Candidate) {
+	prefixes := j.request.Prefixes
+	for i, prefix := range prefixes {
+		if i < hintEnds || i >= len(prefixes)-hintEnds {
+			j.pool.prefixes.Add(now, c.Live, prefix)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/status.go
@@ -0,0 +1,85 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Status describes an engine for operators.
+type Status struct {
+	Members      int            `json:"members"`       // instances that share the servers
+	MembersFresh bool           `json:"members_fresh"` // false: no work for cold servers
+	Pools        []PoolStatus   `json:"pools"`
+	Servers      []ServerStatus `json:"servers"`
+}
+
+// PoolStatus describes one model or plain service.
+type PoolStatus struct {
+	Name     string        `json:"name"`
+	Slots    int           `json:"slots"` // requests that this instance may have in flight
+	InFlight int           `json:"in_flight"`
+	Waiting  int           `json:"waiting"`
+	Classes  []ClassStatus `json:"classes,omitempty"` // those that wait
+}
+
+// ClassStatus describes one class's queue.
+type ClassStatus struct {
+	Name    string  `json:"name"`
+	Tier    int     `json:"tier"`
+	Waiting int     `json:"waiting"`
+	Retries float64 `json:"retries_left"`
+}
+
+// ServerStatus describes one backend server as this instance sees it.
+type ServerStatus struct {
+	Name     string `json:"name"`
+	Zone     string `json:"zone"`
+	ZoneOut  bool   `json:"zone_out,omitempty"`
+	State    string `json:"state"` // of the platform
+	Health   string `json:"health"`
+	Epoch    uint64 `json:"epoch"`
+	Slots    int    `json:"slots"`
+	InFlight int    `json:"in_flight"`
+	Cheap    bool   `json:"cheap,omitempty"`
+}
+
+// Status describes the engine.
+func (e *Engine) Status(now time.Time) Status {
+	s := Status{Members: e.store.Members.Size(), MembersFresh: e.store.Members.Fresh(now)}
+	for _, p := range e.pools {
+		s.Pools = append(s.Pools, e.poolStatus(now, p))
+	}
+	for _, c := range e.store.Snapshot().Servers {
+		s.Servers = append(s.Servers, ServerStatus{
+			Name: c.Name, Zone: c.Zone, ZoneOut: c.ZoneOut, State: string(c.State),
+			Health: c.Live.State().Name, Epoch: c.Live.Epoch(),
+			Slots: c.Live.Slots(now, e.store.Members), InFlight: c.Live.Outstanding(), Cheap: c.Cheap,
+		})
+	}
+	slices.SortFunc(s.Pools, func(a, b PoolStatus) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Servers, func(a, b ServerStatus) int { return strings.Compare(a.Name, b.Name) })
+	return s
+}
+
+func (e *Engine) poolStatus(now time.Time, p *pool) PoolStatus {
+	p.refresh(now, e.store.Members)
+	s := PoolStatus{Name: p.name, Slots: p.slots, Waiting: p.queue.Len()}
+	for _, c := range p.servers.Candidates {
+		s.InFlight += c.Live.Outstanding()
+	}
+	for name, c := range p.classes {
+		if n := p.queue.ClassLen(name); n > 0 {
+			s.Classes = append(s.Classes, ClassStatus{
+				Name: name, Tier: c.spec.Tier, Waiting: n, Retries: c.budget.Left(),
+			})
+		}
+	}
+	slices.SortFunc(s.Classes, func(a, b ClassStatus) int {
+		if a.Tier != b.Tier {
+			return a.Tier - b.Tier
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return s
+}
--- /dev/null
+++ b/internal/routing/snapshot.go
@@ -0,0 +1,155 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+)
+
+// Candidate is one backend server as configuration and platform describe it.
+type Candidate struct {
+	platform.Server
+	Region  string
+	ZoneOut bool // operators took its availability zone out
+	// ZoneIndex numbers the availability zone within the pool.
+	ZoneIndex int
+	Live      *Live
+}
+
+// Pool is the set of candidates that serve one model or plain service.
+type Pool struct {
+	Name  string
+	Plain bool
+	// ColdLimit and WarmLimit are requests in flight over all instances.
+	ColdLimit, WarmLimit int
+	DependsOn            []string
+	Candidates           []*Candidate
+	Zones                []string // by ZoneIndex
+}
+
+// Snapshot is one version of all pools. It is not changed once built.
+type Snapshot struct {
+	Pools   map[string]*Pool
+	Servers map[string]*Candidate
+}
+
+// Build compiles a configuration and the platform's list of model servers. lives
+// gives the Live of a server by name; it is called once per server.
+func Build(c *config.Snapshot, servers []platform.Server, lives func(platform.Server, *Pool) *Live) *Snapshot {
+	b := builder{
+		config: c,
+		lives:  lives,
+		result: &Snapshot{Pools: map[string]*Pool{}, Servers: map[string]*Candidate{}},
+	}
+	for i := range c.Config.Models {
+		b.addModel(&c.Config.Models[i])
+	}
+	for i := range c.Config.Services {
+		b.addService(&c.Config.Services[i])
+	}
+	for _, s := range servers {
+		b.add(s, s.Model)
+	}
+	for _, p := range b.result.Pools {
+		slices.SortFunc(p.Candidates, func(x, y *Candidate) int {
+			return compareStrings(x.Name, y.Name)
+		})
+	}
+	return b.result
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+type builder struct {
+	config *config.Snapshot
+	lives  func(platform.Server, *Pool) *Live
+	result *Snapshot
+}
+
+func (b *builder) addModel(m *config.Model) {
+	b.result.Pools[m.Name] = &Pool{
+		Name:      m.Name,
+		ColdLimit: orDefault(m.ColdLimit, config.DefaultColdLimit),
+		WarmLimit: orDefault(m.WarmLimit, config.DefaultWarmLimit),
+	}
+}
+
+func (b *builder) addService(s *config.Service) {
+	limit := orDefault(s.Limit, config.DefaultLimit)
+	b.result.Pools[s.Name] = &Pool{
+		Name:      s.Name,
+		Plain:     true,
+		ColdLimit: limit,
+		WarmLimit: limit,
+		DependsOn: s.DependsOn,
+	}
+	for _, e := range s.Servers {
+		b.add(platform.Server{
+			Name:    s.Name + "/" + e.Address,
+			Address: e.Address,
+			Zone:    e.Zone,
+			Service: s.Name,
+			State:   platform.ServerRunning,
+		}, s.Name)
+	}
+}
+
+func (b *builder) add(s platform.Server, poolName string) {
+	p := b.result.Pools[poolName]
+	if p == nil || s.State == platform.ServerGone {
+		return
+	}
+	c := &Candidate{
+		Server:    s,
+		Region:    b.region(s.Zone),
+		ZoneOut:   b.config.ZoneOut(s.Zone),
+		ZoneIndex: p.zoneIndex(s.Zone),
+		Live:      b.lives(s, p),
+	}
+	p.Candidates = append(p.Candidates, c)
+	b.result.Servers[s.Name] = c
+}
+
+func (b *builder) region(zone string) string {
+	for _, z := range b.config.Config.Zones {
+		if z.Name == zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
+func (p *Pool) zoneIndex(zone string) int {
+	if i := slices.Index(p.Zones, zone); i >= 0 {
+		return i
+	}
+	p.Zones = append(p.Zones, zone)
+	return len(p.Zones) - 1
+}
+
+// Up reports whether the pool has a server that may take work now or once a slot
+// is free.
+func (p *Pool) Up() bool {
+	return slices.ContainsFunc(p.Candidates, (*Candidate).Usable)
+}
+
+// Usable reports whether the server takes new work at all.
+func (c *Candidate) Usable() bool {
+	return c.State == platform.ServerRunning && !c.ZoneOut
+}
+
+func orDefault(value, fallback int) int {
+	if value <= 0 {
+		return fallback
+	}
+	return value
+}
--- /dev/null
+++ b/internal/scheduler/ticket.go
@@ -0,0 +1,116 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/placement"
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
+)
+
+// outcome ends one wait: a target or a refusal.
+type outcome struct {
+	target  traffic.Target
+	refusal *result.Error
+}
+
+// ticket implements traffic.Ticket for callers and placement.Listener for the
+// engine, which calls it under the scheduler's lock.
+type ticket struct {
+	scheduler *Scheduler
+	request   *traffic.Request
+	job       *placement.Job
+	first     traffic.Target
+	outcome   chan outcome // holds at most the outcome of the current wait
+	preempted chan struct{}
+	stopped   bool // preempted is closed; guarded by the scheduler's lock
+}
+
+var (
+	_ traffic.Ticket     = (*ticket)(nil)
+	_ placement.Listener = (*ticket)(nil)
+)
+
+// Started implements placement.Listener.
+func (t *ticket) Started(target traffic.Target) { t.outcome <- outcome{target: target} }
+
+// Refused implements placement.Listener.
+func (t *ticket) Refused(refusal *result.Error) { t.outcome <- outcome{refusal: refusal} }
+
+// Preempt implements placement.Listener.
+func (t *ticket) Preempt() {
+	if t.stopped {
+		return
+	}
+	t.stopped = true
+	close(t.preempted)
+}
+
+// wait returns the outcome of the current wait, or gives the wait up when the
+// caller is gone.
+func (t *ticket) wait(ctx context.Context) (traffic.Target, *result.Error) {
+	select {
+	case o := <-t.outcome:
+		return o.target, o.refusal
+	default:
+	}
+	select {
+	case o := <-t.outcome:
+		return o.target, o.refusal
+	case <-ctx.Done():
+	}
+	t.scheduler.do(t.abandon)
+	return traffic.Target{}, t.request.Gate.Refuse(result.CallerGone, "the caller left while the request waited")
+}
+
+// abandon ends the current wait under the scheduler's lock and frees a target
+// that came in the same moment.
+func (t *ticket) abandon(now time.Time) {
+	t.scheduler.engine.Abandon(now, t.job)
+	select {
+	case o := <-t.outcome:
+		if o.refusal == nil {
+			t.scheduler.engine.Release(now, t.job, o.target)
+		}
+	default:
+	}
+}
+
+// First implements traffic.Targets.
+func (t *ticket) First() traffic.Target { return t.first }
+
+// Next implements traffic.Targets.
+func (t *ticket) Next(ctx context.Context, failed traffic.Failure) (traffic.Target, *result.Error) {
+	t.scheduler.do(func(now time.Time) {
+		t.scheduler.engine.Retry(now, t.job, failed)
+	})
+	return t.wait(ctx)
+}
+
+// Hedge implements traffic.Targets.
+func (t *ticket) Hedge(running traffic.Target) (traffic.Target, bool) {
+	var target traffic.Target
+	var ok bool
+	t.scheduler.do(func(now time.Time) {
+		target, ok = t.scheduler.engine.Hedge(now, t.job, running)
+	})
+	return target, ok
+}
+
+// Observe implements traffic.Targets.
+func (t *ticket) Observe(o traffic.Observation) {
+	t.scheduler.do(func(now time.Time) {
+		t.scheduler.engine.Observe(now, t.job, o)
+	})
+}
+
+// Preempted implements traffic.Targets.
+func (t *ticket) Preempted() <-chan struct{} { return t.preempted }
+
+// Done implements traffic.Ticket.
+func (t *ticket) Done() {
+	t.scheduler.do(func(now time.Time) {
+		t.scheduler.engine.Finish(now, t.job)
+	})
+}
