Add dispatch: attempts, streams, resumption, hedging

Cause: admitted requests need a path to backend servers that never claims "not run" falsely and never gives a caller part of an answer in silence. Change: internal/dispatch sends attempts over connections that write nothing before the gate is open, checks the echoed attempt id, bounds each phase, resumes or replays idempotent streams, hedges, and cancels with the caller. traffic.Failure gains Reused, so that a silence on a kept connection need not count against the server.

--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
+)
+
+// attempt is one sending of a request to one backend server.
+type attempt struct {
+	x           *exchange
+	id          string
+	target      traffic.Target
+	fresh       bool // on a connection of its own
+	resumeAfter int  // content events that the caller has
+	epoch       uint64
+	ctx         context.Context
+	cancel      context.CancelCauseFunc
+	watch       *watch
+	permit      *permit
+	preempted   <-chan struct{}
+	run         Run
+	started     time.Time
+	reused      bool // the connection had served an earlier request
+	response    *http.Response
+	body        *bufio.Reader
+	relaying    bool // its answer is being given to the caller
+	draining    bool // only the end of the answer is still to come
+	concluded   bool
+	crashed     bool
+	firstToken  time.Duration
+	lastRead    time.Time
+	received    int64 // content events
+	wasted      int64 // content events that reached no caller
+	usage       Usage
+}
+
+// newAttempt prepares an attempt; nothing is sent yet.
+func (x *exchange) newAttempt(target traffic.Target, fresh bool) *attempt {
+	a := &attempt{
+		x: x, id: x.nextAttemptID(), target: target, fresh: fresh,
+		resumeAfter: x.progress.events, started: time.Now(),
+	}
+	a.epoch = max(target.Epoch, x.d.epochs.known(target.Server))
+	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
+	a.watch = newWatch(a.cancel)
+	a.permit = &permit{decide: a.maySend}
+	x.outcome.Attempts++
+	x.watchPreemption(a)
+	a.record(timeline.AttemptStarted, 0, "")
+	return a
+}
+
+// nextAttemptID keeps the id for as long as a non-idempotent request was not
+// sent, because its idempotency record bears that id.
+func (x *exchange) nextAttemptID() string {
+	if x.attemptID != "" && !x.call.Request.Idempotent {
+		return x.attemptID
+	}
+	if x.attemptID == "" && x.call.Attempt != "" {
+		x.attemptID = x.call.Attempt
+		return x.attemptID
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		id = uuid.New()
+	}
+	x.attemptID = id.String()
+	return x.attemptID
+}
+
+// maySend is asked right before the first byte is written.
+func (a *attempt) maySend() bool {
+	now := time.Now()
+	latest := a.x.call.SendBefore
+	if !latest.IsZero() && (now.After(latest) || now.Round(0).After(latest.Round(0))) {
+		return false
+	}
+	if a.ctx.Err() != nil || !a.x.gate.Open() {
+		return false
+	}
+	a.record(timeline.AttemptSent, 0, "")
+	return true
+}
+
+func (a *attempt) sent() bool { return a.permit.granted.Load() }
+
+// send writes the request and waits for an answer that bears the attempt's id
+// and, for a stream, for its first byte.
+func (a *attempt) send() error {
+	request := a.newRequest()
+	a.watch.arm(phaseHeaders, a.headersLimit())
+	response, err := a.transport().RoundTrip(request)
+	if err != nil {
+		return a.explain(err)
+	}
+	a.response = response
+	a.noteEpoch()
+	if err := a.checkEcho(); err != nil {
+		return err
+	}
+	if err := a.checkStatus(); err != nil {
+		return err
+	}
+	a.body = bufio.NewReaderSize(&watchedBody{a: a}, streamReadBufferBytes)
+	if a.x.call.Stream != nil {
+		return nil // the answer may need more of the body
+	}
+	if _, err := a.body.Peek(1); err != nil && err != io.EOF {
+		return a.explain(err)
+	}
+	a.firstToken = time.Since(a.started)
+	return nil
+}
+
+func (a *attempt) transport() *http.Transport {
+	if a.fresh {
+		return a.x.d.fresh
+	}
+	return a.x.d.pooled
+}
+
+func (a *attempt) newRequest() *http.Request {
+	c := &a.x.call
+	ctx := withConnectTimeout(a.ctx, c.Timeouts.Connect)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	request := (&http.Request{
+		Method: c.Method, URL: a.url(), Host: a.target.Address,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: a.x.header.Clone(),
+	}).WithContext(ctx)
+	a.setAttemptHeaders(request.Header, a.started)
+	a.setBody(request)
+	return request
+}
+
+// gotConn hands the permit to the connection before anything is written.
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	a.reused = info.Reused
+	if guarded, ok := info.Conn.(*guardedConn); ok {
+		guarded.permit.Store(a.permit)
+	}
+}
+
+// headersLimit leaves time for a second attempt when the answer comes in one
+// piece, because a whole answer takes long even on a sound connection.
+func (a *attempt) headersLimit() time.Duration {
+	limit := a.x.call.Timeouts.Headers
+	r := a.x.call.Request
+	if r.Stream || r.Plain || r.Deadline.IsZero() {
+		return limit
+	}
+	return max(limit, time.Until(r.Deadline)/2)
+}
+
+func (a *attempt) noteEpoch() {
+	epoch, err := strconv.ParseUint(a.response.Header.Get(engineapi.EpochHeader), 10, 64)
+	if err != nil {
+		return
+	}
+	a.epoch = epoch
+	a.x.d.epochs.note(a.target.Server, epoch)
+}
+
+// close ends the attempt's connection unless the answer was read to its end.
+func (a *attempt) close(cause error) {
+	a.watch.disarm()
+	a.cancel(cause)
+	if a.response != nil {
+		_ = a.response.Body.Close()
+	}
+}
+
+// record adds an event about the attempt to the time line.
+func (a *attempt) record(kind timeline.Kind, code result.Code, detail string) {
+	r := a.x.call.Request
+	e := timeline.Event{
+		Kind: kind, Request: r.ID, Attempt: a.id, Organisation: r.Organisation,
+		Idempotent: r.Idempotent, Server: a.target.Server, Zone: a.target.Zone,
+		Service: r.Pool, KeyDigest: string(r.Key), Record: r.Record, Code: code, Detail: detail,
+	}
+	if r.Class != nil {
+		e.Class, e.Tier = r.Class.Name, r.Class.Tier
+	}
+	a.x.d.options.Recorder.Record(e)
+}
--- /dev/null
+++ b/internal/dispatch/headers.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+)
+
+// hopByHop are header fields that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// routerPrefix is shared by the header fields between router and backend
+// servers; callers can't set them.
+const routerPrefix = "Hawthornwick-"
+
+func removeHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// forwardHeader returns the fields of a caller's request that a backend server
+// may see.
+func forwardHeader(caller http.Header) http.Header {
+	h := caller.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	StripKeys(h, nil)
+	removeHopByHop(h)
+	delete(h, "Content-Length")
+	delete(h, "Expect")
+	delete(h, "Accept-Encoding") // answers are read here
+	for name := range h {
+		if strings.HasPrefix(name, routerPrefix) {
+			delete(h, name)
+		}
+	}
+	return h
+}
+
+// setAttemptHeaders adds what the router tells a backend server.
+func (a *attempt) setAttemptHeaders(h http.Header, now time.Time) {
+	r := a.x.call.Request
+	h.Set(engineapi.AttemptHeader, a.id)
+	if r.Class != nil {
+		h.Set(engineapi.PriorityHeader, strconv.Itoa(r.Class.Tier))
+	}
+	if !r.Deadline.IsZero() {
+		h.Set(engineapi.DeadlineHeader, strconv.FormatInt(r.Deadline.Sub(now).Milliseconds(), 10))
+	}
+	if r.Record != "" {
+		h.Set(engineapi.RecordHeader, r.Record)
+	}
+	if r.Plain {
+		return
+	}
+	h.Set(engineapi.SeedHeader, r.ID)
+	h.Del("Idempotency-Key")
+	if a.resumeAfter > 0 {
+		h.Set(engineapi.ResumeHeader, strconv.Itoa(a.resumeAfter))
+	}
+}
+
+// copyAnswerHeader gives a backend server's header fields to the caller.
+func copyAnswerHeader(to, from http.Header) {
+	from = from.Clone()
+	removeHopByHop(from)
+	for name, values := range from {
+		if strings.HasPrefix(name, routerPrefix) {
+			continue
+		}
+		to[name] = values
+	}
+}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -59,6 +59,9 @@
 	Sent bool
 	// Crashed is true when the backend server is thought to have died in the attempt.
 	Crashed bool
+	// Reused is true when the connection had served an earlier request. A
+	// silence on it is a sign against the connection rather than the server.
+	Reused bool
 }
 
 // Observation tells the scheduler what an attempt showed.
