--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -122,3 +122,15 @@
 	is.True(errors.As(err, &faults))
 	is.Equal(len(faults.Faults), 12) // zone, three listeners, two peer files, peer trust, five endpoints
 }
+
+func TestExampleIsValid(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join("..", "..", "examples", "settings.yaml")
+	text, err := os.ReadFile(path)
+	is.NoErr(err)
+	s, err := Decode(path, text)
+	is.NoErr(err)
+	defaults := *s
+	defaults.SetDefaults()
+	is.Equal(*s, defaults)
+}
