--- a/internal/config/decode_test.go
+++ b/internal/config/decode_test.go
@@ -106,6 +106,8 @@
 		{"no zones", "zones:\n  - {name: suva-a, region: viti-levu}", "", "zones", "at least one is required"},
 		{"list for fields", "- {name: suva-a, region: viti-levu}", "- [suva-a]", "zones[0]", "expected fields, not a list"},
 		{"two documents", "\norganisations", "a: 1\n---\norganisations", "", "2 documents"},
+		{"brackets nested too deeply", "[suva-swimming]", strings.Repeat("[", 100_000), "", "levels of nesting"},
+		{"entries nested too deeply", "  - name: suva-swimming", strings.Repeat("- ", 100_000), "", "levels of nesting"},
 		{"syntax", "[suva-swimming]", "[suva-swimming", "", "',' or ']' must be specified"},
 	}
 	for _, c := range cases {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -1,11 +1,11 @@
 package config
 
 import (
-	"fmt"
 	"math"
 	"net/netip"
 	"regexp"
 	"slices"
+	"strconv"
 
 	"github.com/hawthornwick/hawthornwick/internal/yamlfault"
 )
@@ -48,7 +48,7 @@
 	v.dependencyCycles()
 }
 
-func field(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
+func field(list string, i int) string { return list + "[" + strconv.Itoa(i) + "]" }
 
 func (v *validator) collectNames() {
 	v.organisations, v.classes, v.zones, v.pools = nameSet{}, nameSet{}, nameSet{}, nameSet{}
--- a/internal/yamlfault/document.go
+++ b/internal/yamlfault/document.go
@@ -8,7 +8,9 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 )
 
 // MaxTextBytes bounds the length of a text that Decode reads.
@@ -22,6 +24,33 @@
 	file      string
 	positions map[string]position
 	faults    []Fault
+	faulty    map[string]bool // fields with a fault
+}
+
+// maxNesting bounds the brackets, and the list entries of one line, that are
+// nested: the parser's time grows with the square of the depth.
+const maxNesting = 64
+
+// tooDeep returns the first token that is nested too deeply, nil when none is.
+func tooDeep(tokens token.Tokens) *token.Token {
+	brackets, entries, line := 0, 0, 0
+	for _, t := range tokens {
+		if t.Position.Line != line {
+			line, entries = t.Position.Line, 0
+		}
+		switch t.Type {
+		case token.MappingStartType, token.SequenceStartType:
+			brackets++
+		case token.MappingEndType, token.SequenceEndType:
+			brackets--
+		case token.SequenceEntryType, token.MappingKeyType:
+			entries++
+		}
+		if brackets > maxNesting || entries > maxNesting {
+			return t
+		}
+	}
+	return nil
 }
 
 // Decode decodes the text into the struct that into points to, using the
@@ -29,7 +58,7 @@
 // the text had faults. Fields that the text does not set keep their values.
 // Anchors, aliases and merge keys are refused.
 func Decode(file string, text []byte, into any) *Document {
-	d := &Document{file: file, positions: make(map[string]position)}
+	d := &Document{file: file, positions: make(map[string]position), faulty: make(map[string]bool)}
 	if len(text) > MaxTextBytes {
 		d.Fault("", "text has %d bytes, more than the limit of %d", len(text), MaxTextBytes)
 		return d
@@ -50,7 +79,12 @@
 			body = nil
 		}
 	}()
-	f, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
+	tokens := lexer.Tokenize(string(text))
+	if deep := tooDeep(tokens); deep != nil {
+		d.faultAt(position{deep.Position.Line, deep.Position.Column}, "", "more than %d levels of nesting", maxNesting)
+		return nil
+	}
+	f, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		d.syntaxFault(err)
 		return nil
@@ -88,6 +122,7 @@
 }
 
 func (d *Document) faultAt(p position, field, format string, args ...any) {
+	d.faulty[field] = true
 	d.faults = append(d.faults, Fault{
 		File: d.file, Line: p.line, Column: p.column,
 		Field: field, Message: fmt.Sprintf(format, args...),
@@ -95,24 +130,24 @@
 }
 
 func (d *Document) nearest(field string) position {
-	for {
+	for ; field != ""; field = around(field) {
 		if p, ok := d.positions[field]; ok {
 			return p
 		}
-		end := strings.LastIndexAny(field, ".[")
-		if end < 0 {
-			return d.positions[""]
-		}
-		field = field[:end]
 	}
+	return d.positions[""]
+}
+
+// around returns the field that contains the field, empty for the whole text.
+func around(field string) string {
+	return field[:max(strings.LastIndexAny(field, ".["), 0)]
 }
 
 // Faulty reports whether the field, or a field around it, already has a fault.
 // Validation uses it to report each mistake once.
 func (d *Document) Faulty(field string) bool {
-	for _, f := range d.faults {
-		rest, ok := strings.CutPrefix(field, f.Field)
-		if ok && f.Field != "" && (rest == "" || rest[0] == '.' || rest[0] == '[') {
+	for ; field != ""; field = around(field) {
+		if d.faulty[field] {
 			return true
 		}
 	}
--- a/internal/yamlfault/walk.go
+++ b/internal/yamlfault/walk.go
@@ -2,12 +2,12 @@
 
 import (
 	"encoding"
-	"errors"
 	"fmt"
+	"math"
 	"reflect"
+	"strconv"
 	"strings"
 
-	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 )
 
@@ -76,7 +76,7 @@
 	}
 	v.Set(reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values)))
 	for i, item := range s.Values {
-		d.value(fmt.Sprintf("%s[%d]", field, i), item, v.Index(i))
+		d.value(field+"["+strconv.Itoa(i)+"]", item, v.Index(i))
 	}
 }
 
@@ -91,57 +91,76 @@
 }
 
 func (d *Document) scalar(field string, n ast.Node, v reflect.Value) {
-	want := ""
-	switch v.Kind() {
+	if !setScalar(n, v) {
+		d.Fault(field, "expected %s, not %s", wanted(v.Kind()), describe(n))
+	}
+}
+
+func wanted(k reflect.Kind) string {
+	switch k {
 	case reflect.String:
-		want = "a text (in quotes if it looks like a number)"
+		return "a text (in quotes if it looks like a number)"
 	case reflect.Bool:
-		want = "true or false"
+		return "true or false"
 	case reflect.Float64:
-		want = "a number"
-	default:
-		want = "a whole number"
-	}
-	if !fits(n, v.Kind()) {
-		d.Fault(field, "expected %s, not %s", want, describe(n))
-		return
-	}
-	if err := decodeNode(n, v); err != nil {
-		d.Fault(field, "expected %s: %s", want, message(err))
+		return "a number"
 	}
+	return "a whole number"
 }
 
-// fits reports whether the node's own type suits the kind, so that no value is
+// setScalar sets v if the node's own type suits it, so that no value is
 // converted silently.
-func fits(n ast.Node, k reflect.Kind) bool {
-	switch n.Type() {
-	case ast.StringType, ast.LiteralType:
-		return k == reflect.String
-	case ast.BoolType:
-		return k == reflect.Bool
-	case ast.IntegerType:
-		return k != reflect.String && k != reflect.Bool
-	case ast.FloatType:
-		return k == reflect.Float64
+func setScalar(n ast.Node, v reflect.Value) bool {
+	switch n := n.(type) {
+	case *ast.StringNode:
+		return setText(v, n.Value)
+	case *ast.LiteralNode:
+		return setText(v, n.Value.Value)
+	case *ast.BoolNode:
+		if v.Kind() != reflect.Bool {
+			return false
+		}
+		v.SetBool(n.Value)
+		return true
+	case *ast.IntegerNode:
+		return setInteger(v, n)
+	case *ast.FloatNode:
+		if v.Kind() != reflect.Float64 {
+			return false
+		}
+		v.SetFloat(n.Value)
+		return true
 	}
 	return false
 }
 
-func decodeNode(n ast.Node, v reflect.Value) (err error) {
-	defer func() {
-		if r := recover(); r != nil {
-			err = fmt.Errorf("%v", r)
-		}
-	}()
-	return yaml.NodeToValue(n, v.Addr().Interface())
+func setText(v reflect.Value, text string) bool {
+	if v.Kind() != reflect.String {
+		return false
+	}
+	v.SetString(text)
+	return true
 }
 
-func message(err error) string {
-	var yerr yaml.Error
-	if errors.As(err, &yerr) {
-		return yerr.GetMessage()
+// setInteger sets whole numbers and, as they are numbers too, floats.
+func setInteger(v reflect.Value, n *ast.IntegerNode) bool {
+	value, ok := n.Value.(int64)
+	if unsigned, is := n.Value.(uint64); is {
+		value, ok = int64(unsigned), unsigned <= math.MaxInt64
+	}
+	switch {
+	case !ok:
+		return false
+	case v.CanInt() && !v.OverflowInt(value):
+		v.SetInt(value)
+	case v.CanUint() && value >= 0 && !v.OverflowUint(uint64(value)):
+		v.SetUint(uint64(value))
+	case v.Kind() == reflect.Float64:
+		v.SetFloat(float64(value))
+	default:
+		return false
 	}
-	return err.Error()
+	return true
 }
 
 func describe(n ast.Node) string {
