--- a/internal/admission/class.go
+++ b/internal/admission/class.go
@@ -22,6 +22,7 @@
 	starts  byStart[T]
 	tails   byTail[T]
 	now     float64 // virtual time of the class: start of the latest dispatch
+	end     float64 // largest virtual end of a dispatch
 	weights float64 // sum of the weights of the tenants that wait
 	idle    []*tenant[T]
 	credit  float64 // starts owed by the floor
@@ -85,8 +86,12 @@
 	if t != nil {
 		c.now = max(c.now, t.start)
 		t.start += e.Cost / t.weight
+		c.end = max(c.end, t.start)
 	}
 	c.remove(e)
+	if c.length == 0 {
+		c.now = c.end // what ended with nobody waiting is forgotten
+	}
 }
 
 // remove takes an entry out without charging anyone.
@@ -108,7 +113,10 @@
 	c.weights -= t.weight
 	heap.Remove(&c.starts, t.startIndex)
 	heap.Remove(&c.tails, t.tailIndex)
-	c.idle = append(c.idle, t)
+	if !t.listed {
+		t.listed = true
+		c.idle = append(c.idle, t)
+	}
 }
 
 func (c *class[T]) fix(t *tenant[T]) {
@@ -130,6 +138,7 @@
 		c.idle = c.idle[1:]
 		switch {
 		case t.waiting.length > 0:
+			t.listed = false
 		case t.start <= c.now:
 			delete(c.tenants, t.name)
 		default:
--- a/internal/admission/tenant.go
+++ b/internal/admission/tenant.go
@@ -11,6 +11,7 @@
 	start float64
 	// Positions in the class's heaps; -1 when nothing waits.
 	startIndex, tailIndex int
+	listed                bool // in the class's list of idle tenants
 }
 
 // tail is the virtual time at which the newest entry would end: how far the
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -22,6 +22,8 @@
 	Instance string
 	// Zone is this instance's availability zone. Empty means unknown.
 	Zone string
+	// Timing bounds how far lists of members lag. The zero value means the defaults.
+	Timing routing.Timing
 	// Seed makes random choices repeatable.
 	Seed uint64
 	// Recorder takes time line events. Nil means none.
@@ -60,7 +62,7 @@
 		recorder: o.Recorder,
 		random:   random,
 		router:   routing.NewRouter(o.Picker, random),
-		store:    routing.NewStore(o.Instance),
+		store:    routing.NewStore(o.Instance, o.Timing),
 		pools:    map[string]*pool{},
 	}
 }
--- a/internal/routing/coldramp.go
+++ b/internal/routing/coldramp.go
@@ -137,10 +137,10 @@
 // started while it owned slots which this one owns since a given time: the epoch
 // began after that settled, the server reported no work but ours since, or every
 // such request is over.
-func (r *Ramp) clear(now, owned time.Time, longest time.Duration) bool {
-	settled := owned.Add(settleTime)
+func (r *Ramp) clear(now, owned time.Time, t Timing, longest time.Duration) bool {
+	settled := owned.Add(t.settle())
 	switch {
-	case r.since.After(settled):
+	case r.since.After(settled.Add(t.ListLag)):
 		return true
 	case r.idleSince.After(settled.Add(skewMargin)):
 		return true
--- a/internal/routing/live.go
+++ b/internal/routing/live.go
@@ -10,19 +10,22 @@
 // Live is what this instance knows of one backend server by itself. It outlives
 // snapshots and is changed only under the caller's lock.
 type Live struct {
-	id          uint32
 	name        string
 	outstanding int // own requests in flight
 	plain       bool
 	longest     time.Duration // longest deadline of a request
 	ramp        Ramp
 	owner       Ownership
+	part        int // this instance's part of the warm limit
 	limit       admission.Limit
 	health      health
 	latency     latency
 	load        loadView
 	prefixes    uint32 // generation of prefix hints; older hints are void
 	sequence    uint64 // last cache event seen
+	// held is the share of the prompt that the server holds for one decision.
+	decision uint64
+	held     float64
 }
 
 // Outstanding returns this instance's requests in flight on the server.
@@ -54,16 +57,16 @@
 		return l.health.slots(now)
 	}
 	if l.plain {
-		return l.owner.Current(l.ramp.warm)
+		return l.part
+	}
+	if l.ramp.Warm() {
+		return min(l.limit.Value(), l.part)
 	}
 	l.ramp.Step(now)
 	if l.ramp.First() {
 		return l.coldSlots(now, m)
 	}
-	if !l.ramp.Warm() {
-		return l.owner.Current(l.ramp.total)
-	}
-	return min(l.limit.Value(), l.owner.Current(l.ramp.warm))
+	return l.owner.Current(l.ramp.total)
 }
 
 // coldSlots is this instance's part of the cold limit. The parts of all
@@ -73,10 +76,10 @@
 	if !m.Fresh(now) || l.owner.coldSince.IsZero() {
 		return 0
 	}
-	if !l.ramp.clear(now, l.owner.coldSince, l.longest) {
+	if !l.ramp.clear(now, l.owner.coldSince, m.timing, l.longest) {
 		return 0
 	}
-	return l.owner.Settled(now, l.ramp.total)
+	return l.owner.Settled(now.Add(-m.timing.settle()), l.ramp.total)
 }
 
 // Free returns how many more requests this instance may start on the server.
--- a/internal/routing/ownership.go
+++ b/internal/routing/ownership.go
@@ -21,7 +21,7 @@
 
 // Ownership is this instance's part of one server's slots. Slots lost by a
 // change of members are lost at once; gained ones of a cold server count only
-// after settleTime.
+// after the settling time.
 type Ownership struct {
 	views []view // oldest first; the last is in force
 	// coldSince is when the part of the cold limit last grew; zero when none is owned.
@@ -52,7 +52,11 @@
 		}
 	}
 	before := o.Current(coldLimit)
-	o.forget(now)
+	if c.Returned {
+		o.views = o.views[:0]
+		before = 0
+	}
+	o.forget(now.Add(-m.timing.settle()))
 	o.views = append(o.views, view{from: now, rank: rank, members: m.Size()})
 	switch after := o.Current(coldLimit); {
 	case after == 0:
@@ -62,9 +66,8 @@
 	}
 }
 
-// forget drops the views that ended before the settling time.
-func (o *Ownership) forget(now time.Time) {
-	start := now.Add(-settleTime)
+// forget drops the views that ended before start.
+func (o *Ownership) forget(start time.Time) {
 	keep := 0
 	for keep+1 < len(o.views) && !o.views[keep+1].from.After(start) {
 		keep++
@@ -78,10 +81,9 @@
 	return share(total, v.rank, v.members)
 }
 
-// Settled returns the smallest part of total slots that any view of the settling
-// time gave this instance, 0 when its views do not reach back that far.
-func (o *Ownership) Settled(now time.Time, total int) int {
-	start := now.Add(-settleTime)
+// Settled returns the smallest part of total slots that any view since start gave
+// this instance, 0 when its views do not reach back that far.
+func (o *Ownership) Settled(start time.Time, total int) int {
 	if o.views[0].from.After(start) {
 		return 0
 	}
--- /dev/null
+++ b/internal/routing/ownership_test.go
@@ -0,0 +1,100 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+)
+
+func TestSharesSumToTheTotalAndNest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.IntRange(1, 40).Draw(t, "members")
+		total := rapid.IntRange(0, 100).Draw(t, "total")
+		sum := 0
+		for rank := range members {
+			n := share(total, rank, members)
+			if share(total+1, rank, members) < n {
+				t.Fatalf("rank %d of %d loses a slot when the total grows to %d", rank, members, total+1)
+			}
+			sum += n
+		}
+		if sum != total {
+			t.Fatalf("shares of %d members sum to %d, want %d", members, sum, total)
+		}
+	})
+}
+
+func TestRankByChangesEqualsRankByCounting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := NewMembership("i0", Timing{})
+		o := newOwnership(start, m, "s", 1)
+		now := start
+		for range rapid.IntRange(1, 20).Draw(t, "changes") {
+			now = now.Add(time.Second)
+			names := rapid.SliceOfDistinct(rapid.Custom(func(t *rapid.T) string {
+				return fmt.Sprintf("i%d", rapid.IntRange(0, 9).Draw(t, "name"))
+			}), rapid.ID[string]).Draw(t, "names")
+			change := m.Update(names, now)
+			o.apply(now, m, change, "s", 1)
+			last := o.views[len(o.views)-1]
+			if last.rank != m.rank("s") || last.members != m.Size() {
+				t.Fatalf("rank %d of %d, want %d of %d", last.rank, last.members, m.rank("s"), m.Size())
+			}
+		}
+	})
+}
+
+// read gives the store the same list every second and returns the end.
+func read(s *Store, from time.Time, d time.Duration, names ...string) time.Time {
+	end := from.Add(d)
+	for now := from; !now.After(end); now = now.Add(time.Second) {
+		s.SetMembers(now, names, now)
+	}
+	return end
+}
+
+func TestColdServerNeedsFreshListThatContainsTheInstance(t *testing.T) {
+	is := is.New(t)
+	s := newStore(modelConfig(1, 32), 1)
+	l := s.Live("s00000")
+	now := read(s, start, testSettle+testDeadline+time.Second, "i0")
+	is.Equal(l.Slots(now, s.Members), 1)
+	is.Equal(l.Slots(now.Add(DefaultFreshFor+1), s.Members), 0) // the list is old
+	s.SetMembers(now, []string{"i1"}, now)
+	is.Equal(l.Slots(now, s.Members), 0) // the list does not contain it
+	s.SetMembers(now, []string{"i0"}, now.Add(time.Second))
+	is.Equal(l.Slots(now.Add(time.Second), s.Members), 0) // others may have used the slot meanwhile
+}
+
+func TestGainedColdSlotWaitsForTheFormerOwner(t *testing.T) {
+	is := is.New(t)
+	s := newStore(modelConfig(1, 32), 1)
+	l := s.Live("s00000")
+	other := "i1"
+	for n := 1; !s.Members.before(l.name, other); n++ {
+		other = fmt.Sprintf("i%d", n)
+	}
+	now := read(s, start, time.Minute, "i0", other)
+	is.Equal(l.Slots(now, s.Members), 0)
+	now = read(s, now, testSettle+time.Second, "i0")
+	is.Equal(l.Slots(now, s.Members), 0) // the former owner's requests may still run
+	now = read(s, now, testDeadline, "i0")
+	is.Equal(l.Slots(now, s.Members), 1)
+}
+
+func TestIdleReportAfterSettlingFreesAGainedColdSlot(t *testing.T) {
+	is := is.New(t)
+	s := newStore(modelConfig(1, 32), 1)
+	l := s.Live("s00000")
+	now := read(s, start, testSettle+skewMargin+time.Second, "i0")
+	is.Equal(l.Slots(now, s.Members), 0)
+	l.Report(now, engineapi.LoadReport{Epoch: 1, Running: 1, UnixMillis: now.UnixMilli(), ColdRemaining: 5})
+	is.Equal(l.Slots(now, s.Members), 0) // someone else's request runs there
+	l.Report(now, engineapi.LoadReport{Epoch: 1, UnixMillis: now.UnixMilli(), ColdRemaining: 5})
+	is.Equal(l.Slots(now, s.Members), 1)
+}
--- a/internal/routing/prefixes.go
+++ b/internal/routing/prefixes.go
@@ -26,9 +26,9 @@
 type holders [prefixHolders]holder
 
 type holder struct {
-	server     uint32 // id of the Live; 0 is none
-	generation uint32
-	seen       int64 // Unix seconds
+	server     *Live  // nil is none
+	generation uint32 // of the server's hints when this one was added
+	seen       uint32 // Unix seconds
 }
 
 // NewPrefixes returns an index without hints.
@@ -66,7 +66,7 @@
 func (p *Prefixes) Add(now time.Time, l *Live, prefix uint64) {
 	known := p.lookup(prefix)
 	slot := known.slotFor(l)
-	known[slot] = holder{server: l.id, generation: l.prefixes, seen: now.Unix()}
+	known[slot] = holder{server: l, generation: l.prefixes, seen: uint32(now.Unix())}
 	if len(p.current) >= prefixGeneration {
 		p.previous = p.current
 		p.current = make(map[uint64]holders, prefixGeneration)
@@ -78,7 +78,7 @@
 func (h *holders) slotFor(l *Live) int {
 	oldest := 0
 	for i := range h {
-		if h[i].server == l.id || h[i].server == 0 {
+		if h[i].server == l || h[i].server == nil {
 			return i
 		}
 		if h[i].seen < h[oldest].seen {
@@ -91,7 +91,7 @@
 func (p *Prefixes) drop(l *Live, prefix uint64) {
 	known := p.lookup(prefix)
 	for i := range known {
-		if known[i].server == l.id {
+		if known[i].server == l {
 			known[i] = holder{}
 			p.current[prefix] = known
 			return
@@ -106,42 +106,42 @@
 	return p.previous[prefix]
 }
 
-// holds reports whether a valid hint says that the server holds the prefix, and
-// the hint's weight, which falls from 1 to 0 as it ages.
-func (h *holders) holds(now time.Time, l *Live) (weight float64, ok bool) {
-	for i := range h {
-		if h[i].server != l.id || h[i].generation != l.prefixes {
-			continue
-		}
-		age := now.Sub(time.Unix(h[i].seen, 0))
-		if age >= prefixAge {
-			return 0, false
-		}
-		return 1 - float64(max(age, 0))/float64(prefixAge), true
+// weight falls from 1 to 0 as a hint ages; it is 0 for a void one.
+func (h *holder) weight(now time.Time) float64 {
+	if h.server == nil || h.generation != h.server.prefixes {
+		return 0
 	}
-	return 0, false
-}
-
-// match is one prefix of a request that some servers may hold.
-type match struct {
-	share   float64 // part of the prompt that the prefix covers
-	holders holders
+	age := max(now.Sub(time.Unix(int64(h.seen), 0)), 0)
+	return max(1-float64(age)/float64(prefixAge), 0)
 }
 
-// matches appends the request's known prefixes to out, longest first.
-func (p *Prefixes) matches(prefixes []uint64, out []match) []match {
-	for i := len(prefixes) - 1; i >= 0; i-- {
-		h := p.lookup(prefixes[i])
-		if h == (holders{}) {
+// credit marks the servers that probably hold a prefix of the query with the
+// share of the prompt that they hold.
+func (p *Prefixes) credit(q *Query) {
+	found := 0
+	for i := len(q.Prefixes) - 1; i >= 0 && found < maxMatches; i-- {
+		known := p.lookup(q.Prefixes[i])
+		if known == (holders{}) {
 			continue
 		}
-		out = append(out, match{share: float64(i+1) / float64(len(prefixes)), holders: h})
-		if len(out) == maxMatches {
-			break
+		found++
+		share := float64(i+1) / float64(len(q.Prefixes))
+		for n := range known {
+			if weight := known[n].weight(q.Now); weight > 0 {
+				known[n].server.hit(q.decision, weight*share)
+			}
 		}
 	}
-	return out
 }
 
-// maxMatches bounds the prefixes of one request that scorers look at.
+// hit notes the share of a prompt that the server holds, for one decision. The
+// longest prefix, which comes first, counts.
+func (l *Live) hit(decision uint64, share float64) {
+	if l.decision == decision {
+		return
+	}
+	l.decision, l.held = decision, share
+}
+
+// maxMatches bounds the known prefixes of one request that are looked at.
 const maxMatches = 4
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -24,7 +24,7 @@
 	// IgnoreSlots looks for servers that could take the attempt once a slot is free.
 	IgnoreSlots bool
 
-	matches []match
+	decision uint64 // number of this decision
 }
 
 // Scored is an eligible candidate with its price in milliseconds; lower is better.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -13,7 +13,7 @@
 	picker   Picker
 	random   *rand.Rand
 	eligible []Scored // reused between decisions
-	matches  []match
+	decision uint64
 }
 
 // NewRouter returns a router with the request path's filters and scorers. A nil
@@ -27,11 +27,11 @@
 
 // Pick chooses a server of the pool; nil when none is eligible. prefixes may be nil.
 func (r *Router) Pick(q *Query, p *Pool, prefixes *Prefixes) *Candidate {
-	r.matches = r.matches[:0]
+	r.decision++
+	q.decision = r.decision
 	if prefixes != nil {
-		r.matches = prefixes.matches(q.Prefixes, r.matches)
+		prefixes.credit(q)
 	}
-	q.matches = r.matches
 	r.eligible = r.eligible[:0]
 	r.scan(q, p.Candidates)
 	if len(r.eligible) == 0 {
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -52,13 +52,10 @@
 
 // Price implements Scorer.
 func (prefixPrice) Price(q *Query, c *Candidate) float64 {
-	for i := range q.matches {
-		if weight, ok := q.matches[i].holders.holds(q.Now, c.Live); ok {
-			saved := q.matches[i].share * float64(q.InputTokens)
-			return -weight * saved * prefillMillisPerToken
-		}
+	if q.decision == 0 || c.Live.decision != q.decision {
+		return 0
 	}
-	return 0
+	return -c.Live.held * float64(q.InputTokens) * prefillMillisPerToken
 }
 
 // distancePrice charges the way to another availability zone or region.
--- a/internal/routing/store.go
+++ b/internal/routing/store.go
@@ -19,13 +19,12 @@
 	servers  []platform.Server
 	lives    map[string]*Live
 	longest  time.Duration
-	nextID   uint32
 }
 
 // NewStore returns a store without configuration and servers.
-func NewStore(self string) *Store {
+func NewStore(self string, timing Timing) *Store {
 	return &Store{
-		Members:  NewMembership(self),
+		Members:  NewMembership(self, timing),
 		snapshot: &Snapshot{},
 		lives:    map[string]*Live{},
 	}
@@ -71,7 +70,8 @@
 
 // setCeiling bounds the concurrency limit by this instance's part of the warm limit.
 func (l *Live) setCeiling() {
-	l.limit.SetCeiling(max(l.owner.Current(l.ramp.warm), 1))
+	l.part = l.owner.Current(l.ramp.warm)
+	l.limit.SetCeiling(l.part)
 }
 
 func (s *Store) rebuild(now time.Time) {
@@ -99,8 +99,7 @@
 func (s *Store) live(now time.Time, server platform.Server, p *Pool) *Live {
 	l, ok := s.lives[server.Name]
 	if !ok {
-		s.nextID++
-		l = &Live{id: s.nextID, name: server.Name, plain: p.Plain}
+		l = &Live{name: server.Name, plain: p.Plain}
 		l.ramp = NewRamp(now, server.Epoch, p.ColdLimit, p.WarmLimit)
 		l.owner = newOwnership(now, s.Members, server.Name, p.ColdLimit)
 		l.limit = admission.NewLimit(max(l.owner.Current(p.WarmLimit), 1))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -20,6 +20,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/placement"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/routing"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/traffic"
 )
@@ -33,6 +34,8 @@
 	Instance string
 	// Zone is this instance's availability zone. Empty means unknown.
 	Zone string
+	// Timing bounds how far lists of members lag. The zero value means the defaults.
+	Timing routing.Timing
 	// Now is the clock. Nil means time.Now.
 	Now func() time.Time
 	// Seed makes random choices repeatable. Zero is a seed like any other.
@@ -72,6 +75,7 @@
 		engine: placement.New(placement.Options{
 			Instance: o.Instance,
 			Zone:     o.Zone,
+			Timing:   o.Timing,
 			Seed:     o.Seed,
 			Recorder: o.Recorder,
 		}),
