Flood changes on a ring with geometric offsets

Cause: a change must reach 410 instances in well under 2 s for little, with some of them crashed and member lists that differ. Conclusion: flooding, degree 4; degree 6 up to 16 instances.

--- /dev/null
+++ b/internal/spread/graph.go
@@ -0,0 +1,80 @@
+package spread
+
+import (
+	"math"
+	"slices"
+)
+
+// Numbers of neighbours of an instance.
+const (
+	DefaultDegree    = 4
+	SmallFleetDegree = 6
+	// SmallFleet is the largest number of members that counts as a small fleet.
+	SmallFleet = 16
+)
+
+// Graph places the members on a ring and joins each to those at fixed offsets.
+// Every member computes its own neighbours from its view alone. Removing fewer
+// members than the degree leaves the rest connected.
+type Graph struct {
+	// Degree is the number of neighbours. Default SmallFleetDegree in a small
+	// fleet, else DefaultDegree; zero means the default. An odd degree is
+	// rounded up.
+	Degree int
+	// Adjacent selects the offsets 1, 2, 3 and so on: the canonical Harary
+	// graph. Default false: offsets grow geometrically, which keeps paths short.
+	Adjacent bool
+}
+
+// Offsets returns the distances on a ring of n members at which a member has
+// neighbours on both sides.
+func (g Graph) Offsets(n int) []int {
+	half := (g.degree(n) + 1) / 2
+	furthest := n / 2
+	offsets := make([]int, 0, half)
+	for i := range half {
+		offset := i + 1
+		if !g.Adjacent {
+			geometric := int(math.Round(math.Pow(float64(n), float64(i)/float64(half))))
+			offset = max(geometric, i+1)
+		}
+		if offset > furthest {
+			break
+		}
+		if !slices.Contains(offsets, offset) {
+			offsets = append(offsets, offset)
+		}
+	}
+	return offsets
+}
+
+func (g Graph) degree(n int) int {
+	switch {
+	case g.Degree > 0:
+		return g.Degree
+	case n <= SmallFleet:
+		return SmallFleetDegree
+	default:
+		return DefaultDegree
+	}
+}
+
+// Neighbours returns the neighbours of a member, nil when the view lacks it.
+func (g Graph) Neighbours(v View, self string) []string {
+	at, ok := v.Index(self)
+	if !ok {
+		return nil
+	}
+	n := v.Len()
+	offsets := g.Offsets(n)
+	names := make([]string, 0, 2*len(offsets))
+	for _, offset := range offsets {
+		for _, i := range []int{(at + offset) % n, (at - offset + n) % n} {
+			name := v.members[i].Name
+			if name != self && !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
