--- /dev/null
+++ b/internal/lease/core.go
@@ -0,0 +1,309 @@
+package lease
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+// overloadDelay is what an instance at its load limit waits, in watch
+// intervals, before it claims another duty.
+const overloadDelay = 2
+
+// held is a duty that this instance holds.
+type held struct {
+	token   Token
+	version uint64 // of the duty's row
+}
+
+// core decides what an instance does about its leases. It is pure: it takes
+// readings of the clock and outcomes of calls, and returns transactions. It is
+// not safe for concurrent use.
+type core struct {
+	timing     Timing
+	instance   string
+	duties     []string // sorted
+	beat       heartbeat
+	held       map[string]held
+	watched    map[string]*watch
+	members    []string // sorted
+	candidates map[string][]string
+	extra      string // watched although other instances are the candidates
+	draining   bool
+	events     []timeline.Event
+}
+
+func newCore(timing Timing, self Holder, duties []string) *core {
+	sorted := slices.Clone(duties)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	c := &core{
+		timing:   timing.withDefaults(),
+		instance: self.Instance,
+		duties:   sorted,
+		held:     make(map[string]held),
+		watched:  make(map[string]*watch),
+	}
+	c.beat = newHeartbeat(c.timing, self)
+	c.setMembers(nil)
+	return c
+}
+
+// setMembers takes the live instances; this one always counts among them.
+func (c *core) setMembers(members []string) {
+	sorted := append(slices.Clone(members), c.instance)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	if slices.Equal(sorted, c.members) {
+		return
+	}
+	c.members = sorted
+	c.candidates = assign(c.duties, sorted)
+}
+
+// reborn continues under a new incarnation; everything held is lost.
+func (c *core) reborn(self Holder) {
+	c.loseAll("heartbeat row was deleted or its creation is in doubt")
+	c.beat = newHeartbeat(c.timing, self)
+	clear(c.watched)
+}
+
+// expire gives up every duty once the lease has run out.
+func (c *core) expire(now Reading) {
+	if !c.beat.alive(now, 0) {
+		c.loseAll("lease ran out")
+	}
+}
+
+func (c *core) loseAll(reason string) {
+	for _, duty := range c.heldDuties() {
+		c.record(timeline.LeaseLost, duty, c.held[duty].token, 0, reason)
+		delete(c.held, duty)
+	}
+}
+
+// heldDuties returns the names of the held duties in order.
+func (c *core) heldDuties() []string {
+	var names []string
+	for _, duty := range c.duties {
+		if _, ok := c.held[duty]; ok {
+			names = append(names, duty)
+		}
+	}
+	return names
+}
+
+// holds returns the token of a duty that is held for at least another margin.
+func (c *core) holds(duty string, now Reading, margin time.Duration) (Token, bool) {
+	h, ok := c.held[duty]
+	if !ok || !c.beat.alive(now, margin) {
+		return 0, false
+	}
+	return h.token, true
+}
+
+// renewed takes the outcome of a renewal.
+func (c *core) renewed(now Reading, r renewal, versions []uint64, err error) next {
+	before := c.beat.from
+	step := c.beat.renewed(r, versions, err)
+	c.noteRenewal(now, before)
+	return step
+}
+
+// readBack takes the own heartbeat row after a renewal of unknown outcome.
+func (c *core) readBack(now Reading, row platform.Row) next {
+	before := c.beat.from
+	step := c.beat.readBack(row)
+	c.noteRenewal(now, before)
+	return step
+}
+
+func (c *core) noteRenewal(now, before Reading) {
+	if c.beat.from == before {
+		return
+	}
+	for _, duty := range c.heldDuties() {
+		c.record(timeline.LeaseRenewed, duty, c.held[duty].token, c.beat.remaining(now), "")
+	}
+}
+
+// turn is this instance's place among the candidates of a duty; false when it
+// need not watch the duty.
+func (c *core) turn(duty string) (int, bool) {
+	if i := slices.Index(c.candidates[duty], c.instance); i >= 0 {
+		return i, true
+	}
+	return candidatesPerDuty, duty == c.extra
+}
+
+// watchKeys returns the rows to read: of each watched duty its own row, and the
+// heartbeat row of the holder known from the last reading.
+func (c *core) watchKeys() []string {
+	var keys []string
+	if c.draining {
+		return nil
+	}
+	for _, duty := range c.duties {
+		_, holding := c.held[duty]
+		if _, ok := c.turn(duty); !ok || holding {
+			delete(c.watched, duty)
+			continue
+		}
+		keys = append(keys, dutyKey(duty))
+		if w := c.watched[duty]; w != nil && w.row.Holder != (Holder{}) {
+			keys = append(keys, w.row.Holder.aliveKey())
+		}
+	}
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
+
+// observe takes the rows read for watchKeys, at the time of their arrival.
+func (c *core) observe(now Reading, rows []platform.Row) error {
+	byKey := make(map[string]platform.Row, len(rows))
+	for _, row := range rows {
+		byKey[row.Key] = row
+	}
+	var faults []error
+	for _, duty := range c.duties {
+		row, ok := byKey[dutyKey(duty)]
+		if _, holding := c.held[duty]; !ok || holding {
+			continue
+		}
+		if err := c.observeDuty(now, duty, row, byKey); err != nil {
+			faults = append(faults, err)
+		}
+	}
+	return errors.Join(faults...)
+}
+
+func (c *core) observeDuty(now Reading, duty string, row platform.Row, byKey map[string]platform.Row) error {
+	w := c.watched[duty]
+	if w == nil {
+		w = &watch{}
+		c.watched[duty] = w
+	}
+	if err := w.observeDuty(now.Mono, row); err != nil {
+		return err
+	}
+	if w.row.Holder == c.beat.holder {
+		// A claim or a renewal of unknown outcome took effect after all.
+		w.setFree(now.Mono)
+		return nil
+	}
+	if alive, ok := byKey[w.row.Holder.aliveKey()]; ok {
+		w.observeAlive(now.Mono, alive.Version, 2*c.timing.Watch+c.timing.Call)
+	}
+	return nil
+}
+
+// claim is a transaction that takes a duty.
+type claim struct {
+	Duty   string
+	Holder Holder // incarnation that it was made for
+	Token  Token
+	Txn    platform.Txn
+}
+
+// claims returns the duties to take now, and when to look again.
+func (c *core) claims(now Reading) (due []claim, again time.Duration) {
+	again = c.timing.Watch
+	if c.draining || !c.beat.alive(now, c.timing.Call) {
+		return nil, again
+	}
+	for _, duty := range c.duties {
+		w := c.watched[duty]
+		if w == nil {
+			continue
+		}
+		at, known := w.claimableAt(c.timing.Lease+c.timing.Margin, c.delay(duty))
+		if !known {
+			continue
+		}
+		if wait := at - now.Mono; wait > 0 {
+			again = min(again, wait)
+			continue
+		}
+		txn, token := w.claimTxn(duty, c.beat.holder)
+		due = append(due, claim{Duty: duty, Holder: c.beat.holder, Token: token, Txn: txn})
+	}
+	return due, again
+}
+
+// delay is this instance's turn among the candidates, later when it is loaded.
+func (c *core) delay(duty string) time.Duration {
+	turn, _ := c.turn(duty)
+	delay := time.Duration(turn) * c.timing.RankDelay
+	if len(c.held) >= loadLimit(len(c.duties), len(c.members)) {
+		delay += overloadDelay * c.timing.Watch
+	}
+	return delay
+}
+
+// claimed takes the outcome of a claim. An unknown outcome shows in a later
+// reading, where the row names this instance, and the duty is claimed anew
+// under a higher token.
+func (c *core) claimed(now Reading, cl claim, versions []uint64, err error) {
+	delete(c.watched, cl.Duty)
+	if err != nil || cl.Holder != c.beat.holder || !c.beat.alive(now, 0) {
+		return
+	}
+	c.held[cl.Duty] = held{token: cl.Token, version: versions[0]}
+	c.record(timeline.LeaseAcquired, cl.Duty, cl.Token, c.beat.remaining(now), "")
+}
+
+// surplus returns a duty to hand on, when another instance has become its first
+// candidate and this one holds more than its share.
+func (c *core) surplus() (string, bool) {
+	if len(c.held) <= loadLimit(len(c.duties), len(c.members)) {
+		return "", false
+	}
+	for _, duty := range c.heldDuties() {
+		if first := c.candidates[duty]; len(first) > 0 && first[0] != c.instance {
+			return duty, true
+		}
+	}
+	return "", false
+}
+
+// release gives duties up and returns the transactions that free them at once.
+// The work under them must have ended.
+func (c *core) release(duties []string) []platform.Txn {
+	var txns []platform.Txn
+	for _, duty := range duties {
+		h, ok := c.held[duty]
+		if !ok {
+			continue
+		}
+		delete(c.held, duty)
+		c.record(timeline.LeaseReleased, duty, h.token, 0, "")
+		txns = append(txns, platform.Txn{
+			Checks: []platform.Check{{Key: dutyKey(duty), Version: h.version}},
+			Writes: []platform.Write{{Key: dutyKey(duty), Value: encode(dutyRow{Token: h.token})}},
+		})
+	}
+	return txns
+}
+
+// drain stops claiming and returns the write that ends the heartbeat row.
+func (c *core) drain() platform.Txn {
+	return platform.Txn{Writes: []platform.Write{{Key: c.beat.holder.aliveKey(), Delete: true}}}
+}
+
+// record keeps an event; Duration carries the remaining lease until the
+// Manager turns it into a wall-clock time.
+func (c *core) record(kind timeline.Kind, duty string, token Token, left time.Duration, detail string) {
+	c.events = append(c.events, timeline.Event{
+		Kind: kind, Duty: duty, Token: uint64(token), Duration: left, Detail: detail,
+	})
+}
+
+// takeEvents returns the events since the last call.
+func (c *core) takeEvents() []timeline.Event {
+	events := c.events
+	c.events = nil
+	return events
+}
--- /dev/null
+++ b/internal/lease/guard.go
@@ -0,0 +1,44 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+)
+
+// Guard stands for one tenure of a duty.
+type Guard struct {
+	Duty  string
+	Token Token
+	m     *Manager
+}
+
+// LostError reports that a duty is no longer held, or not for long enough.
+type LostError struct {
+	Duty  string
+	Token Token
+}
+
+// Error implements the error interface.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("duty %q is no longer held under token %d", e.Duty, e.Token)
+}
+
+// Check fails when the tenure has ended or may end before a write that starts
+// now has left the process.
+func (g Guard) Check() error {
+	g.m.mu.Lock()
+	defer g.m.mu.Unlock()
+	token, ok := g.m.core.holds(g.Duty, g.m.reading(), g.m.options.Timing.Write)
+	if !ok || token != g.Token {
+		return &LostError{Duty: g.Duty, Token: g.Token}
+	}
+	return nil
+}
+
+// Context returns a context whose calls to the platform check the tenure once
+// more right before they are written.
+func (g Guard) Context(ctx context.Context) context.Context {
+	return platform.WithCheck(ctx, g.Check)
+}
--- /dev/null
+++ b/internal/lease/work.go
@@ -0,0 +1,113 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// restartDelay is the wait before work that returned is called again.
+const restartDelay = time.Second
+
+// workLoop runs a function during each tenure of its duty.
+func (m *Manager) workLoop(ctx context.Context, w work) {
+	for ctx.Err() == nil {
+		g, changed, ok := m.tenure(w.duty)
+		if !ok {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		m.runTenure(ctx, w, g)
+		if ctx.Err() == nil && g.valid() {
+			sleep(ctx, restartDelay)
+		}
+	}
+}
+
+// tenure returns the current tenure of a duty, and a channel that is closed
+// when that may have changed.
+func (m *Manager) tenure(duty string) (Guard, <-chan struct{}, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	token, ok := m.core.holds(duty, m.reading(), 0)
+	if m.stopping[duty] {
+		ok = false
+	}
+	return Guard{Duty: duty, Token: token, m: m}, m.changed, ok
+}
+
+// valid reports whether the tenure lasts.
+func (g Guard) valid() bool {
+	now, _, ok := g.m.tenure(g.Duty)
+	return ok && now.Token == g.Token
+}
+
+// runTenure runs the function once and ends its context with the tenure.
+func (m *Manager) runTenure(ctx context.Context, w work, g Guard) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	m.setRunning(w.duty, 1)
+	go func() { done <- w.run(ctx, g) }()
+	for {
+		now, changed, ok := m.tenure(w.duty)
+		if !ok || now.Token != g.Token {
+			cancel()
+		}
+		select {
+		case <-changed:
+		case err := <-done:
+			m.setRunning(w.duty, -1)
+			if err != nil && !errors.Is(err, context.Canceled) {
+				m.options.Logger.Warn("work under a duty ended", "duty", w.duty, "error", err)
+			}
+			return
+		}
+	}
+}
+
+// setRunning counts the functions that run under a duty.
+func (m *Manager) setRunning(duty string, by int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.running[duty] += by
+	m.notify()
+}
+
+// waitIdle waits until no work runs under a duty; false when ctx ends first.
+func (m *Manager) waitIdle(ctx context.Context, duty string) bool {
+	for {
+		m.mu.Lock()
+		idle := m.running[duty] == 0
+		changed := m.changed
+		m.mu.Unlock()
+		if idle {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (m *Manager) setStopping(duty string, stop bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if stop {
+		m.stopping[duty] = true
+	} else {
+		delete(m.stopping, duty)
+	}
+	m.notify()
+}
+
+// notify wakes who waits for a change; mu is held.
+func (m *Manager) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
--- a/internal/platform/httpapi/client.go
+++ b/internal/platform/httpapi/client.go
@@ -122,13 +122,18 @@
 // roundTrip returns the body of a successful answer. After a failure the idle
 // connections are dropped, since others to the same endpoint may be silent too.
 func (c *Client) roundTrip(ctx context.Context, url string, body []byte) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	checked := &checkedBody{ctx: ctx, body: bytes.NewReader(body)}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, checked)
 	if err != nil {
 		return nil, fmt.Errorf("call of %q: %w", url, err)
 	}
+	request.ContentLength = int64(len(body))
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(CallerHeader, c.options.Caller)
 	response, err := c.http.Do(request)
+	if refused := checked.failure(); refused != nil {
+		return nil, refused
+	}
 	if err != nil {
 		c.transport.CloseIdleConnections()
 		return nil, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -142,6 +142,9 @@
 		p.counts.refused(c.name, face)
 		return zero, api.ErrUnavailable
 	}
+	if err := api.RunCheck(ctx); err != nil {
+		return zero, err
+	}
 	if !fault.Paused && fault.Delay == 0 && fault.ReplyDelay == 0 {
 		return finish(c, face, effect)
 	}
