Carry requests end to end through two instances on loopback

Cause: the parts existed, but nothing took a request from a caller to a backend server and back. Change: entry (authentication, classes, OpenAI and plain routes, result codes, limits, withdrawal of keys from running requests), instance (wiring, lifecycle by its state chart, graceful stop), demo with stand-ins, README. A backend server that ran before an instance began to watch, and reports itself warm, counts as warm at its first report: before, each new instance held all engines for cold and gave them no work for the 20 s settling time of cold slots, which the demo's test showed as a request that ended at its 30 s deadline. Conclusion: streams and plain services are answered through either instance; a wrong key gives result 2002. Non-idempotent requests are refused as not run until the idempotency records are wired.

--- a/cmd/hawthornwick/main.go
+++ b/cmd/hawthornwick/main.go
@@ -3,18 +3,17 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 
 	"github.com/hawthornwick/hawthornwick/internal/cli"
-	"github.com/hawthornwick/hawthornwick/internal/settings"
+	"github.com/hawthornwick/hawthornwick/internal/demo"
+	"github.com/hawthornwick/hawthornwick/internal/instance"
 )
 
-var errNotBuilt = errors.New("not part of this build")
-
 func main() {
-	os.Exit(cli.Main(os.Args[1:], cli.Commands{
-		Serve: func(context.Context, *settings.Settings) error { return errNotBuilt },
-		Demo:  func(context.Context, cli.DemoOptions) error { return errNotBuilt },
-	}))
+	os.Exit(cli.Main(os.Args[1:], cli.Commands{Serve: instance.Serve, Demo: runDemo}))
+}
+
+func runDemo(ctx context.Context, o cli.DemoOptions) error {
+	return demo.Run(ctx, demo.Options{JSON: o.JSON, Instances: o.Instances, Out: o.Out})
 }
--- /dev/null
+++ b/internal/demo/backends.go
@@ -0,0 +1,177 @@
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	_ "embed"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/confsync"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/standin/engine"
+	"github.com/hawthornwick/hawthornwick/internal/standin/plain"
+	standin "github.com/hawthornwick/hawthornwick/internal/standin/platform"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+//go:embed configuration.yaml
+var configurationText string
+
+const (
+	firstToken    = 40 * time.Millisecond
+	betweenTokens = 10 * time.Millisecond
+	answerTokens  = 24
+	loopback      = "127.0.0.1:0"
+)
+
+// Backends are the stand-ins of a demo.
+type Backends struct {
+	Platform *standin.Platform
+	Engines  []*engine.Engine
+	Plain    []*plain.Service
+	// Timeline holds what the stand-ins saw.
+	Timeline *timeline.Ring
+
+	endpoint string // base URL of the platform
+	server   *http.Server
+}
+
+// engineSpecs are the engines: two zones, one cheap engine per model.
+var engineSpecs = []struct {
+	name, zone, model string
+	cheap             bool
+}{
+	{"engine-1", "zone-a", "roster-8b", false},
+	{"engine-2", "zone-b", "roster-8b", false},
+	{"engine-3", "zone-b", "roster-8b", true},
+	{"engine-4", "zone-a", "label-2b", false},
+	{"engine-5", "zone-b", "label-2b", false},
+}
+
+var plainServices = []string{"entries", "bookings", "credits"}
+
+var zones = []string{"zone-a", "zone-b"}
+
+func startBackends() (*Backends, error) {
+	b := &Backends{Timeline: timeline.NewRing("stand-ins", 0, nil)}
+	b.Platform = standin.New(standin.Options{Recorder: b.Timeline})
+	if err := b.servePlatform(); err != nil {
+		return nil, err
+	}
+	if err := b.startEngines(); err != nil {
+		b.close()
+		return nil, err
+	}
+	if err := b.startPlain(); err != nil {
+		b.close()
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *Backends) servePlatform() error {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return fmt.Errorf("listen for the stand-in platform: %w", err)
+	}
+	b.endpoint = "http://" + l.Addr().String()
+	b.server = &http.Server{Handler: b.Platform.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = b.server.Serve(l) }()
+	return nil
+}
+
+func (b *Backends) startEngines() error {
+	for _, spec := range engineSpecs {
+		e, err := engine.Start(engine.Options{
+			Name: spec.name, Zone: spec.zone, Model: spec.model,
+			FirstToken: firstToken, BetweenTokens: betweenTokens, AnswerTokens: answerTokens,
+			Recorder: b.Timeline,
+		})
+		if err != nil {
+			return fmt.Errorf("start %s: %w", spec.name, err)
+		}
+		b.Engines = append(b.Engines, e)
+		b.Platform.AddServer(platform.Server{
+			Name: spec.name, Address: e.Address(), Zone: spec.zone, Model: spec.model,
+			Cheap: spec.cheap, Epoch: e.Epoch(), State: platform.ServerRunning,
+		})
+	}
+	return nil
+}
+
+func (b *Backends) startPlain() error {
+	for _, service := range plainServices {
+		for _, zone := range zones {
+			s, err := plain.Start(plain.Options{
+				Name: service + "-" + zone, Zone: zone, Service: service, Recorder: b.Timeline,
+			})
+			if err != nil {
+				return fmt.Errorf("start %s in %s: %w", service, zone, err)
+			}
+			b.Plain = append(b.Plain, s)
+		}
+	}
+	return nil
+}
+
+// configure applies the sample configuration and grants a key to each
+// organisation. It returns the keys by organisation.
+func (b *Backends) configure(ctx context.Context) (map[string]string, error) {
+	text := b.configuration()
+	c, err := config.Decode("demo", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	editor := confsync.New(confsync.Options{
+		Instance: "demo",
+		Table:    b.Platform.Caller("demo").Table(),
+		Compile:  func(text string) (config.Config, error) { return config.Decode("demo", []byte(text)) },
+	})
+	if _, err := editor.Apply(ctx, text, 0); err != nil {
+		return nil, err
+	}
+	keys := make(map[string]string, len(c.Organisations))
+	for _, org := range c.Organisations {
+		key := "demo-" + rand.Text()
+		if _, err := editor.GrantKey(ctx, config.DigestKey(key), org.Name); err != nil {
+			return nil, fmt.Errorf("grant a key to %s: %w", org.Name, err)
+		}
+		keys[org.Name] = key
+	}
+	return keys, nil
+}
+
+// configuration fills the addresses of the plain services into the text.
+func (b *Backends) configuration() string {
+	text := configurationText
+	for _, service := range plainServices {
+		text = strings.ReplaceAll(text, strings.ToUpper(service)+"_SERVERS", b.serverList(service))
+	}
+	return text
+}
+
+func (b *Backends) serverList(service string) string {
+	var entries []string
+	for _, s := range b.Plain {
+		if s.Service() == service {
+			entries = append(entries, fmt.Sprintf("{address: %q, zone: %s}", s.Address(), s.Zone()))
+		}
+	}
+	return "[" + strings.Join(entries, ", ") + "]"
+}
+
+func (b *Backends) close() {
+	for _, e := range b.Engines {
+		e.Close()
+	}
+	for _, s := range b.Plain {
+		s.Close()
+	}
+	_ = b.server.Close()
+	b.Platform.Close()
+}
--- /dev/null
+++ b/internal/entry/headers.go
@@ -0,0 +1,18 @@
+package entry
+
+// Headers between callers and the router.
+const (
+	// RequestHeader carries the request id in every answer.
+	RequestHeader = "Hawthornwick-Request"
+	// ClassHeader names the class of a request; optional.
+	ClassHeader = "Hawthornwick-Class"
+	// ResultHeader carries the result code of a refusal or failure.
+	ResultHeader = "Hawthornwick-Result"
+	// NotRunHeader is "true" on a refusal that was proved not run, else "false".
+	NotRunHeader = "Hawthornwick-Not-Run"
+	// ReplayedHeader is "true" on an answer that was stored by an earlier request
+	// with the same idempotency key.
+	ReplayedHeader = "Hawthornwick-Replayed"
+	// IdempotencyHeader carries the caller's idempotency key.
+	IdempotencyHeader = "Idempotency-Key"
+)
--- /dev/null
+++ b/internal/entry/results.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/result"
+)
+
+// errorBody is the JSON form of a refusal or failure. Its shape is the OpenAI
+// API's with the router's own fields beside it.
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Code    result.Code `json:"code"`
+	Type    string      `json:"type"`
+	Message string      `json:"message"`
+	NotRun  bool        `json:"not_run"`
+	Request string      `json:"request"`
+}
+
+func newErrorBody(request string, e *result.Error) errorBody {
+	return errorBody{Error: errorFields{
+		Code:    e.Code,
+		Type:    e.Code.String(),
+		Message: e.Message,
+		NotRun:  e.NotRun(),
+		Request: request,
+	}}
+}
+
+// writeResult sends the error as an answer. The header must not be written yet.
+func writeResult(w http.ResponseWriter, request string, e *result.Error) {
+	body, err := json.Marshal(newErrorBody(request, e))
+	if err != nil {
+		http.Error(w, "internal", http.StatusInternalServerError)
+		return
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(ResultHeader, strconv.Itoa(int(e.Code)))
+	h.Set(NotRunHeader, strconv.FormatBool(e.NotRun()))
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", retryAfterSeconds(e.RetryAfter))
+	}
+	w.WriteHeader(e.Code.HTTPStatus())
+	_, _ = w.Write(append(body, '\n'))
+}
+
+// retryAfterSeconds rounds up to whole seconds, as the header demands.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
+)
+
+// payload is the body of a request: bytes, or a stream that is sent as it arrives.
+type payload struct {
+	bytes  []byte
+	stream io.Reader
+	length int64 // of stream in bytes; -1 if unknown
+}
+
+// run admits the request and sends it to backend servers.
+func (x *exchange) run(body payload) {
+	ctx, stop := x.watched()
+	defer stop()
+	if x.req.Idempotent {
+		x.runOnce(ctx, body)
+		return
+	}
+	x.refuse(x.gate.Refuse(result.LedgerUnavailable, "no idempotency records yet"))
+}
+
+// runOnce serves a request that needs no idempotency record.
+func (x *exchange) runOnce(ctx context.Context, body payload) {
+	ticket, refusal := x.admit(ctx)
+	if refusal != nil {
+		x.refuse(refusal)
+		return
+	}
+	defer ticket.Done()
+	x.finish(x.dispatch(ctx, ticket, body, "", x.w))
+}
+
+// admit waits for a slot. What ended the wait from the router's side replaces
+// the scheduler's refusal.
+func (x *exchange) admit(ctx context.Context) (traffic.Ticket, *result.Error) {
+	ticket, refusal := x.server.o.Scheduler.Admit(ctx, x.req)
+	if refusal == nil {
+		return ticket, nil
+	}
+	if cause := interruption(ctx); cause != nil {
+		return nil, cause
+	}
+	return nil, refusal
+}
+
+func (x *exchange) dispatch(ctx context.Context, ticket traffic.Ticket, body payload, attempt string, w http.ResponseWriter) dispatch.Outcome {
+	return x.server.o.Dispatcher.Do(ctx, dispatch.Call{
+		Request:       x.req,
+		Targets:       ticket,
+		Method:        x.r.Method,
+		Path:          x.backendPath(),
+		RawQuery:      x.r.URL.RawQuery,
+		Header:        x.r.Header,
+		Body:          body.bytes,
+		Stream:        body.stream,
+		ContentLength: body.length,
+		Timeouts:      dispatch.TimeoutsFor(x.req.Class),
+		Attempt:       attempt,
+	}, w)
+}
+
+// backendPath is the path that the backend server sees: the OpenAI path, or
+// what follows the service's name.
+func (x *exchange) backendPath() string {
+	path := x.r.URL.EscapedPath()
+	if !x.req.Plain {
+		return path
+	}
+	_, rest, _ := strings.Cut(strings.TrimPrefix(path, servicesPrefix), "/")
+	return "/" + rest
+}
+
+const servicesPrefix = "/services/"
+
+// finish records how the request ended and bills it.
+func (x *exchange) finish(out dispatch.Outcome) {
+	x.bill(out)
+	if out.Err != nil {
+		x.refuse(out.Err)
+		x.cut(out)
+		return
+	}
+	x.answered(out)
+}
+
+// cut closes the caller's connection after an answer that broke in a place
+// where no error could be written, so that it cannot be taken for a whole one.
+func (x *exchange) cut(out dispatch.Outcome) {
+	if out.Abort {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) answered(out dispatch.Outcome) {
+	took := time.Since(x.arrived)
+	x.server.answered.Add(1)
+	x.record(timeline.Event{
+		Kind: timeline.RequestAnswered, Count: out.Events, Server: out.Server,
+		Attempt: out.Attempt, Duration: out.FirstByte,
+	})
+	x.server.metrics.answered(x.req.Class.Name, took)
+	x.log("request answered", "status", out.Status, "backend_server", out.Server, "attempts", out.Attempts,
+		"first_byte_ms", out.FirstByte.Milliseconds(), "took_ms", took.Milliseconds())
+}
+
+// bill meters what reached the caller.
+func (x *exchange) bill(out dispatch.Outcome) {
+	if x.req.Organisation == "" || !out.Started {
+		return
+	}
+	x.server.metrics.tokens(x.req.Class.Name, out.Usage.InputTokens, out.Usage.OutputTokens)
+	x.record(timeline.Event{Kind: timeline.UsageMetered, Count: out.Usage.InputTokens + out.Usage.OutputTokens})
+}
--- a/internal/routing/coldramp.go
+++ b/internal/routing/coldramp.go
@@ -30,6 +30,9 @@
 	successes int // whole, timely answers in a row
 	remaining int // of the last load report, or reportUnknown
 	idleSince time.Time
+	// established is true for a server that ran before this instance began to
+	// watch and has shown no restart since.
+	established bool
 }
 
 // NewRamp returns the ramp of a server seen for the first time.
@@ -46,8 +49,13 @@
 	r.successes = 0
 	r.remaining = reportUnknown
 	r.idleSince = time.Time{}
+	r.established = false
 }
 
+// SetEstablished marks a server that ran before this instance began to watch.
+// Its first load report decides whether it is warm; a restart ends the mark.
+func (r *Ramp) SetEstablished() { r.established = true }
+
 // SetLimits changes the configured limits. A warm server stays warm.
 func (r *Ramp) SetLimits(cold, warm int) {
 	wasWarm := r.Warm()
@@ -90,6 +98,10 @@
 		r.total = r.cold
 		r.stepped = now
 	}
+	if r.remaining == 0 && r.established {
+		r.total = r.warm
+	}
+	r.established = false
 	if report.Running+report.Waiting <= own {
 		r.idleSince = time.UnixMilli(report.UnixMillis)
 	}
--- a/internal/routing/store.go
+++ b/internal/routing/store.go
@@ -19,6 +19,9 @@
 	servers  []platform.Server
 	lives    map[string]*Live
 	longest  time.Duration
+	listed   bool // a list of servers was read
+	// first is true while the first list of servers is taken in.
+	first bool
 }
 
 // NewStore returns a store without configuration and servers.
@@ -52,6 +55,8 @@
 
 // SetServers replaces the platform's list of model servers.
 func (s *Store) SetServers(now time.Time, servers []platform.Server) {
+	s.first = !s.listed
+	s.listed = true
 	s.servers = servers
 	s.rebuild(now)
 }
@@ -101,6 +106,9 @@
 	if !ok {
 		l = &Live{name: server.Name, plain: p.Plain}
 		l.ramp = NewRamp(now, server.Epoch, p.ColdLimit, p.WarmLimit)
+		if s.first {
+			l.ramp.SetEstablished()
+		}
 		l.owner = newOwnership(now, s.Members, server.Name, p.ColdLimit)
 		l.limit = admission.NewLimit(max(l.owner.Current(p.WarmLimit), 1))
 		s.lives[server.Name] = l
