--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
 	"errors"
 	"fmt"
 	"io"
@@ -203,3 +204,27 @@
 	is.True(served == nil && strings.Contains(got.err, "platform.table: required"))
 	is.Equal(runOffline(t, c, "serve", "--settings", "/does/not/exist").code, exitInvalid)
 }
+
+func TestStatusOverTLSWithToken(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer operators-secret" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		io.WriteString(w, `{"instance":"a","state":"ready","ready":true}`)
+	}))
+	defer server.Close()
+	authority := writeFile(t, string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})))
+	token := writeFile(t, "operators-secret\n")
+
+	got := runOffline(t, Commands{}, "status", "-o", server.URL, "--ca", authority, "--token-file", token)
+	is.Equal(got.code, exitDone)
+	is.True(strings.HasPrefix(got.out, "instance a in zone"))
+	got = runOffline(t, Commands{}, "status", "-o", server.URL, "--token-file", token)
+	is.Equal(got.code, exitUnreachable) // the authority is not trusted
+	got = runOffline(t, Commands{}, "status", "-o", server.URL, "--ca", token)
+	is.Equal(got.code, exitInvalid) // no certificate
+	got = runOffline(t, Commands{}, "status", "-o", server.URL, "--ca", authority)
+	is.Equal(got.code, exitFailed) // no token
+}
