Test what the charts promise over all paths

Walks every event and guard outcome: no path leads from sent to a state that claims not run, only a record's owner may send, leaving a lease always stops its duty, and a stopped instance stays stopped.

--- a/internal/charts/charts_test.go
+++ b/internal/charts/charts_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"io/fs"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/statechart"
 )
 
 func TestAllListsEveryFile(t *testing.T) {
@@ -13,3 +16,81 @@
 	is.NoErr(err)
 	is.Equal(len(All()), len(names))
 }
+
+// guess is a fact that makes every guard hold or fail.
+type guess bool
+
+// bind ties a chart to guards that hold when the guess is true.
+func bind(t *testing.T, c *statechart.Chart) *statechart.Definition[guess] {
+	t.Helper()
+	code := statechart.Code[guess]{Guards: map[string]func(guess) bool{}, Actions: c.Actions()}
+	for _, name := range c.Guards() {
+		code.Guards[name] = func(g guess) bool { return bool(g) }
+	}
+	d, err := statechart.Bind(c, code)
+	is.New(t).NoErr(err)
+	return d
+}
+
+// reachable returns the names of the states that any events lead to.
+func reachable(c *statechart.Chart, d *statechart.Definition[guess], from string) []string {
+	found := []string{from}
+	for i := 0; i < len(found); i++ {
+		for _, event := range c.Events() {
+			for _, g := range []guess{false, true} {
+				tr, _ := d.Next(d.State(found[i]), d.Event(event), g)
+				if name := d.StateName(tr.To); !slices.Contains(found, name) {
+					found = append(found, name)
+				}
+			}
+		}
+	}
+	return found
+}
+
+func TestWhatWasSentIsNeverCalledNotRun(t *testing.T) {
+	cases := []struct {
+		chart  *statechart.Chart
+		notRun []string // states that claim that nothing ran
+	}{
+		{Request, []string{"refused"}},
+		{Record, []string{"released", "refused"}},
+	}
+	for _, c := range cases {
+		for _, state := range reachable(c.chart, bind(t, c.chart), "sent") {
+			if slices.Contains(c.notRun, state) {
+				t.Errorf("chart %s leads from sent to %s", c.chart.Name(), state)
+			}
+		}
+	}
+}
+
+func TestRecordIsSentByItsOwnerOnly(t *testing.T) {
+	d := bind(t, Record)
+	for _, state := range Record.States() {
+		tr, err := d.Next(d.State(state), d.Event("sent"), false)
+		if moved := err == nil && tr.Entered; moved != (state == "owned") {
+			t.Errorf("state %s takes sent: %v", state, moved)
+		}
+	}
+}
+
+func TestLosingALeaseStopsItsDuty(t *testing.T) {
+	d := bind(t, Lease)
+	inCharge := []string{"held", "doubtful"}
+	for _, state := range inCharge {
+		for _, event := range Lease.Events() {
+			tr, _ := d.Next(d.State(state), d.Event(event), false)
+			stops := slices.Contains(tr.Actions, d.Action("stop_duty"))
+			if leaves := !slices.Contains(inCharge, d.StateName(tr.To)); leaves != stops {
+				t.Errorf("%s on %s: leaves %v, stops the duty %v", state, event, leaves, stops)
+			}
+		}
+	}
+}
+
+func TestStoppedInstanceStaysStopped(t *testing.T) {
+	is := is.New(t)
+	is.Equal(reachable(Instance, bind(t, Instance), "stopped"), []string{"stopped"})
+	is.True(!slices.Contains(reachable(Instance, bind(t, Instance), "draining"), "ready"))
+}
--- a/internal/statechart/chart.go
+++ b/internal/statechart/chart.go
@@ -66,3 +66,15 @@
 
 // Name returns the chart's name.
 func (c *Chart) Name() string { return c.file.Name }
+
+// States returns the names of the states in the order of the file.
+func (c *Chart) States() []string { return declared(stateDeclarations(c.file.States)) }
+
+// Events returns the names of the events in the order of the file.
+func (c *Chart) Events() []string { return declared(c.file.Events) }
+
+// Guards returns the names of the guards in the order of the file.
+func (c *Chart) Guards() []string { return declared(c.file.Guards) }
+
+// Actions returns the names of the actions in the order of the file.
+func (c *Chart) Actions() []string { return declared(c.file.Actions) }
