--- a/internal/demo/backends.go
+++ b/internal/demo/backends.go
@@ -23,10 +23,8 @@
 var configurationText string
 
 const (
-	firstToken    = 40 * time.Millisecond
-	betweenTokens = 10 * time.Millisecond
-	answerTokens  = 24
-	loopback      = "127.0.0.1:0"
+	firstToken = 40 * time.Millisecond
+	loopback   = "127.0.0.1:0"
 )
 
 // Backends are the stand-ins of a demo.
@@ -57,13 +55,13 @@
 
 var zones = []string{"zone-a", "zone-b"}
 
-func startBackends() (*Backends, error) {
+func startBackends(o Options) (*Backends, error) {
 	b := &Backends{Timeline: timeline.NewRing("stand-ins", 0, nil)}
 	b.Platform = standin.New(standin.Options{Recorder: b.Timeline})
 	if err := b.servePlatform(); err != nil {
 		return nil, err
 	}
-	if err := b.startEngines(); err != nil {
+	if err := b.startEngines(o); err != nil {
 		b.close()
 		return nil, err
 	}
@@ -85,11 +83,11 @@
 	return nil
 }
 
-func (b *Backends) startEngines() error {
+func (b *Backends) startEngines(o Options) error {
 	for _, spec := range engineSpecs {
 		e, err := engine.Start(engine.Options{
 			Name: spec.name, Zone: spec.zone, Model: spec.model,
-			FirstToken: firstToken, BetweenTokens: betweenTokens, AnswerTokens: answerTokens,
+			FirstToken: firstToken, BetweenTokens: o.BetweenTokens, AnswerTokens: o.AnswerTokens,
 			Recorder: b.Timeline,
 		})
 		if err != nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -21,6 +21,12 @@
 type Options struct {
 	// Instances is the number of router instances. Default 2; zero means the default.
 	Instances int
+	// AnswerTokens is the mean length of the engines' answers. Default 24; zero
+	// means the default.
+	AnswerTokens int
+	// BetweenTokens is the engines' time between tokens. Default 10ms; zero means
+	// the default.
+	BetweenTokens time.Duration
 	// JSON prints the description as one line of JSON instead of text.
 	JSON bool
 	// Out takes the description. Required.
@@ -30,8 +36,10 @@
 }
 
 const (
-	defaultInstances = 2
-	startTimeout     = 20 * time.Second
+	defaultInstances     = 2
+	defaultAnswerTokens  = 24
+	defaultBetweenTokens = 10 * time.Millisecond
+	startTimeout         = 20 * time.Second
 )
 
 // Run serves until ctx ends, then stops every instance gracefully.
@@ -62,24 +70,34 @@
 
 // Start runs a demo until Close. It returns once every instance serves.
 func Start(ctx context.Context, o Options) (*Demo, error) {
+	d := new(Demo)
+	if err := d.start(ctx, o.withDefaults()); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+func (o Options) withDefaults() Options {
 	if o.Logger == nil {
 		o.Logger = hclog.NewNullLogger()
 	}
 	if o.Instances <= 0 {
 		o.Instances = defaultInstances
 	}
-	d := new(Demo)
-	if err := d.start(ctx, o); err != nil {
-		return nil, errors.Join(err, d.Close())
+	if o.AnswerTokens <= 0 {
+		o.AnswerTokens = defaultAnswerTokens
 	}
-	return d, nil
+	if o.BetweenTokens <= 0 {
+		o.BetweenTokens = defaultBetweenTokens
+	}
+	return o
 }
 
 func (d *Demo) start(ctx context.Context, o Options) error {
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	var err error
-	if d.Backends, err = startBackends(); err != nil {
+	if d.Backends, err = startBackends(o); err != nil {
 		return err
 	}
 	d.cleanup = append(d.cleanup, d.Backends.close)
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -17,7 +17,12 @@
 
 func start(t *testing.T) *Demo {
 	t.Helper()
-	d, err := Start(context.Background(), Options{Out: io.Discard})
+	return startWith(t, Options{})
+}
+
+func startWith(t *testing.T, o Options) *Demo {
+	t.Helper()
+	d, err := Start(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/demo/promises_test.go
@@ -0,0 +1,125 @@
+package demo
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/entry"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+const longChat = `{"model":"roster-8b","stream":true,"max_tokens":2000,"messages":[{"role":"user","content":"the whole roster"}]}`
+
+// openStream starts a streamed request and returns its answer after the first event.
+func openStream(t *testing.T, base, key, body string) (*http.Response, *bufio.Reader) {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = answer.Body.Close() })
+	lines := bufio.NewReader(answer.Body)
+	if _, err := lines.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	return answer, lines
+}
+
+func rest(lines *bufio.Reader) string {
+	var b strings.Builder
+	_, _ = lines.WriteTo(&b)
+	return b.String()
+}
+
+func TestWithdrawnKeyEndsOpenStreamAndNewRequests(t *testing.T) {
+	is := is.New(t)
+	d := startWith(t, Options{BetweenTokens: 20 * time.Millisecond, AnswerTokens: 500})
+	key := d.Description.Keys["suva-swimming"]
+	_, lines := openStream(t, d.Description.Callers[0], key, longChat)
+	withdrawn := time.Now()
+	_, err := d.instances[1].Editor().WithdrawKey(context.Background(), config.DigestKey(key))
+	is.NoErr(err)
+	text := rest(lines)
+	is.True(time.Since(withdrawn) < 2*time.Second)
+	is.True(strings.Contains(text, `"stream_key_withdrawn"`))
+	is.True(!strings.Contains(text, "[DONE]"))
+	for _, base := range d.Description.Callers {
+		answer, _ := call(t, http.MethodPost, base+"/v1/chat/completions", key, chat)
+		is.Equal(answer.StatusCode, http.StatusUnauthorized)
+	}
+}
+
+func TestNonIdempotentRequestNeedsIdempotencyKey(t *testing.T) {
+	is := is.New(t)
+	d := start(t)
+	answer, _ := call(t, http.MethodPost, d.Description.Callers[0]+"/services/bookings/lane-4", d.Description.Keys["suva-swimming"], "{}")
+	is.Equal(answer.StatusCode, http.StatusBadRequest)
+	is.Equal(answer.Header.Get(entry.ResultHeader), "1009")
+	is.Equal(answer.Header.Get(entry.NotRunHeader), "true")
+}
+
+func TestOrganisationOutsideServiceIsRefused(t *testing.T) {
+	is := is.New(t)
+	d := start(t)
+	answer, _ := call(t, http.MethodGet, d.Description.Callers[0]+"/services/bookings/lane-4", d.Description.Keys["setubal-depot"], "")
+	is.Equal(answer.Header.Get(entry.ResultHeader), "2004")
+}
+
+func TestPlannedStopCutsOffNoStream(t *testing.T) {
+	is := is.New(t)
+	d := startWith(t, Options{BetweenTokens: 10 * time.Millisecond, AnswerTokens: 60})
+	_, lines := openStream(t, d.Description.Callers[0], d.Description.Keys["suva-swimming"], longChat)
+	d.stop()
+	text := rest(lines)
+	is.True(strings.HasSuffix(strings.TrimSpace(text), "data: [DONE]"))
+	is.NoErr(d.Close())
+}
+
+func TestBackendServersSeeNoKey(t *testing.T) {
+	is := is.New(t)
+	d := start(t)
+	key := d.Description.Keys["suva-swimming"]
+	base := d.Description.Callers[0]
+	call(t, http.MethodPost, base+"/v1/chat/completions", key, chat)
+	call(t, http.MethodGet, base+"/services/entries/run?api_key="+key, key, "", "Cookie", "token="+key, "X-Api-Key", key)
+	events, _ := d.Backends.Timeline.Snapshot()
+	received := 0
+	for _, e := range events {
+		if e.Kind == timeline.BackendReceived {
+			received++
+			is.Equal(e.KeyDigest, "")
+		}
+	}
+	is.Equal(received, 2)
+}
+
+func TestZoneOutGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	d := start(t)
+	_, err := d.instances[0].Editor().SetZone(context.Background(), "zone-a", true)
+	is.NoErr(err)
+	time.Sleep(2 * time.Second)
+	before, _ := d.Backends.Timeline.Snapshot()
+	for _, base := range d.Description.Callers {
+		for range 4 {
+			answer, _ := call(t, http.MethodGet, base+"/services/entries/run", d.Description.Keys["suva-swimming"], "")
+			is.Equal(answer.StatusCode, http.StatusOK)
+		}
+	}
+	after, _ := d.Backends.Timeline.Snapshot()
+	for _, e := range after[len(before):] {
+		is.True(!strings.HasSuffix(e.Server, "zone-a"))
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -308,3 +308,6 @@
 	i.platform.Close()
 	i.logger.Info("instance stopped", "cut_off", cut)
 }
+
+// Editor returns the instance's access to the operators' configuration.
+func (i *Instance) Editor() config.Editor { return i.store }
