Add the ledger of idempotency records

Cause: a non-idempotent request must run at most once through any number of instances, lost replies and outages of the table service. Change: internal/ledger inserts one record per organisation and idempotency key by conditional transaction; only the inserter may dispatch, until SendBefore. Replies that are lost are resolved by reading back; duplicates wait for the stored answer and are never refused as not run; answers are stored in the background when the table service is out; a record is released only with a proof (result.Proof gains Issued).

--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,241 @@
+package ledger
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	standin "github.com/hawthornwick/hawthornwick/internal/standin/platform"
+)
+
+var testKey = Key{Organisation: "club", IdempotencyKey: "k1"}
+
+func claim(attempt string) Claim {
+	return Claim{
+		Key: testKey, Digest: BodyDigest("POST", "/fee", "", []byte("{}")), Attempt: attempt,
+		Deadline: time.Now().Add(time.Minute), Gate: new(result.Gate),
+	}
+}
+
+// stores is a platform with two instances' access to it.
+type stores struct {
+	platform *standin.Platform
+	a, b     *Ledger
+}
+
+func newStores(o Options) *stores {
+	p := standin.New(standin.Options{})
+	open := func(name string) *Ledger {
+		return New(p.Caller(name).Table(), p.Caller(name).Objects(), o)
+	}
+	return &stores{platform: p, a: open("a"), b: open("b")}
+}
+
+func (s *stores) close() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.a.Close(ctx)
+	s.b.Close(ctx)
+	s.platform.Close()
+}
+
+func TestDuplicateThroughAnotherInstanceGetsTheAnswer(t *testing.T) {
+	for name, size := range map[string]int{"in the record": 10, "in the object store": defaultInlineBytes + 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newStores(Options{})
+				defer s.close()
+				first, refusal := s.a.Begin(t.Context(), claim("1"))
+				is.True(refusal == nil)
+				is.True(first.Owned != nil)
+				second := make(chan Decision)
+				go func() {
+					d, _ := s.b.Begin(t.Context(), claim("2"))
+					second <- d
+				}()
+				synctest.Wait() // the duplicate waits
+				body := strings.Repeat("x", size)
+				first.Owned.Complete(t.Context(), Answer{Status: 201, Header: http.Header{"Location": {"/fee/1"}}, Body: []byte(body)})
+				d := <-second
+				is.True(d.Owned == nil)
+				w := httptest.NewRecorder()
+				is.NoErr(d.Answer.Give(w))
+				is.Equal(w.Code, 201)
+				is.Equal(w.Body.String(), body)
+				is.Equal(w.Header().Get("Location"), "/fee/1")
+				is.Equal(w.Header().Get(ReplayedHeader), "true")
+			})
+		})
+	}
+}
+
+func TestDuplicateIsNeverRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStores(Options{WaitLimit: time.Second})
+		defer s.close()
+		_, refusal := s.a.Begin(t.Context(), claim("1"))
+		is.True(refusal == nil)
+		_, refusal = s.b.Begin(t.Context(), claim("2"))
+		is.Equal(refusal.Code, result.AlreadyRunning)
+		is.True(!refusal.NotRun())
+		time.Sleep(2 * time.Minute) // the first instance died before or after dispatch
+		_, refusal = s.b.Begin(t.Context(), claim("3"))
+		is.Equal(refusal.Code, result.WillNotRunAgain)
+		is.True(!refusal.NotRun())
+	})
+}
+
+func TestOtherBodyUnderTheKeyIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStores(Options{})
+		defer s.close()
+		_, refusal := s.a.Begin(t.Context(), claim("1"))
+		is.True(refusal == nil)
+		other := claim("2")
+		other.Digest = BodyDigest("POST", "/fee", "", []byte(`{"lane":2}`))
+		_, refusal = s.b.Begin(t.Context(), other)
+		is.Equal(refusal.Code, result.IdempotencyMismatch)
+		is.True(refusal.NotRun())
+		is.True(!other.Gate.Open())
+	})
+}
+
+func TestStoreOutageRefusesAndLeavesNothingBehind(t *testing.T) {
+	for name, f := range map[string]standin.Fault{
+		"down":        {Down: true},
+		"lost reply":  {LoseReplies: -1},
+		"late effect": {Delay: 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newStores(Options{})
+				defer s.close()
+				s.platform.SetFault(standin.TableInterface, f)
+				c := claim("1")
+				_, refusal := s.a.Begin(t.Context(), c)
+				is.Equal(refusal.Code, result.LedgerUnavailable)
+				is.True(refusal.NotRun())
+				is.True(!c.Gate.Open()) // nothing can be sent any more
+				s.platform.SetFault(standin.TableInterface, standin.Fault{})
+				time.Sleep(2 * time.Minute)
+				d, refusal := s.b.Begin(t.Context(), claim("2"))
+				is.True(refusal == nil)
+				is.True(d.Owned != nil) // a resend may run
+			})
+		})
+	}
+}
+
+func TestLostReplyOfInsertIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStores(Options{})
+		defer s.close()
+		s.platform.SetFault(standin.TableInterface, standin.Fault{LoseReplies: 1})
+		d, refusal := s.a.Begin(t.Context(), claim("1"))
+		is.True(refusal == nil)
+		is.True(d.Owned != nil)
+		d.Owned.Complete(t.Context(), Answer{Status: 200, Body: []byte("run-1")})
+		again, refusal := s.b.Begin(t.Context(), claim("2"))
+		is.True(refusal == nil)
+		is.Equal(string(again.Answer.Body), "run-1")
+	})
+}
+
+func TestAnswerIsStoredAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStores(Options{})
+		defer s.close()
+		d, _ := s.a.Begin(t.Context(), claim("1"))
+		s.platform.SetFault(standin.TableInterface, standin.Fault{Down: true})
+		d.Owned.Complete(t.Context(), Answer{Status: 200, Body: []byte("run-1")})
+		time.Sleep(30 * time.Second)
+		s.platform.SetFault(standin.TableInterface, standin.Fault{LoseReplies: 1})
+		again, refusal := s.b.Begin(t.Context(), claim("2"))
+		is.True(refusal == nil)
+		is.Equal(string(again.Answer.Body), "run-1")
+	})
+}
+
+func TestReleaseNeedsAProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStores(Options{})
+		defer s.close()
+		c := claim("1")
+		d, _ := s.a.Begin(t.Context(), c)
+		proof, ok := c.Gate.Seal()
+		is.True(ok)
+		d.Owned.Release(t.Context(), proof)
+		d, refusal := s.b.Begin(t.Context(), claim("2"))
+		is.True(refusal == nil)
+		is.True(d.Owned != nil)
+		d.Owned.Release(t.Context(), result.Proof{}) // forged
+		_, refusal = s.a.Begin(t.Context(), claim("3"))
+		is.Equal(refusal.Code, result.WillNotRunAgain)
+	})
+}
+
+func TestSweepDeletesExpiredRecordsAndTheirAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStores(Options{InlineBytes: 1})
+		defer s.close()
+		d, _ := s.a.Begin(t.Context(), claim("1"))
+		d.Owned.Complete(t.Context(), Answer{Status: 200, Body: []byte("large")})
+		_, deleted, err := s.b.Sweep(t.Context(), "", 10)
+		is.NoErr(err)
+		is.Equal(deleted, 0)
+		time.Sleep(Retention)
+		_, deleted, err = s.b.Sweep(t.Context(), "", 10)
+		is.NoErr(err)
+		is.Equal(deleted, 1)
+		names, err := s.platform.Caller("a").Objects().List(t.Context(), rowPrefix)
+		is.NoErr(err)
+		is.Equal(len(names), 0)
+		is.True(d.Owned.SendBefore.Before(time.Now())) // the old attempt may send no more
+	})
+}
+
+func TestSendWindowStaysBelowRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStores(Options{})
+		defer s.close()
+		c := claim("1")
+		c.Deadline = time.Now().Add(10 * Retention)
+		d, _ := s.a.Begin(t.Context(), c)
+		is.True(d.Owned.SendBefore.Before(time.Now().Add(Retention)))
+	})
+}
+
+func TestCaptureKeepsAnswerWithinLimit(t *testing.T) {
+	is := is.New(t)
+	l := New(nil, nil, Options{MaxAnswerBytes: 4})
+	w := httptest.NewRecorder()
+	c := l.NewCapture(w)
+	c.Header().Set("Etag", "e")
+	c.Header().Set("Set-Cookie", "session")
+	_, err := c.Write([]byte("1234"))
+	is.NoErr(err)
+	a, ok := c.Answer()
+	is.True(ok)
+	is.Equal(a.Header, http.Header{"Etag": {"e"}})
+	_, err = c.Write([]byte("5"))
+	is.NoErr(err)
+	_, ok = c.Answer()
+	is.True(!ok)
+	is.Equal(w.Body.String(), "12345")
+}
--- a/internal/result/gate.go
+++ b/internal/result/gate.go
@@ -6,6 +6,9 @@
 // backend server. Only a Gate issues one; the zero Proof proves nothing.
 type Proof struct{ issued bool }
 
+// Issued reports whether a Gate issued the proof.
+func (p Proof) Issued() bool { return p.issued }
+
 const (
 	gateUndecided int32 = iota
 	gateOpened
