--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -31,14 +31,14 @@
 
 func setDefaults(c *Config) {
 	for i := range c.Organisations {
-		setDefault(&c.Organisations[i].Weight, 1)
+		yamlfault.SetDefault(&c.Organisations[i].Weight, 1)
 	}
 	for i := range c.Classes {
 		setClassDefaults(&c.Classes[i])
 	}
 	for i := range c.Models {
-		setDefault(&c.Models[i].ColdLimit, DefaultColdLimit)
-		setDefault(&c.Models[i].WarmLimit, DefaultWarmLimit)
+		yamlfault.SetDefault(&c.Models[i].ColdLimit, DefaultColdLimit)
+		yamlfault.SetDefault(&c.Models[i].WarmLimit, DefaultWarmLimit)
 	}
 	for i := range c.Services {
 		setServiceDefaults(&c.Services[i])
@@ -46,8 +46,8 @@
 }
 
 func setClassDefaults(c *Class) {
-	setDefault(&c.Deadline, Duration(DefaultDeadline))
-	setDefault(&c.QueueLimit, c.Deadline)
+	yamlfault.SetDefault(&c.Deadline, Duration(DefaultDeadline))
+	yamlfault.SetDefault(&c.QueueLimit, c.Deadline)
 	if c.RetryBudget == nil {
 		budget := DefaultRetryBudget
 		c.RetryBudget = &budget
@@ -55,19 +55,12 @@
 }
 
 func setServiceDefaults(s *Service) {
-	setDefault(&s.Limit, DefaultLimit)
+	yamlfault.SetDefault(&s.Limit, DefaultLimit)
 	if s.Route && s.Idempotent == nil {
 		s.Idempotent = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // EffectiveFloor returns the class's floor, MinimumFloor when it states none.
 func (c *Class) EffectiveFloor() float64 {
 	if c.Floor == 0 {
--- a/internal/config/validate_class.go
+++ b/internal/config/validate_class.go
@@ -4,20 +4,20 @@
 
 func (v *validator) class(path string, c *Class) {
 	if c.Tier < 1 || c.Tier > Tiers {
-		v.fault(path+".tier", "%d is not a tier from 1 (highest) to %d", c.Tier, Tiers)
+		v.doc.FaultOnce(path+".tier", "%d is not a tier from 1 (highest) to %d", c.Tier, Tiers)
 	}
 	if !(c.Floor >= 0 && c.Floor < 1) {
-		v.fault(path+".floor", "%v is not a share from 0 to below 1", c.Floor)
+		v.doc.FaultOnce(path+".floor", "%v is not a share from 0 to below 1", c.Floor)
 	}
 	if !(*c.RetryBudget >= 0 && *c.RetryBudget <= 1) {
-		v.fault(path+".retry-budget", "%v is not a share from 0 to 1", *c.RetryBudget)
+		v.doc.FaultOnce(path+".retry-budget", "%v is not a share from 0 to 1", *c.RetryBudget)
 	}
 	v.classDurations(path, c)
 	if c.NonIdempotent && c.HedgeAfter != 0 {
-		v.fault(path+".hedge-after", "a non-idempotent class cannot send a second attempt")
+		v.doc.FaultOnce(path+".hedge-after", "a non-idempotent class cannot send a second attempt")
 	}
 	if c.NonIdempotent && c.Cheap {
-		v.fault(path+".cheap", "a non-idempotent class cannot use backend servers that may be reclaimed")
+		v.doc.FaultOnce(path+".cheap", "a non-idempotent class cannot use backend servers that may be reclaimed")
 	}
 }
 
@@ -33,14 +33,14 @@
 		{"hedge-after", c.HedgeAfter},
 	} {
 		if f.value < 0 {
-			v.fault(path+"."+f.name, "%v is negative", f.value)
+			v.doc.FaultOnce(path+"."+f.name, "%v is negative", f.value)
 		}
 		if f.value > c.Deadline && c.Deadline >= 0 {
-			v.fault(path+"."+f.name, "%v exceeds the deadline of %v", f.value, c.Deadline)
+			v.doc.FaultOnce(path+"."+f.name, "%v exceeds the deadline of %v", f.value, c.Deadline)
 		}
 	}
 	if time.Duration(c.Deadline) > maxDeadline {
-		v.fault(path+".deadline", "%v exceeds the limit of %v", c.Deadline, maxDeadline)
+		v.doc.FaultOnce(path+".deadline", "%v exceeds the limit of %v", c.Deadline, maxDeadline)
 	}
 }
 
@@ -56,6 +56,6 @@
 		sum += v.config.Classes[i].EffectiveFloor()
 	}
 	if sum >= 1-floorTolerance {
-		v.fault("classes", "floors sum to %.4g, not below 1 (a class without a floor counts %v)", sum, MinimumFloor)
+		v.doc.FaultOnce("classes", "floors sum to %.4g, not below 1 (a class without a floor counts %v)", sum, MinimumFloor)
 	}
 }
--- a/internal/config/validate_depends.go
+++ b/internal/config/validate_depends.go
@@ -43,7 +43,7 @@
 		}
 		if s.visits[next] == inProgress {
 			at := field(field("services", i)+".depends-on", j)
-			v.fault(at, "services depend on each other: %s", s.cycle(name))
+			v.doc.FaultOnce(at, "services depend on each other: %s", s.cycle(name))
 			continue
 		}
 		v.searchFrom(s, next)
--- a/internal/settings/files.go
+++ b/internal/settings/files.go
@@ -60,6 +60,6 @@
 
 func (c checker) loaded(field string, err error) {
 	if err != nil {
-		c.fault(field, "cannot be loaded: %v", err)
+		c.doc.FaultOnce(field, "cannot be loaded: %v", err)
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -150,21 +150,14 @@
 
 // SetDefaults fills in every field that is zero and has a default.
 func (s *Settings) SetDefaults() {
-	setDefault(&s.Callers.HeaderLimit, DefaultHeaderLimit)
-	setDefault(&s.Callers.BodyLimit, DefaultBodyLimit)
-	setDefault(&s.Callers.HeaderTimeout, Duration(DefaultHeaderTimeout))
-	setDefault(&s.Callers.BodyTimeout, Duration(DefaultBodyTimeout))
-	setDefault(&s.Callers.IdleTimeout, Duration(DefaultIdleTimeout))
-	setDefault(&s.Callers.MaxConnections, DefaultMaxConnections)
-	setDefault(&s.Platform.Timeout, Duration(DefaultTimeout))
-	setDefault(&s.Drain.BalancerLag, Duration(DefaultBalancerLag))
-	setDefault(&s.Timeline.Events, DefaultEvents)
-	setDefault(&s.Log.Level, DefaultLogLevel)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	yamlfault.SetDefault(&s.Callers.HeaderLimit, DefaultHeaderLimit)
+	yamlfault.SetDefault(&s.Callers.BodyLimit, DefaultBodyLimit)
+	yamlfault.SetDefault(&s.Callers.HeaderTimeout, Duration(DefaultHeaderTimeout))
+	yamlfault.SetDefault(&s.Callers.BodyTimeout, Duration(DefaultBodyTimeout))
+	yamlfault.SetDefault(&s.Callers.IdleTimeout, Duration(DefaultIdleTimeout))
+	yamlfault.SetDefault(&s.Callers.MaxConnections, DefaultMaxConnections)
+	yamlfault.SetDefault(&s.Platform.Timeout, Duration(DefaultTimeout))
+	yamlfault.SetDefault(&s.Drain.BalancerLag, Duration(DefaultBalancerLag))
+	yamlfault.SetDefault(&s.Timeline.Events, DefaultEvents)
+	yamlfault.SetDefault(&s.Log.Level, DefaultLogLevel)
 }
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"net/netip"
 	"net/url"
-	"regexp"
 	"slices"
 	"strings"
 
@@ -13,15 +12,11 @@
 )
 
 const (
-	maxNameBytes = 64
-	minEvents    = 16
-	maxEvents    = 1 << 24
+	minEvents = 16
+	maxEvents = 1 << 24
 )
 
-var (
-	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
-	logLevels   = []string{"trace", "debug", "info", "warn", "error"}
-)
+var logLevels = []string{"trace", "debug", "info", "warn", "error"}
 
 // checker adds the faults of decoded settings to the document.
 type checker struct{ doc *yamlfault.Document }
@@ -41,25 +36,13 @@
 	c.duration("drain.limit", s.Drain.Limit)
 	c.between("timeline.events", int64(s.Timeline.Events), minEvents, maxEvents)
 	if !slices.Contains(logLevels, s.Log.Level) {
-		c.fault("log.level", "%q is none of %s", s.Log.Level, strings.Join(logLevels, ", "))
-	}
-}
-
-// fault reports a fault unless decoding already found one in the field.
-func (c checker) fault(field, format string, args ...any) {
-	if !c.doc.Faulty(field) {
-		c.doc.Fault(field, format, args...)
+		c.doc.FaultOnce("log.level", "%q is none of %s", s.Log.Level, strings.Join(logLevels, ", "))
 	}
 }
 
 func (c checker) name(field, name string) {
-	switch {
-	case name == "":
-		c.fault(field, "required")
-	case len(name) > maxNameBytes:
-		c.fault(field, "%q is longer than %d bytes", name, maxNameBytes)
-	case !namePattern.MatchString(name):
-		c.fault(field, "%q is not a name of letters, digits, '.', '_' and '-'", name)
+	if err := yamlfault.CheckName(name, ""); err != nil {
+		c.doc.FaultOnce(field, "%v", err)
 	}
 }
 
@@ -82,19 +65,19 @@
 		return
 	}
 	if ok && !address.Addr().IsLoopback() {
-		c.fault("operators.token-digest", "required, because %s is no loopback address", s.Address)
+		c.doc.FaultOnce("operators.token-digest", "required, because %s is no loopback address", s.Address)
 	}
 }
 
 func (c checker) peers(s *Peers) {
 	address, ok := c.address("peers.address", s.Address)
 	if ok && address.Addr().IsUnspecified() {
-		c.fault("peers.address", "%q is no address that other instances can reach", s.Address)
+		c.doc.FaultOnce("peers.address", "%q is no address that other instances can reach", s.Address)
 	}
 	c.required("peers.certificate", s.Certificate)
 	c.required("peers.key", s.Key)
 	if s.Authorities == "" && len(s.PinnedKeys) == 0 {
-		c.fault("peers", "authorities or pinned-keys is required")
+		c.doc.FaultOnce("peers", "authorities or pinned-keys is required")
 	}
 	for i, key := range s.PinnedKeys {
 		c.digest(indexed("peers.pinned-keys", i), key)
@@ -112,18 +95,18 @@
 
 func (c checker) required(field, value string) {
 	if value == "" {
-		c.fault(field, "required")
+		c.doc.FaultOnce(field, "required")
 	}
 }
 
 func (c checker) address(field, value string) (netip.AddrPort, bool) {
 	if value == "" {
-		c.fault(field, "required")
+		c.doc.FaultOnce(field, "required")
 		return netip.AddrPort{}, false
 	}
 	a, err := netip.ParseAddrPort(value)
 	if err != nil {
-		c.fault(field, "%q is not an IP address and port such as 10.0.0.7:8443", value)
+		c.doc.FaultOnce(field, "%q is not an IP address and port such as 10.0.0.7:8443", value)
 	}
 	return a, err == nil
 }
@@ -138,33 +121,33 @@
 
 func (c checker) endpoint(field, value string) {
 	if value == "" {
-		c.fault(field, "required")
+		c.doc.FaultOnce(field, "required")
 		return
 	}
 	u, err := url.Parse(value)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.User != nil || u.RawQuery != "" || u.Fragment != "" {
-		c.fault(field, "%q is not a base URL such as http://10.0.0.5:9000", value)
+		c.doc.FaultOnce(field, "%q is not a base URL such as http://10.0.0.5:9000", value)
 		return
 	}
 	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
-		c.fault(field, "%q names a host; give its IP number", value)
+		c.doc.FaultOnce(field, "%q names a host; give its IP number", value)
 	}
 }
 
 func (c checker) digest(field, value string) {
 	if b, err := hex.DecodeString(value); err != nil || len(b) != sha256.Size {
-		c.fault(field, "not a SHA-256 digest of %d hexadecimal digits", 2*sha256.Size)
+		c.doc.FaultOnce(field, "not a SHA-256 digest of %d hexadecimal digits", 2*sha256.Size)
 	}
 }
 
 func (c checker) between(field string, value, least, most int64) {
 	if value < least || value > most {
-		c.fault(field, "%d is not between %d and %d", value, least, most)
+		c.doc.FaultOnce(field, "%d is not between %d and %d", value, least, most)
 	}
 }
 
 func (c checker) duration(field string, value Duration) {
 	if value < 0 {
-		c.fault(field, "%v is negative", value)
+		c.doc.FaultOnce(field, "%v is negative", value)
 	}
 }
--- a/internal/yamlfault/document.go
+++ b/internal/yamlfault/document.go
@@ -121,6 +121,14 @@
 	d.faultAt(d.nearest(field), field, format, args...)
 }
 
+// FaultOnce is like Fault but adds nothing when the field, or a field around
+// it, already has a fault.
+func (d *Document) FaultOnce(field, format string, args ...any) {
+	if !d.faultyAround(field) {
+		d.Fault(field, format, args...)
+	}
+}
+
 func (d *Document) faultAt(p position, field, format string, args ...any) {
 	d.faulty[field] = true
 	d.faults = append(d.faults, Fault{
@@ -143,9 +151,7 @@
 	return field[:max(strings.LastIndexAny(field, ".["), 0)]
 }
 
-// Faulty reports whether the field, or a field around it, already has a fault.
-// Validation uses it to report each mistake once.
-func (d *Document) Faulty(field string) bool {
+func (d *Document) faultyAround(field string) bool {
 	for ; field != ""; field = around(field) {
 		if d.faulty[field] {
 			return true
