Run non-idempotent requests through the idempotency records

Cause: bookings and credits were refused; the ledger was not wired. Change: a duplicate is found before admission, so it takes no slot and is never refused as not run; the record is inserted after admission, so a request that only waited leaves nothing behind when its instance dies; the answer is held back until it is stored; the caller's departure does not stop a run that was sent. Ruled out: inserting before admission (two writes for each shed request, and a crash while it waits would lock its key); passing the answer on before it is stored (a caller cut off in between could not have it again).

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -80,11 +80,10 @@
 	x.server.o.Recorder.Record(e)
 }
 
-// watched returns a context that ends with the caller, at the request's
-// deadline, or with its key; the cause tells which.
+// watched returns a context that ends with the caller or with its key; the
+// cause tells which.
 func (x *exchange) watched() (context.Context, func()) {
-	ctx, stopDeadline := context.WithDeadlineCause(x.r.Context(), x.req.Deadline, errDeadline)
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(x.r.Context())
 	remove := func() {}
 	if x.req.Key != "" {
 		remove = x.server.withdrawals.add(&watch{key: x.req.Key, gate: &x.gate, cancel: cancel})
@@ -93,7 +92,6 @@
 	return ctx, func() {
 		remove()
 		cancel(nil)
-		stopDeadline()
 	}
 }
 
@@ -107,8 +105,6 @@
 	}
 }
 
-var errDeadline = errors.New("deadline of the request's class")
-
 // refuse ends the request with an error. When the answer has begun, dispatch
 // has already told the caller within the stream.
 func (x *exchange) refuse(e *result.Error) {
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -10,9 +10,6 @@
 	ResultHeader = "Hawthornwick-Result"
 	// NotRunHeader is "true" on a refusal that was proved not run, else "false".
 	NotRunHeader = "Hawthornwick-Not-Run"
-	// ReplayedHeader is "true" on an answer that was stored by an earlier request
-	// with the same idempotency key.
-	ReplayedHeader = "Hawthornwick-Replayed"
 	// IdempotencyHeader carries the caller's idempotency key.
 	IdempotencyHeader = "Idempotency-Key"
 )
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -20,7 +20,7 @@
 	length int64 // of stream in bytes; -1 if unknown
 }
 
-// run admits the request and sends it to backend servers.
+// run serves a request that is fully described.
 func (x *exchange) run(body payload) {
 	ctx, stop := x.watched()
 	defer stop()
@@ -28,7 +28,7 @@
 		x.runOnce(ctx, body)
 		return
 	}
-	x.refuse(x.gate.Refuse(result.LedgerUnavailable, "no idempotency records yet"))
+	x.runRecorded(ctx, body)
 }
 
 // runOnce serves a request that needs no idempotency record.
@@ -39,7 +39,7 @@
 		return
 	}
 	defer ticket.Done()
-	x.finish(x.dispatch(ctx, ticket, body, "", x.w))
+	x.finish(x.server.o.Dispatcher.Do(ctx, x.call(ticket, body), x.w))
 }
 
 // admit waits for a slot. What ended the wait from the router's side replaces
@@ -55,8 +55,9 @@
 	return nil, refusal
 }
 
-func (x *exchange) dispatch(ctx context.Context, ticket traffic.Ticket, body payload, attempt string, w http.ResponseWriter) dispatch.Outcome {
-	return x.server.o.Dispatcher.Do(ctx, dispatch.Call{
+// call describes the request to the dispatcher.
+func (x *exchange) call(ticket traffic.Ticket, body payload) dispatch.Call {
+	return dispatch.Call{
 		Request:       x.req,
 		Targets:       ticket,
 		Method:        x.r.Method,
@@ -67,8 +68,7 @@
 		Stream:        body.stream,
 		ContentLength: body.length,
 		Timeouts:      dispatch.TimeoutsFor(x.req.Class),
-		Attempt:       attempt,
-	}, w)
+	}
 }
 
 // backendPath is the path that the backend server sees: the OpenAI path, or
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	"github.com/hawthornwick/hawthornwick/internal/operator"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -24,6 +25,7 @@
 	Source     config.Source
 	Scheduler  traffic.Scheduler
 	Dispatcher *dispatch.Dispatcher
+	Ledger     *ledger.Ledger
 	Recorder   timeline.Recorder
 	Logger     hclog.Logger
 	Limits     Limits
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/confsync"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
+	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	"github.com/hawthornwick/hawthornwick/internal/operator"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/platform/httpapi"
@@ -29,6 +30,9 @@
 // known to be current.
 const freshnessInterval = 100 * time.Millisecond
 
+// ledgerCloseTimeout bounds the wait for answers that are still to be stored.
+const ledgerCloseTimeout = 30 * time.Second
+
 // Instance is one router process. New provisions it, Run serves until a
 // planned stop has finished.
 type Instance struct {
@@ -42,6 +46,7 @@
 	store            *confsync.Store
 	scheduler        *scheduler.Scheduler
 	dispatcher       *dispatch.Dispatcher
+	ledger           *ledger.Ledger
 	callers          *entry.Server
 	listener         *entry.Listener
 	operators        *http.Server
@@ -110,10 +115,15 @@
 		Recorder: i.ring,
 		Logger:   i.logger.Named("dispatch"),
 	})
+	i.ledger = ledger.New(i.platform.Table(), i.platform.Objects(), ledger.Options{
+		Recorder: i.ring,
+		Logger:   i.logger.Named("ledger"),
+	})
 	i.callers = entry.New(entry.Options{
 		Source:     i.store,
 		Scheduler:  i.scheduler,
 		Dispatcher: i.dispatcher,
+		Ledger:     i.ledger,
 		Recorder:   i.ring,
 		Logger:     i.logger.Named("entry"),
 		Limits: entry.Limits{
@@ -304,10 +314,18 @@
 	i.ring.Record(timeline.Event{Kind: timeline.InstanceStopped, Count: cut})
 	_ = i.operators.Close()
 	running.Wait()
+	i.closeLedger()
 	i.dispatcher.Close()
 	i.platform.Close()
 	i.logger.Info("instance stopped", "cut_off", cut)
 }
 
+// closeLedger gives answers that are not stored yet a last chance.
+func (i *Instance) closeLedger() {
+	ctx, cancel := context.WithTimeout(context.Background(), ledgerCloseTimeout)
+	defer cancel()
+	i.ledger.Close(ctx)
+}
+
 // Editor returns the instance's access to the operators' configuration.
 func (i *Instance) Editor() config.Editor { return i.store }
--- a/internal/ledger/answer.go
+++ b/internal/ledger/answer.go
@@ -7,7 +7,7 @@
 )
 
 // ReplayedHeader marks an answer that was stored earlier.
-const ReplayedHeader = "Idempotency-Replayed"
+const ReplayedHeader = "Hawthornwick-Replayed"
 
 // keptHeaders are the fields stored with an answer.
 var keptHeaders = []string{
