--- a/internal/invariant/history.go
+++ b/internal/invariant/history.go
@@ -94,7 +94,9 @@
 	case timeline.AttemptStarted:
 		h.attempt(e.Attempt).started = e
 	case timeline.AttemptSent:
-		h.attempt(e.Attempt).sent = e
+		a := h.attempt(e.Attempt)
+		a.sent = e
+		a.end = nil // an attempt that failed unsent may go on to another server
 	case timeline.AttemptAnswered:
 		a := h.attempt(e.Attempt)
 		a.answered = e
--- a/internal/standin/engine/cold.go
+++ b/internal/standin/engine/cold.go
@@ -84,8 +84,12 @@
 	if e.options.ColdLimit == 0 {
 		return
 	}
+	limit := e.cold.current()
+	if e.cold.remaining() <= 0 {
+		limit = 0 // warm
+	}
 	e.options.Recorder.Record(timeline.Event{
 		Kind: timeline.ServerLimit, Server: e.options.Name, Zone: e.options.Zone,
-		Service: e.Model(), Count: int64(e.cold.current()),
+		Service: e.Model(), Count: int64(limit),
 	})
 }
