--- a/internal/demo/backends.go
+++ b/internal/demo/backends.go
@@ -23,8 +23,9 @@
 var configurationText string
 
 const (
-	firstToken = 40 * time.Millisecond
-	loopback   = "127.0.0.1:0"
+	firstToken  = 40 * time.Millisecond
+	engineSlots = 64
+	loopback    = "127.0.0.1:0"
 )
 
 // Backends are the stand-ins of a demo.
@@ -35,8 +36,10 @@
 	// Timeline holds what the stand-ins saw.
 	Timeline *timeline.Ring
 
-	endpoint string // base URL of the platform
-	server   *http.Server
+	// Endpoint is the base URL of the platform's interfaces.
+	Endpoint string
+
+	server *http.Server
 }
 
 // engineSpecs are the engines: two zones, one cheap engine per model.
@@ -55,18 +58,20 @@
 
 var zones = []string{"zone-a", "zone-b"}
 
-func startBackends(o Options) (*Backends, error) {
+// StartBackends starts the stand-ins. Close ends them.
+func StartBackends(o Options) (*Backends, error) {
+	o = o.withDefaults()
 	b := &Backends{Timeline: timeline.NewRing("stand-ins", 0, nil)}
 	b.Platform = standin.New(standin.Options{Recorder: b.Timeline})
 	if err := b.servePlatform(); err != nil {
 		return nil, err
 	}
 	if err := b.startEngines(o); err != nil {
-		b.close()
+		b.Close()
 		return nil, err
 	}
 	if err := b.startPlain(); err != nil {
-		b.close()
+		b.Close()
 		return nil, err
 	}
 	return b, nil
@@ -77,7 +82,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for the stand-in platform: %w", err)
 	}
-	b.endpoint = "http://" + l.Addr().String()
+	b.Endpoint = "http://" + l.Addr().String()
 	b.server = &http.Server{Handler: b.Platform.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = b.server.Serve(l) }()
 	return nil
@@ -87,7 +92,7 @@
 	for _, spec := range engineSpecs {
 		e, err := engine.Start(engine.Options{
 			Name: spec.name, Zone: spec.zone, Model: spec.model,
-			FirstToken: firstToken, BetweenTokens: o.BetweenTokens, AnswerTokens: o.AnswerTokens,
+			FirstToken: firstToken, BetweenTokens: o.BetweenTokens, AnswerTokens: o.AnswerTokens, Slots: engineSlots,
 			Recorder: b.Timeline,
 		})
 		if err != nil {
@@ -117,9 +122,9 @@
 	return nil
 }
 
-// configure applies the sample configuration and grants a key to each
+// Configure applies the sample configuration and grants a key to each
 // organisation. It returns the keys by organisation.
-func (b *Backends) configure(ctx context.Context) (map[string]string, error) {
+func (b *Backends) Configure(ctx context.Context) (map[string]string, error) {
 	text := b.configuration()
 	c, err := config.Decode("demo", []byte(text))
 	if err != nil {
@@ -163,7 +168,8 @@
 	return "[" + strings.Join(entries, ", ") + "]"
 }
 
-func (b *Backends) close() {
+// Close ends the stand-ins.
+func (b *Backends) Close() {
 	for _, e := range b.Engines {
 		e.Close()
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -97,11 +97,11 @@
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	var err error
-	if d.Backends, err = startBackends(o); err != nil {
+	if d.Backends, err = StartBackends(o); err != nil {
 		return err
 	}
-	d.cleanup = append(d.cleanup, d.Backends.close)
-	if d.Description.Keys, err = d.Backends.configure(starting); err != nil {
+	d.cleanup = append(d.cleanup, d.Backends.Close)
+	if d.Description.Keys, err = d.Backends.Configure(starting); err != nil {
 		return fmt.Errorf("apply the sample configuration: %w", err)
 	}
 	if err := d.startInstances(o); err != nil {
--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -48,8 +48,8 @@
 		Operators: settings.Operators{Address: loopback},
 		Peers:     settings.Peers{Address: loopback},
 		Platform: settings.Platform{
-			Table: d.Backends.endpoint, Objects: d.Backends.endpoint, Servers: d.Backends.endpoint,
-			Usage: d.Backends.endpoint, Instances: d.Backends.endpoint,
+			Table: d.Backends.Endpoint, Objects: d.Backends.Endpoint, Servers: d.Backends.Endpoint,
+			Usage: d.Backends.Endpoint, Instances: d.Backends.Endpoint,
 		},
 		Drain: settings.Drain{BalancerLag: settings.Duration(balancerLag)},
 	}
