--- a/internal/timeline/ring.go
+++ b/internal/timeline/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,8 @@
 	mu     sync.Mutex
 	events []Event
 	next   uint64 // sequence of the next event
+
+	tap atomic.Pointer[func(Event)]
 }
 
 // NewRing returns a ring for the named process that keeps size events;
@@ -30,8 +33,25 @@
 	return &Ring{instance: instance, now: now, events: make([]Event, 0, size)}
 }
 
+// Tap has f called after each event is kept, in the goroutine that records it.
+// Tests use it to act at a step. A nil f ends that.
+func (r *Ring) Tap(f func(Event)) {
+	if f == nil {
+		r.tap.Store(nil)
+		return
+	}
+	r.tap.Store(&f)
+}
+
 // Record implements Recorder. It overwrites the oldest event when full.
 func (r *Ring) Record(e Event) {
+	e = r.keep(e)
+	if f := r.tap.Load(); f != nil {
+		(*f)(e)
+	}
+}
+
+func (r *Ring) keep(e Event) Event {
 	e.Instance = r.instance
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -45,6 +65,7 @@
 		r.events[r.next%uint64(cap(r.events))] = e
 	}
 	r.next++
+	return e
 }
 
 // Snapshot returns the kept events, oldest first, and how many older ones were
