--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -9,9 +9,8 @@
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
-// overloadDelay is what an instance at its load limit waits, in watch
-// intervals, before it claims another duty.
-const overloadDelay = 2
+// overloadTurns is by how many turns an instance at its load limit comes later.
+const overloadTurns = 1
 
 // held is a duty that this instance holds.
 type held struct {
@@ -105,8 +104,10 @@
 	return h.token, true
 }
 
-// renewed takes the outcome of a renewal.
+// renewed takes the outcome of a renewal. What ran out before the outcome was
+// known stays lost, since another instance may have taken it.
 func (c *core) renewed(now Reading, r renewal, versions []uint64, err error) next {
+	c.expire(now)
 	before := c.beat.from
 	step := c.beat.renewed(r, versions, err)
 	c.noteRenewal(now, before)
@@ -115,6 +116,7 @@
 
 // readBack takes the own heartbeat row after a renewal of unknown outcome.
 func (c *core) readBack(now Reading, row platform.Row) next {
+	c.expire(now)
 	before := c.beat.from
 	step := c.beat.readBack(row)
 	c.noteRenewal(now, before)
@@ -200,59 +202,17 @@
 	return nil
 }
 
-// claim is a transaction that takes a duty.
-type claim struct {
-	Duty   string
-	Holder Holder // incarnation that it was made for
-	Token  Token
-	Txn    platform.Txn
-}
-
-// claims returns the duties to take now, and when to look again.
-func (c *core) claims(now Reading) (due []claim, again time.Duration) {
-	again = c.timing.Watch
-	if c.draining || !c.beat.alive(now, c.timing.Call) {
-		return nil, again
-	}
-	for _, duty := range c.duties {
-		w := c.watched[duty]
-		if w == nil {
-			continue
-		}
-		at, known := w.claimableAt(c.timing.Lease+c.timing.Margin, c.delay(duty))
-		if !known {
-			continue
-		}
-		if wait := at - now.Mono; wait > 0 {
-			again = min(again, wait)
-			continue
-		}
-		txn, token := w.claimTxn(duty, c.beat.holder)
-		due = append(due, claim{Duty: duty, Holder: c.beat.holder, Token: token, Txn: txn})
-	}
-	return due, again
-}
-
-// delay is this instance's turn among the candidates, later when it is loaded.
-func (c *core) delay(duty string) time.Duration {
+// delay is this instance's turn among the candidates other than the former
+// holder, later when it is loaded.
+func (c *core) delay(duty string, former Holder) time.Duration {
 	turn, _ := c.turn(duty)
-	delay := time.Duration(turn) * c.timing.RankDelay
-	if len(c.held) >= loadLimit(len(c.duties), len(c.members)) {
-		delay += overloadDelay * c.timing.Watch
+	if i := slices.Index(c.candidates[duty], former.Instance); i >= 0 && i < turn {
+		turn--
 	}
-	return delay
-}
-
-// claimed takes the outcome of a claim. An unknown outcome shows in a later
-// reading, where the row names this instance, and the duty is claimed anew
-// under a higher token.
-func (c *core) claimed(now Reading, cl claim, versions []uint64, err error) {
-	delete(c.watched, cl.Duty)
-	if err != nil || cl.Holder != c.beat.holder || !c.beat.alive(now, 0) {
-		return
+	if len(c.held) >= loadLimit(len(c.duties), len(c.members)) {
+		turn += overloadTurns
 	}
-	c.held[cl.Duty] = held{token: cl.Token, version: versions[0]}
-	c.record(timeline.LeaseAcquired, cl.Duty, cl.Token, c.beat.remaining(now), "")
+	return time.Duration(turn) * c.timing.RankDelay
 }
 
 // surplus returns a duty to hand on, when another instance has become its first
--- /dev/null
+++ b/internal/lease/history_test.go
@@ -0,0 +1,358 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"pgregory.net/rapid"
+)
+
+// call is one call of the table under way. Its effect and its end lie at any
+// time after its start, and other instances act in between.
+type call struct {
+	start    time.Duration
+	effectAt time.Duration
+	endAt    time.Duration // when the caller sees a reply or its timeout
+	lost     bool          // never arrives
+	silent   bool          // the caller sees a timeout
+	effected bool
+	keys     []string // of a read
+	txn      platform.Txn
+	rows     []platform.Row
+	versions []uint64
+	err      error
+	end      func(*call)
+}
+
+// node is one instance of a simulated history. Its clock starts anywhere and
+// runs at its own rate within the drift bound.
+type node struct {
+	*core
+	offset   time.Duration
+	rate     float64
+	awake    time.Duration // paused until then
+	deafTill time.Duration // its readings fail until then
+	muteTill time.Duration // its writes fail until then
+	renewAt  time.Duration
+	watchAt  time.Duration
+	renewing bool
+	watching bool
+}
+
+func (n *node) reading(at time.Duration) Reading {
+	own := n.offset + time.Duration(float64(at)*n.rate)
+	return Reading{Mono: own, Wall: own}
+}
+
+// history drives several cores and a table through random interleavings.
+type history struct {
+	*rapid.T
+	now      time.Duration
+	rows     map[string]platform.Row
+	last     uint64
+	calls    []*call
+	nodes    []*node
+	tokens   map[string]Token // highest token acquired by duty
+	reborn   int
+	acquired int
+}
+
+// kinds of step; most are plain.
+const (
+	stepPlain = iota
+	stepPause
+	stepDeaf
+	stepMute
+	stepRelease
+)
+
+var steps = append(slices.Repeat([]int{stepPlain}, 100), stepPause, stepDeaf, stepMute, stepMute, stepRelease)
+
+var simulatedDuties = []string{"orders", "usage"}
+
+func newHistory(t *rapid.T) *history {
+	h := &history{T: t, rows: make(map[string]platform.Row), tokens: make(map[string]Token)}
+	for i := range 3 {
+		name := fmt.Sprintf("i%d", i)
+		rate := 1 + float64(rapid.IntRange(-5, 5).Draw(t, "rate"))/1000
+		offset := time.Duration(rapid.IntRange(0, 1000).Draw(t, "offset")) * time.Second
+		n := &node{core: newCore(Timing{}, Holder{name, "0"}, simulatedDuties), rate: rate, offset: offset}
+		n.setMembers([]string{"i0", "i1", "i2"})
+		h.nodes = append(h.nodes, n)
+	}
+	return h
+}
+
+// commit applies a transaction.
+func (h *history) commit(txn platform.Txn) ([]uint64, error) {
+	for _, check := range txn.Checks {
+		if current := h.rows[check.Key].Version; current != check.Version {
+			return nil, &platform.ConflictError{Key: check.Key, Current: current}
+		}
+	}
+	h.last++
+	var versions []uint64
+	for _, w := range txn.Writes {
+		if w.Delete {
+			delete(h.rows, w.Key)
+			versions = append(versions, 0)
+			continue
+		}
+		h.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: h.last}
+		versions = append(versions, h.last)
+	}
+	return versions, nil
+}
+
+// effect carries a call out.
+func (h *history) effect(c *call) {
+	c.effected = true
+	if c.lost {
+		return
+	}
+	if c.keys == nil {
+		c.versions, c.err = h.commit(c.txn)
+		return
+	}
+	for _, key := range c.keys {
+		row := h.rows[key]
+		row.Key = key
+		c.rows = append(c.rows, row)
+	}
+}
+
+// advance moves the time on; calls take effect in the order of their times.
+func (h *history) advance(by time.Duration) {
+	h.now += by
+	slices.SortStableFunc(h.calls, func(a, b *call) int { return int(a.effectAt - b.effectAt) })
+	var waiting []*call
+	for _, c := range h.calls {
+		if c.effectAt > h.now {
+			waiting = append(waiting, c)
+			continue
+		}
+		h.effect(c)
+	}
+	h.calls = waiting
+}
+
+// latency is mostly small, now and then longer than the caller waits, and now
+// and then longer than the lease.
+func (h *history) latency() time.Duration {
+	bound := rapid.SampledFrom([]int{20, 20, 20, 20, 20, 20, 1500, 4000, 16000}).Draw(h.T, "bound")
+	return time.Duration(rapid.IntRange(1, bound).Draw(h.T, "latency")) * time.Millisecond
+}
+
+// begin starts a call.
+func (h *history) begin(n *node, c *call) {
+	c.start = h.now
+	c.effectAt = h.now + h.latency()
+	replyAt := c.effectAt + h.latency()
+	cutOff := n.muteTill
+	if c.keys != nil {
+		cutOff = n.deafTill
+	}
+	c.lost = cutOff > h.now || rapid.IntRange(0, 19).Draw(h.T, "lost") == 0
+	c.silent = c.lost || rapid.IntRange(0, 9).Draw(h.T, "silent") == 0 || replyAt > h.now+n.timing.Call
+	c.endAt = min(replyAt, h.now+n.timing.Call)
+	if c.silent {
+		c.endAt = h.now + n.timing.Call
+	}
+	h.calls = append(h.calls, c)
+}
+
+// deliver ends a call if it is time, and reports whether it did.
+func (h *history) deliver(c *call) bool {
+	if c.endAt > h.now {
+		return false
+	}
+	if c.silent {
+		c.versions, c.rows, c.err = nil, nil, platform.ErrUnavailable
+	}
+	c.end(c)
+	return true
+}
+
+// renew starts a renewal as the Manager does.
+func (h *history) renew(n *node, pending *[]*call) {
+	if n.renewing || n.renewAt > h.now {
+		return
+	}
+	n.renewing = true
+	r := n.beat.renew(n.reading(h.now))
+	c := &call{txn: r.Txn}
+	c.end = func(c *call) {
+		step := n.renewed(n.reading(h.now), r, c.versions, c.err)
+		h.renewEnded(n, c.err, step, pending)
+	}
+	h.begin(n, c)
+	*pending = append(*pending, c)
+}
+
+func (h *history) renewEnded(n *node, err error, step next, pending *[]*call) {
+	n.renewAt = h.now + n.timing.Heartbeat - n.timing.Retry
+	if err != nil {
+		n.renewAt = h.now + n.timing.Retry
+	}
+	switch step {
+	case nextReborn:
+		h.reborn++
+		n.core.reborn(Holder{n.instance, fmt.Sprint(h.reborn)})
+	case nextReadBack:
+		c := &call{keys: []string{n.beat.holder.aliveKey()}}
+		c.end = func(c *call) {
+			step := nextWait
+			if c.err == nil {
+				step = n.readBack(n.reading(h.now), c.rows[0])
+			}
+			h.renewEnded(n, c.err, step, pending)
+		}
+		h.begin(n, c)
+		*pending = append(*pending, c)
+		return
+	}
+	n.renewing = false
+}
+
+// watch starts a reading or a claim as the Manager does.
+func (h *history) watch(n *node, pending *[]*call) {
+	if n.watching {
+		return
+	}
+	if n.watchAt <= h.now {
+		n.watchAt = h.now + n.timing.Watch
+		h.read(n, pending)
+		return
+	}
+	due, _ := n.claims(n.reading(h.now))
+	if len(due) == 0 {
+		return
+	}
+	n.watching = true
+	cl := due[0]
+	c := &call{txn: cl.Txn}
+	c.end = func(c *call) {
+		n.watching = false
+		n.claimed(n.reading(h.now), cl, c.versions, c.err)
+		for _, t := range cl.Taken {
+			if token, ok := n.holds(t.Duty, n.reading(h.now), 0); c.err == nil && ok {
+				h.checkToken(n, t.Duty, token)
+			}
+		}
+	}
+	h.begin(n, c)
+	*pending = append(*pending, c)
+}
+
+func (h *history) read(n *node, pending *[]*call) {
+	keys := n.watchKeys()
+	if len(keys) == 0 {
+		return
+	}
+	n.watching = true
+	c := &call{keys: keys}
+	c.end = func(c *call) {
+		n.watching = false
+		if c.err != nil {
+			return
+		}
+		if err := n.observe(n.reading(h.now), c.rows); err != nil {
+			h.Fatal(err)
+		}
+	}
+	h.begin(n, c)
+	*pending = append(*pending, c)
+}
+
+// checkToken demands that fencing tokens rise.
+func (h *history) checkToken(n *node, duty string, token Token) {
+	if token <= h.tokens[duty] {
+		h.Fatalf("%s acquired %q under token %d after token %d", n.instance, duty, token, h.tokens[duty])
+	}
+	h.tokens[duty] = token
+	h.acquired++
+}
+
+// checkExclusive demands that at most one instance believes to hold a duty,
+// paused ones included.
+func (h *history) checkExclusive() {
+	for _, duty := range simulatedDuties {
+		var holders []string
+		for _, n := range h.nodes {
+			if _, ok := n.holds(duty, n.reading(h.now), 0); ok {
+				holders = append(holders, n.instance)
+			}
+		}
+		if len(holders) > 1 {
+			h.Fatalf("%q is held by %v at %v", duty, holders, h.now)
+		}
+	}
+}
+
+// release gives one instance's duties up.
+func (h *history) release(n *node) {
+	for _, txn := range n.release(n.heldDuties()) {
+		h.begin(n, &call{txn: txn, end: func(*call) {}})
+	}
+}
+
+// fault is how long a fault lasts, about as long as a lease.
+func (h *history) fault() time.Duration {
+	seconds := rapid.SampledFrom([]int{3, 8, 9, 10, 12, 20}).Draw(h.T, "fault")
+	return time.Duration(seconds)*time.Second + h.latency()
+}
+
+// step runs one instance, and may begin a fault or have it release.
+func (h *history) step(n *node, pending *[]*call) {
+	if n.awake > h.now {
+		return
+	}
+	switch rapid.SampledFrom(steps).Draw(h.T, "step") {
+	case stepPause:
+		n.awake = h.now + h.fault()
+		return
+	case stepDeaf:
+		n.deafTill = h.now + h.fault()
+	case stepMute:
+		n.muteTill = h.now + h.fault()
+	case stepRelease:
+		h.release(n)
+	}
+	calls := *pending
+	*pending = nil
+	for _, c := range calls {
+		if !h.deliver(c) {
+			*pending = append(*pending, c)
+		}
+		h.checkExclusive()
+	}
+	if rapid.Bool().Draw(h.T, "expire") {
+		n.expire(n.reading(h.now)) // the Manager's loops run in any order
+	}
+	h.renew(n, pending)
+	h.watch(n, pending)
+}
+
+func TestAtMostOneInstanceBelievesToHoldADuty(t *testing.T) {
+	acquired, checks := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t)
+		pending := make([][]*call, len(h.nodes))
+		for range 400 {
+			h.advance(time.Duration(rapid.IntRange(100, 900).Draw(t, "advance")) * time.Millisecond)
+			for i, n := range h.nodes {
+				h.step(n, &pending[i])
+				h.checkExclusive()
+			}
+		}
+		checks++
+		acquired += h.acquired
+	})
+	if acquired < checks {
+		t.Fatalf("%d duties acquired in %d histories", acquired, checks)
+	}
+	t.Logf("%d duties acquired in %d histories", acquired, checks)
+}
--- a/internal/lease/loops.go
+++ b/internal/lease/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
@@ -10,23 +11,24 @@
 
 // Pace of the rarer steps of the watch loop, in watch intervals.
 const (
-	extraEvery   = 8 // another duty to watch beside the own ones
-	surplusEvery = 5 // at most one duty is handed on that often
+	extraEvery   = 16 // another duty to watch beside the own ones
+	surplusEvery = 10 // at most one duty is handed on that often
 )
 
 // extraWatchers is the expected number of instances that watch a duty beside
 // its candidates, in case none of them lives.
-const extraWatchers = 2
+const extraWatchers = 1
 
 // renewLoop writes the heartbeat row.
 func (m *Manager) renewLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		var r renewal
+		start := m.reading().Mono
 		m.update(func(c *core, now Reading) { r = c.beat.renew(now) })
 		versions, err := m.commit(ctx, r.Txn)
 		var step next
 		m.update(func(c *core, now Reading) { step = c.renewed(now, r, versions, err) })
-		wait := m.options.Timing.Heartbeat
+		wait := m.options.Timing.Heartbeat - (m.reading().Mono - start)
 		if err != nil {
 			m.options.Logger.Debug("heartbeat was not confirmed", "error", err)
 			wait = m.options.Timing.Retry
@@ -90,7 +92,10 @@
 			m.handOn(ctx, tick)
 			tick++
 		}
-		again := m.claimDue(ctx)
+		again, readAgain := m.claimDue(ctx)
+		if readAgain {
+			nextRead = m.reading().Mono
+		}
 		again = min(again, nextRead-m.reading().Mono)
 		if !sleep(ctx, max(again, time.Millisecond)) {
 			return
@@ -134,19 +139,26 @@
 	}
 }
 
-// claimDue claims what may be claimed and returns when to look again.
-func (m *Manager) claimDue(ctx context.Context) time.Duration {
+// claimDue claims what may be claimed. It returns when to look again, and
+// whether the rows should be read first.
+func (m *Manager) claimDue(ctx context.Context) (again time.Duration, readAgain bool) {
 	var due []claim
-	var again time.Duration
 	m.update(func(c *core, now Reading) { due, again = c.claims(now) })
+	var calls sync.WaitGroup
 	for _, cl := range due {
-		versions, err := m.commit(ctx, cl.Txn)
-		m.update(func(c *core, now Reading) { c.claimed(now, cl, versions, err) })
-		if err != nil {
-			m.options.Logger.Debug("claim failed", "duty", cl.Duty, "error", err)
-		}
+		calls.Go(func() {
+			versions, err := m.commit(ctx, cl.Txn)
+			m.update(func(c *core, now Reading) {
+				faster := c.claimed(now, cl, versions, err)
+				readAgain = readAgain || faster
+			})
+			if err != nil {
+				m.options.Logger.Debug("claim failed", "duties", len(cl.Taken), "error", err)
+			}
+		})
 	}
-	return again
+	calls.Wait()
+	return again, readAgain
 }
 
 // handOn releases a duty that another instance should hold.
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -74,7 +74,8 @@
 	o.Timing = o.Timing.withDefaults()
 	m := &Manager{options: o, start: o.Now(), running: make(map[string]int),
 		stopping: make(map[string]bool), changed: make(chan struct{})}
-	m.core = newCore(o.Timing, m.newHolder(), o.Duties)
+	m.core = newCore(o.Timing, m.newHolder(), append([]string{sweepDuty}, o.Duties...))
+	m.Do(sweepDuty, m.sweep)
 	return m
 }
 
--- a/internal/lease/timing.go
+++ b/internal/lease/timing.go
@@ -6,14 +6,14 @@
 type Timing struct {
 	// Heartbeat is the time between two renewals. Default 4s; zero means the default.
 	Heartbeat time.Duration
-	// Lease is how long a renewal lasts, from before it was sent. Default 9s; zero means the default.
+	// Lease is how long a renewal lasts, from before it was sent. Default 8s; zero means the default.
 	Lease time.Duration
 	// Drift bounds how far the clocks of two instances diverge within a lease,
 	// so a holder stops that much earlier. Default 100ms; zero means the default.
 	Drift time.Duration
 	// Margin is added to the lease by whoever takes over. Default 400ms; zero means the default.
 	Margin time.Duration
-	// Watch is the time between two reads of the watched rows. Default 2s; zero means the default.
+	// Watch is the time between two reads of the watched rows. Default 1s; zero means the default.
 	Watch time.Duration
 	// RankDelay is what each further candidate waits before it claims a free
 	// duty. Default 500ms; zero means the default.
@@ -30,10 +30,10 @@
 // Defaults of Timing.
 const (
 	DefaultHeartbeat = 4 * time.Second
-	DefaultLease     = 9 * time.Second
+	DefaultLease     = 8 * time.Second
 	DefaultDrift     = 100 * time.Millisecond
 	DefaultMargin    = 400 * time.Millisecond
-	DefaultWatch     = 2 * time.Second
+	DefaultWatch     = time.Second
 	DefaultRankDelay = 500 * time.Millisecond
 	DefaultRetry     = 500 * time.Millisecond
 	DefaultCall      = 2 * time.Second
--- a/internal/lease/watch.go
+++ b/internal/lease/watch.go
@@ -74,22 +74,3 @@
 		return 0, false
 	}
 }
-
-// claimTxn takes the duty for a holder. The former holder's heartbeat row is
-// deleted under a check of its version, so that it can't renew any more.
-func (w *watch) claimTxn(duty string, self Holder) (platform.Txn, Token) {
-	token := w.row.Token + 1
-	txn := platform.Txn{
-		Checks: []platform.Check{{Key: dutyKey(duty), Version: w.version}},
-		Writes: []platform.Write{{Key: dutyKey(duty), Value: encode(dutyRow{Holder: self, Token: token})}},
-	}
-	former := w.row.Holder
-	if former == (Holder{}) || former == self {
-		return txn, token
-	}
-	txn.Checks = append(txn.Checks, platform.Check{Key: former.aliveKey(), Version: w.aliveAt})
-	if w.aliveAt != 0 {
-		txn.Writes = append(txn.Writes, platform.Write{Key: former.aliveKey(), Delete: true})
-	}
-	return txn, token
-}
