--- a/internal/lease/core_test.go
+++ b/internal/lease/core_test.go
@@ -84,3 +84,60 @@
 		t.Fatalf("row that is no JSON gave %v", err)
 	}
 }
+
+// dueClaim returns the claim of an instance that last saw the holder's
+// heartbeat row a lease ago, and the table that it read.
+func dueClaim(t *testing.T, c *core) (*history, claim) {
+	t.Helper()
+	holder := Holder{"b", "0"}
+	h := &history{rows: make(map[string]platform.Row)}
+	_, err := h.commit(platform.Txn{Writes: []platform.Write{
+		{Key: dutyKey("orders"), Value: encode(dutyRow{Holder: holder, Token: 1})},
+		{Key: holder.aliveKey(), Value: encode(aliveRow{Sequence: 1})},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.beat.confirm(c.beat.renew(Reading{Mono: 8 * time.Second}).Sequence, 1)
+	for range 2 { // the second reading knows the holder
+		read := &call{keys: c.watchKeys()}
+		h.effect(read)
+		if err := c.observe(Reading{}, read.rows); err != nil {
+			t.Fatal(err)
+		}
+	}
+	due, _ := c.claims(Reading{Mono: 10 * time.Second})
+	if len(due) != 1 {
+		t.Fatalf("%d claims are due", len(due))
+	}
+	return h, due[0]
+}
+
+func TestClaimFailsWhenTheHolderRenewedUnseen(t *testing.T) {
+	c := newCore(Timing{}, Holder{"a", "0"}, []string{"orders"})
+	h, cl := dueClaim(t, c)
+	renewed := platform.Txn{Writes: []platform.Write{{Key: Holder{"b", "0"}.aliveKey()}}}
+	if _, err := h.commit(renewed); err != nil {
+		t.Fatal(err)
+	}
+	var conflict *platform.ConflictError
+	if _, err := h.commit(cl.Txn); !errors.As(err, &conflict) {
+		t.Fatalf("claim against a renewed heartbeat row gave %v", err)
+	}
+}
+
+func TestClaimOfAFormerIncarnationIsNotHeld(t *testing.T) {
+	c := newCore(Timing{}, Holder{"a", "0"}, []string{"orders"})
+	h, cl := dueClaim(t, c)
+	versions, err := h.commit(cl.Txn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := Reading{Mono: 10 * time.Second}
+	c.reborn(Holder{"a", "1"})
+	c.beat.confirm(c.beat.renew(now).Sequence, 9)
+	c.claimed(now, cl, versions, nil)
+	if _, ok := c.holds("orders", now, 0); ok {
+		t.Fatal("new incarnation holds what the former one claimed")
+	}
+}
