--- a/cmd/hawthornwick/main.go
+++ b/cmd/hawthornwick/main.go
@@ -1,4 +1,19 @@
 // Command hawthornwick routes language-model traffic by service level and priority.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/hawthornwick/hawthornwick/internal/cli"
+	"github.com/hawthornwick/hawthornwick/internal/demo"
+	"github.com/hawthornwick/hawthornwick/internal/instance"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], cli.Commands{Serve: instance.Serve, Demo: runDemo}))
+}
+
+func runDemo(ctx context.Context, o cli.DemoOptions) error {
+	return demo.Run(ctx, demo.Options{JSON: o.JSON, Instances: o.Instances, Out: o.Out})
+}
