Tighten dispatch and ledger where no test noticed a missing mechanism

Cause: with single mechanisms taken out, no test failed for a streamed body read before anything was written, the identity of replayed streams, cut answers without a length, late cancellation of a lost hedge, the transport's own repetition of GET, and an overwritten newer record. Change: a test for each. A body that was read in part is no longer sent again although the attempt wrote nothing. GET requests bear a body unknown to the transport, so that it never repeats them under the same attempt id. Write deadlines are left to the caller's listener, which sets them already.

--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -33,13 +33,24 @@
 		return
 	}
 	if len(a.x.body) == 0 {
-		request.Body = http.NoBody
+		request.Body = emptyBody(c.Method)
 		return
 	}
 	request.ContentLength = int64(len(a.x.body))
 	request.Body = io.NopCloser(bytes.NewReader(a.x.body))
 }
 
+// emptyBody is a body that the transport does not know to be empty, so that it
+// does not send the request again by itself. Other methods than these would be
+// sent with a chunked body.
+func emptyBody(method string) io.ReadCloser {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return io.NopCloser(bytes.NewReader(nil))
+	}
+	return http.NoBody
+}
+
 // callerBody reads a streamed body with a limit on each wait for the caller.
 type callerBody struct {
 	a      *attempt
@@ -56,6 +67,7 @@
 	if !answering {
 		b.a.watch.arm(phaseCallerBody, t.Body)
 	}
+	b.a.x.bodyRead.Store(true)
 	n, err := b.a.x.call.Stream.Read(p)
 	if !answering {
 		b.a.watch.arm(phaseHeaders, t.Headers)
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -33,6 +33,7 @@
 	progress  progress
 	pending   bool        // written but not flushed
 	answering atomic.Bool // a part of the answer was given to the caller
+	bodyRead  atomic.Bool // a part of a streamed body was read
 	losers    sync.WaitGroup
 	preempted <-chan struct{} // preempted an earlier attempt
 	gate      *result.Gate
@@ -61,7 +62,6 @@
 	x.endCtx = func() {}
 	if deadline := x.call.Request.Deadline; !deadline.IsZero() {
 		ctx, x.endCtx = context.WithDeadlineCause(ctx, deadline, errDeadline)
-		_ = x.control.SetWriteDeadline(deadline) // not every writer has one
 	}
 	x.ctx, x.cancel = context.WithCancelCause(ctx)
 }
@@ -71,9 +71,6 @@
 	x.cancel(errDone)
 	x.endCtx()
 	x.losers.Wait()
-	if !x.call.Request.Deadline.IsZero() {
-		_ = x.control.SetWriteDeadline(time.Time{})
-	}
 }
 
 // run makes attempts until the answer is whole or the request must end.
@@ -133,7 +130,7 @@
 	switch {
 	case err.final || number >= x.d.options.MaxAttempts:
 		return x.failed(err)
-	case !failed.Sent && !x.bodyTouched():
+	case !failed.Sent && !x.bodyRead.Load():
 		return nil // another server may be tried: nothing was written
 	case !r.Idempotent:
 		return x.unknownOutcome(err)
@@ -145,11 +142,6 @@
 	return nil
 }
 
-// bodyTouched reports whether a streamed body may have been read in part.
-func (x *exchange) bodyTouched() bool {
-	return x.call.Stream != nil && x.gate.Opened()
-}
-
 // failed is the result of a request that ends with the attempt's error.
 func (x *exchange) failed(err *attemptError) *result.Error {
 	var ending *result.Error
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -124,11 +124,14 @@
 		is.True(out.Err == nil)
 		is.Equal(received(c.Attempt), 1)
 	}
+	l.handed = 0
 	again := warm
 	again.Attempt = "idempotent"
 	again.Request.Gate = new(result.Gate)
 	out, _ = do(t, d, again)
-	is.True(out.Err == nil) // a dead kept connection is replaced by a fresh one
+	is.True(out.Err == nil)
+	is.Equal(l.handed, 1)               // the dead connection is replaced; the server is kept
+	is.Equal(received("idempotent"), 1) // the second sending is an attempt of its own
 }
 
 func TestAnswerOfAnotherAttemptIsDiscarded(t *testing.T) {
@@ -245,8 +248,15 @@
 	is.True(out.Err == nil)
 	is.Equal(out.Server, quick.Address())
 	is.True(same(w.Body.String(), whole(t, streamBody, engine.Options{})))
-	is.Equal(len(l.observed), 2)                               // the loser too
-	eventually(t, func() bool { return slow.InFlight() == 0 }) // and it is cancelled
+	is.Equal(len(l.observed), 2) // the loser too
+
+	l = engineTargets(slow, quick)
+	c.Targets, c.Request.Gate = l, new(result.Gate)
+	cancelled := &cancelOnFlush{ResponseRecorder: httptest.NewRecorder(), cancel: func() {
+		eventually(t, func() bool { return slow.InFlight() == 0 }) // while the winner streams
+	}}
+	out = newDispatcher(t, Options{}).Do(t.Context(), c, cancelled)
+	is.True(out.Err == nil)
 
 	l = engineTargets(startEngine(t, engine.Options{FirstToken: 100 * time.Millisecond}))
 	c = modelCall(streamBody, l)
@@ -272,7 +282,7 @@
 	c.RawQuery = "api_key=secret&page=2"
 	c.Header = http.Header{
 		"Authorization": {"Bearer secret"}, "X-Api-Key": {"secret"}, "Cookie": {"a=1; api_key=secret"},
-		"Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-Vendor": {"kept"}, engineapi.PriorityHeader: {"1"},
+		"Connection": {"X-Hop"}, "X-Hop": {"1"}, "X-Vendor": {"kept"}, engineapi.PriorityHeader: {"1"}, engineapi.ResumeHeader: {"5"},
 	}
 	_, _ = do(t, newDispatcher(t, Options{}), c)
 	for name, values := range header {
@@ -283,6 +293,7 @@
 	is.Equal(header.Get("Cookie"), "a=1")
 	is.Equal(header.Get("X-Vendor"), "kept")
 	is.Equal(header.Get(engineapi.PriorityHeader), "2") // the class's, not the caller's
+	is.Equal(header.Get(engineapi.ResumeHeader), "")
 	is.True(strings.Contains(body, `"vendor_field":{"a":1}`))
 	is.True(strings.Contains(body, `"include_usage":true`))
 }
@@ -326,14 +337,41 @@
 }
 
 func TestCutPlainAnswerIsCutForTheCaller(t *testing.T) {
+	for _, path := range []string{"/credit", plain.EchoPath} { // with and without a length
+		is := is.New(t)
+		backend := startPlain(t)
+		backend.Set(fault.Settings{BreakAfter: 5})
+		s := callerServer(t, func(*http.Request) Call {
+			c := plainCall(plainTargets(backend))
+			c.Path, c.Body = path, []byte("a longer body")
+			return c
+		})
+		response, err := http.Get(s.URL)
+		is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		is.True(err != nil) // never a short answer that looks whole
+		is.NoErr(response.Body.Close())
+		is.Equal(backend.TotalRuns(), 1)
+	}
+}
+
+// A streamed body can't be sent a second time, even for an idempotent request.
+func TestStreamedBodyIsSentOnce(t *testing.T) {
 	is := is.New(t)
-	backend := startPlain(t)
-	backend.Set(fault.Settings{BreakAfter: 5})
-	s := callerServer(t, func(*http.Request) Call { return plainCall(plainTargets(backend)) })
-	response, err := http.Get(s.URL)
-	is.NoErr(err)
-	defer response.Body.Close()
-	_, err = io.ReadAll(response.Body)
-	is.True(err != nil) // never a short answer that looks whole
-	is.Equal(backend.TotalRuns(), 1)
+	s := startPlain(t)
+	s.Set(fault.Settings{Paused: true})
+	l := plainTargets(s)
+	c := plainCall(l)
+	c.Request.Idempotent, c.Method = true, http.MethodPut
+	c.Stream, c.ContentLength = strings.NewReader("body"), -1
+	c.Timeouts.Headers = 50 * time.Millisecond
+	out, _ := do(t, newDispatcher(t, Options{}), c)
+	is.Equal(out.Err.Code, result.AttemptTimeout)
+	is.Equal(l.handed, 1)
+
+	unsent := newExchange(t.Context(), newDispatcher(t, Options{}), c, httptest.NewRecorder())
+	defer unsent.close()
+	unsent.bodyRead.Store(true) // read, but the connection broke before a write
+	err := &attemptError{code: result.ConnectFailed, cause: io.EOF}
+	is.True(unsent.mustEnd(err, &traffic.Failure{}, 1) != nil)
 }
--- a/internal/dispatch/stream_test.go
+++ b/internal/dispatch/stream_test.go
@@ -80,6 +80,26 @@
 	}
 }
 
+// An engine may name the stream anew on a replay; the caller sees one name.
+func TestReplayKeepsTheStreamsIdentity(t *testing.T) {
+	is := is.New(t)
+	want := whole(t, streamBody, engine.Options{})
+	broken := startEngine(t, engine.Options{})
+	broken.Set(fault.Settings{BreakAfter: 3})
+	renamed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engineapi.AttemptHeader, r.Header.Get(engineapi.AttemptHeader))
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte(strings.ReplaceAll(want, "chatcmpl-r1", "chatcmpl-other")))
+	}))
+	defer renamed.Close()
+	l := engineTargets(broken)
+	l.targets = append(l.targets, traffic.Target{Server: "renamed", Address: renamed.Listener.Addr().String()})
+	out, w := do(t, newDispatcher(t, Options{}), modelCall(streamBody, l))
+	is.True(out.Err == nil)
+	is.True(same(w.Body.String(), want))
+	is.True(!strings.Contains(w.Body.String(), "chatcmpl-other"))
+}
+
 func TestStreamWithoutTerminalEventIsBroken(t *testing.T) {
 	is := is.New(t)
 	truncated, sound := startEngine(t, engine.Options{}), startEngine(t, engine.Options{})
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -206,6 +206,14 @@
 		is.NoErr(err)
 		is.Equal(len(names), 0)
 		is.True(d.Owned.SendBefore.Before(time.Now())) // the old attempt may send no more
+
+		newer, refusal := s.b.Begin(t.Context(), claim("2"))
+		is.True(refusal == nil)
+		newer.Owned.Complete(t.Context(), Answer{Status: 200, Body: []byte("newer")})
+		d.Owned.Complete(t.Context(), Answer{Status: 200, Body: []byte("older")})
+		again, refusal := s.b.Begin(t.Context(), claim("3"))
+		is.True(refusal == nil)
+		is.Equal(string(again.Answer.Body), "newer")
 	})
 }
 
--- a/internal/ledger/owned.go
+++ b/internal/ledger/owned.go
@@ -148,8 +148,8 @@
 	return o.checkEffect(ctx, err)
 }
 
-// checkEffect resolves a write whose version check failed: its own earlier
-// sending may have taken effect without a reply.
+// checkEffect resolves a write whose version check failed. When its own earlier
+// sending took effect without a reply, the same content is written once more.
 func (o *Owned) checkEffect(ctx context.Context, failed error) error {
 	var conflict *platform.ConflictError
 	if !errors.As(failed, &conflict) {
@@ -161,8 +161,6 @@
 		return err
 	case r == nil || r.Attempt != o.row.Attempt:
 		return backoff.Permanent(errNotOwned)
-	case r.State == o.row.State:
-		return nil
 	}
 	o.version = row.Version
 	return failed
