Find requests that crash backend servers

Cause: a request that crashes each server that runs it is sent again by its caller, and whoever shared a server with it must not be refused for that. Change: internal/quarantine records each crash with all fingerprints in flight, keeps suspects apart, and refuses the one fingerprint that alone explains a second crash; its crashes then count against nobody else. Instances exchange notices; reports of one crash are matched by the times between which it happened. dispatch.Quarantine plugs a tracker in.

--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/standin/engine"
 	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
@@ -207,6 +208,40 @@
 	is.True(out.Err.NotRun())
 }
 
+// The same request crashes every engine that runs it. It may do so twice.
+func TestPoisonousRequestCrashesTwoServers(t *testing.T) {
+	is := is.New(t)
+	tracker := quarantine.New(quarantine.Options{})
+	d := newDispatcher(t, Options{Suspects: Quarantine(tracker)})
+	var engines []*engine.Engine
+	for range 4 {
+		e := startEngine(t, engine.Options{})
+		e.Set(fault.Settings{Poison: "poison"})
+		engines = append(engines, e)
+	}
+	crashes := func() (n uint64) {
+		for _, e := range engines {
+			n += e.Epoch() - 1
+		}
+		return n
+	}
+	poisonous := strings.Replace(chatBody, "hi", "poison", 1)
+	c := modelCall(poisonous, engineTargets(engines...))
+	c.Request.Fingerprint = 1
+	out, _ := do(t, d, c)
+	is.True(out.Err != nil)
+	is.Equal(crashes(), uint64(2))
+	eventually(t, func() bool { return tracker.Refused(1, time.Now()) })
+	c.Request.Gate = new(result.Gate)
+	out, _ = do(t, d, c)
+	is.Equal(out.Err.Code, result.RequestQuarantined)
+	is.Equal(crashes(), uint64(2))
+	bystander := modelCall(chatBody, engineTargets(engines...))
+	bystander.Request.Fingerprint = 2
+	out, _ = do(t, d, bystander)
+	is.True(out.Err == nil)
+}
+
 type countingSuspects struct {
 	started, ended, crashed int
 	refuses                 bool
--- /dev/null
+++ b/internal/quarantine/learn.go
@@ -0,0 +1,114 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Learn takes a notice of another instance.
+func (t *Tracker) Learn(n Notice, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n.Cleared != 0 {
+		t.clear(n.Cleared, n.at())
+	}
+	if n.Server != "" && now.Sub(n.at()) < t.options.Keep && !t.known(&n) {
+		t.add(&n)
+	}
+}
+
+// known reports whether the notice was learned before.
+func (t *Tracker) known(n *Notice) bool {
+	for i := range t.incidents {
+		in := &t.incidents[i]
+		if in.matches(n) && slices.Contains(in.reports, report{n.Reporter, n.Epoch}) && containsAll(in.members, n.Fingerprints) {
+			return true
+		}
+	}
+	return false
+}
+
+func containsAll(members, wanted []uint64) bool {
+	for _, f := range wanted {
+		if !slices.Contains(members, f) {
+			return false
+		}
+	}
+	return true
+}
+
+// Notices returns what an instance that has just come up needs to know.
+func (t *Tracker) Notices(now time.Time) []Notice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.judge(now) // drops what has expired
+	notices := make([]Notice, 0, len(t.incidents))
+	for _, in := range t.incidents {
+		notices = append(notices, Notice{
+			Reporter: in.reports[0].reporter, Server: in.server, Epoch: in.reports[0].epoch,
+			SinceMillis: in.since.UnixMilli(), UnixMillis: in.at.UnixMilli(),
+			Fingerprints: slices.Clone(in.members),
+		})
+	}
+	return notices
+}
+
+// add merges the notice into the incident that it tells of, or into a new one.
+func (t *Tracker) add(n *Notice) {
+	t.stale = true
+	for i := range t.incidents {
+		if t.incidents[i].matches(n) {
+			t.incidents[i].merge(n)
+			return
+		}
+	}
+	in := incident{server: n.Server, since: n.since(), at: n.at()}
+	in.merge(n)
+	t.incidents = append(t.incidents, in)
+	if len(t.incidents) > maxIncident {
+		t.incidents = slices.Delete(t.incidents, 0, 1)
+	}
+}
+
+// clear takes a fingerprint that ran whole out of all crashes up to then, and
+// reports whether there was one.
+func (t *Tracker) clear(fingerprint uint64, until time.Time) bool {
+	cleared := false
+	for i := range t.incidents {
+		in := &t.incidents[i]
+		at := slices.Index(in.members, fingerprint)
+		if at < 0 || in.at.After(until) {
+			continue
+		}
+		in.members = slices.Delete(in.members, at, at+1)
+		cleared = true
+	}
+	t.stale = t.stale || cleared
+	return cleared
+}
+
+// judge returns the findings, worked out anew when a crash was added, settled
+// or expired.
+func (t *Tracker) judge(now time.Time) findings {
+	before := len(t.incidents)
+	t.incidents = slices.DeleteFunc(t.incidents, func(in incident) bool {
+		return now.Sub(in.at) >= t.options.Keep || len(in.members) == 0
+	})
+	if t.stale || len(t.incidents) != before || t.settledSince(now) {
+		t.judged = judge(t.incidents, now)
+		t.judgedAt = now
+		t.stale = false
+	}
+	return t.judged
+}
+
+// settledSince reports whether a crash has settled since the last judgement.
+func (t *Tracker) settledSince(now time.Time) bool {
+	for i := range t.incidents {
+		settles := t.incidents[i].at.Add(settleTime)
+		if settles.After(t.judgedAt) && !settles.After(now) {
+			return true
+		}
+	}
+	return false
+}
