--- a/internal/docgen/main.go
+++ b/internal/docgen/main.go
@@ -1,11 +1,13 @@
 // Command docgen writes the pages of the documentation that are generated from
-// the code: the result codes and the state charts.
+// the code: the result codes, the state charts and the fault matrix.
 package main
 
 import (
 	"fmt"
 	"os"
 	"path/filepath"
+
+	"github.com/hawthornwick/hawthornwick/internal/faultmatrix"
 )
 
 //go:generate go run . ../../docs
@@ -19,6 +21,7 @@
 var pages = []page{
 	{"RESULTS.md", renderResults},
 	{"CHARTS.md", renderCharts},
+	{"FAULTS.md", faultmatrix.Render},
 }
 
 func main() {
--- a/internal/invariant/answers.go
+++ b/internal/invariant/answers.go
@@ -11,11 +11,8 @@
 // included; 0 if unknown) and attempt.discarded. Each request ends once, with
 // the answer of its own attempt or of its own idempotency record.
 func checkWholeAnswer(h *history, report reportFunc) {
-	answered := make(map[string]bool) // records with a stored answer
+	answered := recordsAnswered(h)
 	for _, e := range h.events {
-		if e.Kind == timeline.RecordAnswered {
-			answered[e.Record] = true
-		}
 		if e.Kind == timeline.RequestAnswered {
 			checkAnswer(h, e, answered, report)
 		}
@@ -25,6 +22,24 @@
 	}
 }
 
+// recordsAnswered returns the idempotency records that have an answer: one was
+// stored, or the attempt of the record got it. Another instance may give a
+// stored answer before the first one has recorded that it is stored.
+func recordsAnswered(h *history) map[string]bool {
+	answered := make(map[string]bool)
+	for _, e := range h.events {
+		if e.Kind == timeline.RecordAnswered {
+			answered[e.Record] = true
+		}
+	}
+	for _, a := range h.attempts {
+		if a.answered != nil && a.first() != nil && a.first().Record != "" {
+			answered[a.first().Record] = true
+		}
+	}
+	return answered
+}
+
 func checkAnswer(h *history, e timeline.Event, answered map[string]bool, report reportFunc) {
 	if e.Attempt == "" {
 		if h.Complete && !answered[e.Record] {
