Tie instances together over QUIC and refuse requests that crash servers

Cause: the quarantine of one instance was unknown to the others, so a request that crashed two servers through one instance crashed two more through the next (4 crashes in the demo's test). Change: peer listener with certificates from the settings, a relay that floods small notices over the spread graph, notices of crashes over it, and an exchange with one random instance when the membership grows and every 10 s, which repairs lost notices. A non-idempotent duplicate is looked up before it is refused as quarantined. Ruled out: sending each notice to all instances (409 connections per node). Conclusion: the culprit is found after two crashes on either instance; a harmless request still runs.

--- a/internal/demo/instances.go
+++ b/internal/demo/instances.go
@@ -9,8 +9,12 @@
 	"strings"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/instance"
+	"github.com/hawthornwick/hawthornwick/internal/peer"
+	"github.com/hawthornwick/hawthornwick/internal/peer/testcert"
 	"github.com/hawthornwick/hawthornwick/internal/settings"
 )
 
@@ -22,9 +26,13 @@
 func (d *Demo) startInstances(o Options) error {
 	running, stop := context.WithCancel(context.Background())
 	d.stop = stop
+	authority, err := testcert.New()
+	if err != nil {
+		return fmt.Errorf("make an authority for instances: %w", err)
+	}
 	for n := range o.Instances {
 		s := d.settings(n)
-		i, err := instance.New(instance.Options{Settings: s, Logger: o.Logger.Named(s.Instance)})
+		i, err := startInstance(s, authority, o.Logger.Named(s.Instance))
 		if err != nil {
 			return fmt.Errorf("start %s: %w", s.Instance, err)
 		}
@@ -40,6 +48,15 @@
 	return nil
 }
 
+func startInstance(s *settings.Settings, authority *testcert.Authority, logger hclog.Logger) (*instance.Instance, error) {
+	certificate, err := authority.Issue(s.Instance)
+	if err != nil {
+		return nil, err
+	}
+	identity := peer.Identity{Certificate: certificate, Roots: authority.Pool()}
+	return instance.New(instance.Options{Settings: s, Logger: logger, PeerIdentity: &identity})
+}
+
 func (d *Demo) settings(n int) *settings.Settings {
 	s := &settings.Settings{
 		Instance:  fmt.Sprintf("instance-%d", n+1),
--- a/internal/entry/recorded.go
+++ b/internal/entry/recorded.go
@@ -58,6 +58,10 @@
 		x.settleDuplicate(ctx, d, refusal)
 		return
 	}
+	if refusal := x.quarantined(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
 	ticket, refusal := x.admit(ctx)
 	if refusal != nil {
 		x.refuseUnlessRun(ctx, claim, refusal)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -31,8 +31,21 @@
 	x.runRecorded(ctx, body)
 }
 
+// quarantined refuses a request that crashed backend servers before.
+func (x *exchange) quarantined() *result.Error {
+	if x.req.Fingerprint == 0 || !x.server.o.Quarantine.Refused(x.req.Fingerprint, time.Now()) {
+		return nil
+	}
+	x.record(timeline.Event{Kind: timeline.QuarantineRefused})
+	return x.gate.Refuse(result.RequestQuarantined, "backend servers crashed while running this request")
+}
+
 // runOnce serves a request that needs no idempotency record.
 func (x *exchange) runOnce(ctx context.Context, body payload) {
+	if refusal := x.quarantined(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
 	ticket, refusal := x.admit(ctx)
 	if refusal != nil {
 		x.refuse(refusal)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,12 +20,19 @@
 	"github.com/hawthornwick/hawthornwick/internal/traffic"
 )
 
+// Quarantine tells which requests crash backend servers.
+type Quarantine interface {
+	// Refused reports whether requests with the fingerprint are refused now.
+	Refused(fingerprint uint64, now time.Time) bool
+}
+
 // Options are what a Server needs. Every field is required.
 type Options struct {
 	Source     config.Source
 	Scheduler  traffic.Scheduler
 	Dispatcher *dispatch.Dispatcher
 	Ledger     *ledger.Ledger
+	Quarantine Quarantine
 	Recorder   timeline.Recorder
 	Logger     hclog.Logger
 	Limits     Limits
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -18,11 +17,13 @@
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
-	"github.com/hawthornwick/hawthornwick/internal/operator"
-	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/platform/httpapi"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
+	"github.com/hawthornwick/hawthornwick/internal/relay"
 	"github.com/hawthornwick/hawthornwick/internal/scheduler"
 	"github.com/hawthornwick/hawthornwick/internal/settings"
+	"github.com/hawthornwick/hawthornwick/internal/spread"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -43,10 +44,14 @@
 	life     *lifecycle
 
 	platform         *httpapi.Client
+	peers            *peer.Node
+	relay            *relay.Relay
+	view             atomic.Pointer[spread.View]
 	store            *confsync.Store
 	scheduler        *scheduler.Scheduler
 	dispatcher       *dispatch.Dispatcher
 	ledger           *ledger.Ledger
+	quarantine       *quarantine.Tracker
 	callers          *entry.Server
 	listener         *entry.Listener
 	operators        *http.Server
@@ -65,156 +70,22 @@
 		i.ring = timeline.NewRing(o.Settings.Instance, o.Settings.Timeline.Events, nil)
 	}
 	i.life = newLifecycle(o.Settings.Instance, i.ring)
-	i.provisionPlatform()
-	i.provisionStore()
-	i.provisionRequestPath()
-	i.provisionFleet()
-	if err := i.listen(); err != nil {
+	if err := i.provision(o); err != nil {
+		i.release()
 		return nil, err
 	}
 	return i, nil
 }
 
-func (i *Instance) provisionPlatform() {
-	p := i.settings.Platform
-	i.platform = httpapi.New(httpapi.Options{
-		Caller:            i.settings.Instance,
-		TableEndpoint:     p.Table,
-		ObjectsEndpoint:   p.Objects,
-		ServersEndpoint:   p.Servers,
-		UsageEndpoint:     p.Usage,
-		InstancesEndpoint: p.Instances,
-		Timeout:           time.Duration(p.Timeout),
-	})
-}
-
-func (i *Instance) provisionStore() {
-	i.store = confsync.New(confsync.Options{
-		Instance: i.settings.Instance,
-		Zone:     i.settings.Zone,
-		Table:    i.platform.Table(),
-		Compile:  compileText,
-		Recorder: i.ring,
-		Logger:   i.logger.Named("configuration"),
-	})
-}
-
-func compileText(text string) (config.Config, error) {
-	return config.Decode("configuration", []byte(text))
-}
-
-func (i *Instance) provisionRequestPath() {
-	i.scheduler = scheduler.New(scheduler.Options{
-		Instance: i.settings.Instance,
-		Zone:     i.settings.Zone,
-		Seed:     uint64(i.started.UnixNano()),
-		Recorder: i.ring,
-		Logger:   i.logger.Named("scheduler"),
-	})
-	i.dispatcher = dispatch.New(dispatch.Options{
-		Recorder: i.ring,
-		Logger:   i.logger.Named("dispatch"),
-	})
-	i.ledger = ledger.New(i.platform.Table(), i.platform.Objects(), ledger.Options{
-		Recorder: i.ring,
-		Logger:   i.logger.Named("ledger"),
-	})
-	i.callers = entry.New(entry.Options{
-		Source:     i.store,
-		Scheduler:  i.scheduler,
-		Dispatcher: i.dispatcher,
-		Ledger:     i.ledger,
-		Recorder:   i.ring,
-		Logger:     i.logger.Named("entry"),
-		Limits: entry.Limits{
-			BodyBytes:    i.settings.Callers.BodyLimit,
-			BodyTimeout:  time.Duration(i.settings.Callers.BodyTimeout),
-			WriteTimeout: time.Duration(i.settings.Callers.BodyTimeout),
-		},
-	})
-}
-
-func (i *Instance) provisionFleet() {
-	i.engines = newEngineWatch(i.scheduler)
-	i.fleet = &fleet{
-		servers:     i.platform.Servers(),
-		instances:   i.platform.Instances(),
-		registrar:   i.platform,
-		logger:      i.logger.Named("fleet"),
-		timeout:     time.Duration(i.settings.Platform.Timeout),
-		self:        i.self,
-		onServers:   i.setServers,
-		onInstances: i.setInstances,
+// release closes what a failed provisioning has opened.
+func (i *Instance) release() {
+	if i.peers != nil {
+		_ = i.peers.Close()
 	}
-}
-
-// self is this instance's entry in the platform's list.
-func (i *Instance) self() platform.Instance {
-	return platform.Instance{
-		Name:    i.settings.Instance,
-		Zone:    i.settings.Zone,
-		Peer:    i.settings.Peers.Address,
-		Leaving: i.leaving.Load(),
+	if i.listener != nil {
+		_ = i.listener.Close()
 	}
-}
-
-func (i *Instance) setServers(list []platform.Server) {
-	i.scheduler.SetServers(list)
-	i.engines.setServers(list)
-}
-
-func (i *Instance) setInstances(list []platform.Instance, asked time.Time) {
-	names := make([]string, 0, len(list))
-	for _, in := range list {
-		names = append(names, in.Name)
-	}
-	i.scheduler.SetMembers(names, asked)
-}
-
-func (i *Instance) listen() error {
-	c := i.settings.Callers
-	options := entry.ListenerOptions{
-		Address:        c.Address,
-		HeaderBytes:    c.HeaderLimit,
-		HeaderTimeout:  time.Duration(c.HeaderTimeout),
-		IdleTimeout:    time.Duration(c.IdleTimeout),
-		MaxConnections: c.MaxConnections,
-	}
-	if c.TLS != nil {
-		options.CertificateFile, options.KeyFile = c.TLS.Certificate, c.TLS.Key
-	}
-	var err error
-	if i.listener, err = entry.Listen(options, i.callers, i.logger); err != nil {
-		return err
-	}
-	return i.listenOperators()
-}
-
-func (i *Instance) listenOperators() error {
-	o := i.settings.Operators
-	i.operators = operator.NewServer(operator.Options{
-		Source:      i.store,
-		Editor:      i.store,
-		Timeline:    i.ring,
-		Status:      i,
-		Drainer:     i,
-		Metrics:     i.writeMetrics,
-		TokenDigest: o.TokenDigest,
-		Log:         i.logger.Named("operator"),
-	})
-	l, err := net.Listen("tcp", o.Address)
-	if err != nil {
-		return fmt.Errorf("listen for operators on %s: %w", o.Address, err)
-	}
-	if o.TLS != nil {
-		cert, err := o.TLS.Load()
-		if err != nil {
-			return fmt.Errorf("load the operators' certificate: %w", err)
-		}
-		l = tls.NewListener(l, &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}})
-	}
-	i.operatorListener = l
-	return nil
+	i.platform.Close()
 }
 
 // CallerAddress returns the IP and port that callers reach.
@@ -243,6 +114,7 @@
 	running.Go(func() { i.callers.Run(ctx) })
 	running.Go(func() { i.followConfig(ctx) })
 	running.Go(func() { every(ctx, engineWatchInterval, i.engines.poll) })
+	running.Go(func() { i.syncQuarantine(ctx) })
 	running.Go(func() { every(ctx, freshnessInterval, i.checkFreshness) })
 }
 
@@ -315,6 +187,7 @@
 	_ = i.operators.Close()
 	running.Wait()
 	i.closeLedger()
+	_ = i.peers.Close()
 	i.dispatcher.Close()
 	i.platform.Close()
 	i.logger.Info("instance stopped", "cut_off", cut)
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/settings"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -17,4 +18,7 @@
 	Logger hclog.Logger
 	// Ring keeps the time line. Nil means a new one of the settings' size.
 	Ring *timeline.Ring
+	// PeerIdentity replaces the certificates that the settings name. Nil means
+	// that they are read from the settings' files.
+	PeerIdentity *peer.Identity
 }
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -34,10 +35,28 @@
 		Started:  i.started,
 		Classes:  classStatus(p),
 		Servers:  serverStatus(p),
+		Peers:    i.peerStatus(),
 		Requests: i.callers.Counts(),
 	}
 }
 
+// peerStatus lists the other instances of the newest membership.
+func (i *Instance) peerStatus() []operator.PeerStatus {
+	view := i.view.Load()
+	connected := i.peers.Connected()
+	list := make([]operator.PeerStatus, 0, view.Len())
+	for n := range view.Len() {
+		m := view.At(n)
+		if m.Name == i.settings.Instance {
+			continue
+		}
+		list = append(list, operator.PeerStatus{
+			Instance: m.Name, Zone: m.Zone, Up: slices.Contains(connected, m.Name),
+		})
+	}
+	return list
+}
+
 func classStatus(p placement.Status) []operator.ClassStatus {
 	var list []operator.ClassStatus
 	for _, pool := range p.Pools {
