Track live instances by few probes and flooded suspicions

Cause: the platform's list of instances lags, and probing everyone costs more the larger the fleet. Change: package member corrects the list by probes of the successors on the ring; suspicions flood and are refuted by a higher incarnation; instances that are down but listed are probed in turn, which ends a partition. peertest is a network in memory for tests.

--- /dev/null
+++ b/internal/member/service.go
@@ -0,0 +1,297 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/hawthornwick/hawthornwick/internal/peer"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/spread"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+const (
+	listInterval = 5 * time.Second
+	listTimeout  = 2 * time.Second
+	probeTimeout = 900 * time.Millisecond
+)
+
+// Network carries messages to other instances; *peer.Node implements it.
+type Network interface {
+	Send(ctx context.Context, name string, m peer.Message) error
+	Request(ctx context.Context, name string, m peer.Message) (peer.Message, error)
+	Handle(kind peer.Kind, h peer.Handler)
+	HandleRequest(kind peer.Kind, h peer.RequestHandler)
+	SetPeers(instances []platform.Instance)
+}
+
+// Options configure a Service.
+type Options struct {
+	// Self describes this instance; State must be Alive. Required.
+	Self Member
+	// Instances is the platform's list. Required.
+	Instances platform.Instances
+	// Network carries probes. Required.
+	Network Network
+	// Recorder takes events. Nil means timeline.Discard.
+	Recorder timeline.Recorder
+	// Logger takes log lines. Nil means none.
+	Logger hclog.Logger
+	// Now is the clock. Nil means time.Now.
+	Now func() time.Time
+}
+
+// Service keeps a Tracker current. All methods are safe for concurrent use.
+type Service struct {
+	options Options
+
+	mu      sync.Mutex
+	tracker *Tracker
+	changed chan struct{} // closed when the membership changes
+	shown   uint64        // revision that was announced last
+}
+
+// New returns a service that knows its own instance only. Its handlers are
+// registered at once; Run does the rest.
+func New(o Options) *Service {
+	if o.Recorder == nil {
+		o.Recorder = timeline.Discard
+	}
+	if o.Logger == nil {
+		o.Logger = hclog.NewNullLogger()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Self.Incarnation == 0 {
+		o.Self.Incarnation = uint64(o.Now().UnixMilli())
+	}
+	s := &Service{options: o, tracker: NewTracker(o.Self), changed: make(chan struct{})}
+	o.Network.HandleRequest(peer.KindHeartbeat, s.onProbe)
+	o.Network.Handle(peer.KindHeartbeat, s.onNews)
+	return s
+}
+
+// Run reads the platform's list and probes other instances until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return every(ctx, listInterval, s.refreshList) })
+	group.Go(func() error { return every(ctx, ProbeInterval, s.probeAll) })
+	return group.Wait()
+}
+
+// every calls f at once and then at the interval, with jitter.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) error {
+	for {
+		f(ctx)
+		timer := time.NewTimer(interval - interval/10 + rand.N(interval/5))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+func (s *Service) refreshList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	instances, err := s.options.Instances.List(ctx)
+	if err != nil {
+		s.options.Logger.Debug("list of instances not read", "error", err)
+		return
+	}
+	s.mu.Lock()
+	s.tracker.SetListed(instances, s.options.Now())
+	s.publish()
+	s.mu.Unlock()
+}
+
+// publish announces a change, if there is one. The caller holds the lock.
+func (s *Service) publish() {
+	if s.shown == s.tracker.Revision() {
+		return
+	}
+	s.shown = s.tracker.Revision()
+	s.options.Network.SetPeers(s.tracker.Addresses())
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Service) probeAll(ctx context.Context) {
+	s.mu.Lock()
+	news := s.tracker.Expire(s.options.Now())
+	targets := s.tracker.Targets(s.options.Now())
+	s.mu.Unlock()
+	s.spreadNews(ctx, news, "")
+	var probes sync.WaitGroup
+	for _, name := range targets {
+		probes.Go(func() { s.probe(ctx, name) })
+	}
+	probes.Wait()
+}
+
+func (s *Service) probe(ctx context.Context, name string) {
+	s.mu.Lock()
+	p := s.tracker.ProbeFor(name, s.options.Now())
+	s.mu.Unlock()
+	reply, err := s.exchange(ctx, name, p)
+	if ctx.Err() != nil {
+		return
+	}
+	s.mu.Lock()
+	var news []Member
+	if err != nil {
+		news = s.tracker.Missed(name, s.options.Now())
+	} else {
+		s.tracker.Answered(name)
+	}
+	s.mu.Unlock()
+	s.spreadNews(ctx, news, "")
+	if err == nil {
+		s.learn(ctx, name, reply)
+	}
+}
+
+func (s *Service) exchange(ctx context.Context, name string, p Probe) (Probe, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	body, err := cbor.Marshal(p)
+	if err != nil {
+		return Probe{}, fmt.Errorf("encode probe: %w", err)
+	}
+	answer, err := s.options.Network.Request(ctx, name, peer.Message{Kind: peer.KindHeartbeat, Body: body})
+	if err != nil {
+		return Probe{}, err
+	}
+	return decodeProbe(answer.Body)
+}
+
+func decodeProbe(body []byte) (Probe, error) {
+	var p Probe
+	if err := cbor.Unmarshal(body, &p); err != nil {
+		return Probe{}, fmt.Errorf("decode probe: %w", err)
+	}
+	return p, nil
+}
+
+// onProbe answers a probe.
+func (s *Service) onProbe(from string, m peer.Message) (peer.Message, error) {
+	p, err := decodeProbe(m.Body)
+	if err != nil {
+		return peer.Message{}, err
+	}
+	s.learn(context.Background(), from, p)
+	s.mu.Lock()
+	answer := s.tracker.ProbeFor(from, s.options.Now())
+	s.mu.Unlock()
+	body, err := cbor.Marshal(answer)
+	return peer.Message{Kind: m.Kind, Body: body}, err
+}
+
+// onNews takes knowledge that another instance spreads.
+func (s *Service) onNews(from string, m peer.Message) {
+	p, err := decodeProbe(m.Body)
+	if err != nil {
+		s.options.Logger.Debug("news not read", "peer", from, "error", err)
+		return
+	}
+	s.learn(context.Background(), from, p)
+}
+
+func (s *Service) learn(ctx context.Context, from string, p Probe) {
+	if p.Self.Name != from {
+		return // an instance speaks for itself only
+	}
+	s.mu.Lock()
+	news := s.tracker.Learn(append(p.About, p.Self), s.options.Now())
+	s.mu.Unlock()
+	s.spreadNews(ctx, news, from)
+}
+
+// spreadNews passes news on to the neighbours but the one it came from.
+func (s *Service) spreadNews(ctx context.Context, news []Member, from string) {
+	if len(news) == 0 {
+		return
+	}
+	s.mu.Lock()
+	s.publish()
+	self := s.tracker.Self()
+	neighbours := spread.Graph{}.Neighbours(s.tracker.View(), self.Name)
+	s.mu.Unlock()
+	s.record(news)
+	body, err := cbor.Marshal(Probe{Self: self, About: news})
+	if err != nil {
+		s.options.Logger.Error("news not encoded", "error", err)
+		return
+	}
+	for _, name := range neighbours {
+		if name != from {
+			_ = s.options.Network.Send(ctx, name, peer.Message{Kind: peer.KindHeartbeat, Body: body})
+		}
+	}
+}
+
+func (s *Service) record(news []Member) {
+	for _, m := range news {
+		s.options.Logger.Debug("membership", "instance", m.Name, "state", m.State.String())
+		if m.State == Down {
+			s.options.Recorder.Record(timeline.Event{Kind: timeline.PeerDown, Peer: m.Name, State: m.State.String()})
+		}
+	}
+}
+
+// Leave tells the others that this instance stops.
+func (s *Service) Leave(ctx context.Context) {
+	s.mu.Lock()
+	m := s.tracker.Leave()
+	s.mu.Unlock()
+	s.spreadNews(ctx, []Member{m}, "")
+}
+
+// Changed returns a channel that is closed when the membership changes.
+func (s *Service) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Live returns the instances that are not down, in order of name.
+func (s *Service) Live() []Member {
+	var live []Member
+	for _, m := range s.Members() {
+		if m.State != Down {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+// Members returns all known instances in order of name.
+func (s *Service) Members() []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Members()
+}
+
+// View returns the live instances in the order that broadcasts use.
+func (s *Service) View() spread.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.View()
+}
+
+// Roster returns the names that count for a quorum.
+func (s *Service) Roster() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Roster()
+}
--- /dev/null
+++ b/internal/member/service_test.go
@@ -0,0 +1,194 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/peer/peertest"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+)
+
+// list is the platform's list of instances.
+type list struct {
+	mu        sync.Mutex
+	instances []platform.Instance
+}
+
+func (l *list) List(context.Context) ([]platform.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]platform.Instance(nil), l.instances...), nil
+}
+
+func (l *list) add(i platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances = append(l.instances, i)
+}
+
+// process is one simulated instance.
+type process struct {
+	*Service
+	node *peertest.Node
+	stop context.CancelFunc
+}
+
+func start(t *testing.T, network *peertest.Network, l *list, name, zone string) *process {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	node := network.Node(name)
+	s := New(Options{Self: Member{Name: name, Zone: zone, Peer: "127.0.0.1:1"}, Instances: l, Network: node})
+	go func() { _ = s.Run(ctx) }()
+	return &process{Service: s, node: node, stop: stop}
+}
+
+func startFleet(t *testing.T, n int) ([]*process, *peertest.Network, *list) {
+	t.Helper()
+	network := peertest.New(5 * time.Millisecond)
+	l := &list{}
+	fleet := make([]*process, n)
+	for i := range fleet {
+		l.add(platform.Instance{Name: name(i), Zone: zone(i), Peer: "127.0.0.1:1"})
+	}
+	for i := range fleet {
+		fleet[i] = start(t, network, l, name(i), zone(i))
+	}
+	return fleet, network, l
+}
+
+func name(i int) string { return fmt.Sprintf("i%03d", i) }
+func zone(i int) string { return fmt.Sprintf("z%02d", i%10) }
+
+func stopAll(fleet []*process) {
+	for _, p := range fleet {
+		p.stop()
+	}
+	time.Sleep(time.Second) // messages on their way arrive
+	synctest.Wait()
+}
+
+func (p *process) state(name string) State {
+	for _, m := range p.Members() {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return Down
+}
+
+func TestCrashIsSeenByAllAndRestartToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		fleet, network, l := startFleet(t, 30)
+		time.Sleep(10 * time.Second)
+		for _, p := range fleet {
+			is.Equal(len(p.Live()), 30)
+		}
+		fleet[7].stop()
+		fleet[7].node.SetOff(true)
+		time.Sleep(10 * time.Second) // two probes, the suspicion and its spread
+		for i, p := range fleet {
+			if i != 7 {
+				is.Equal(p.state(name(7)), Down)
+			}
+		}
+		fleet[7] = start(t, network, l, name(7), zone(7))
+		time.Sleep(3 * time.Second)
+		for _, p := range fleet {
+			is.Equal(p.state(name(7)), Alive)
+		}
+		stopAll(fleet)
+	})
+}
+
+func TestSuspectRefutes(t *testing.T) {
+	is := is.NewRelaxed(t)
+	now := time.Unix(0, 0)
+	a := NewTracker(Member{Name: "a", Incarnation: 1})
+	b := NewTracker(Member{Name: "b", Incarnation: 1})
+	a.Learn([]Member{b.Self()}, now)
+	a.Missed("b", now)
+	news := a.Missed("b", now)
+	is.Equal(news[0].State, Suspect)
+	b.Learn(a.ProbeFor("b", now).About, now)
+	is.Equal(b.Self().Incarnation, uint64(2))
+	a.Learn([]Member{b.Self()}, now)
+	is.Equal(len(a.Expire(now.Add(time.Hour))), 0)
+}
+
+func TestPartitionHeals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		fleet, _, _ := startFleet(t, 12)
+		time.Sleep(10 * time.Second)
+		for i, p := range fleet {
+			p.node.SetGroup(i % 2)
+		}
+		time.Sleep(time.Minute)
+		is.Equal(len(fleet[0].Live()), 6)
+		is.Equal(len(fleet[0].Roster()), 12) // those that are listed still count
+		for _, p := range fleet {
+			p.node.SetGroup(0)
+		}
+		time.Sleep(40 * time.Second)
+		for _, p := range fleet {
+			is.Equal(len(p.Live()), 12)
+		}
+		stopAll(fleet)
+	})
+}
+
+func TestInstanceThatIsNotListedYetIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		fleet, network, l := startFleet(t, 8)
+		time.Sleep(5 * time.Second)
+		others := &list{instances: append([]platform.Instance(nil), l.instances...)}
+		joined := start(t, network, others, "new", "z00")
+		time.Sleep(3 * time.Second)
+		for _, p := range fleet {
+			is.Equal(p.state("new"), Alive)
+		}
+		joined.Leave(t.Context())
+		time.Sleep(time.Second)
+		for _, p := range fleet {
+			is.Equal(p.state("new"), Leaving)
+		}
+		stopAll(append(fleet, joined))
+	})
+}
+
+func TestCostDoesNotGrowWithTheFleet(t *testing.T) {
+	const maxBytesPerSecond = 1000
+	for _, n := range []int{2, 8, 50, 410} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			fleet, _, _ := startFleet(t, n)
+			time.Sleep(12 * time.Second)
+			messages, bytes := total(fleet)
+			const seconds = 5
+			time.Sleep(seconds * time.Second)
+			moreMessages, moreBytes := total(fleet)
+			per := float64(n * seconds)
+			t.Logf("%3d instances: %.2f messages/s, %.0f B/s", n,
+				float64(moreMessages-messages)/per, float64(moreBytes-bytes)/per)
+			is.True(float64(moreBytes-bytes)/per < maxBytesPerSecond)
+			stopAll(fleet)
+		})
+	}
+}
+
+func total(fleet []*process) (messages, bytes int) {
+	for _, p := range fleet {
+		m, b := p.node.Counts()
+		messages += m
+		bytes += b
+	}
+	return messages, bytes
+}
--- a/internal/spread/graph.go
+++ b/internal/spread/graph.go
@@ -78,3 +78,18 @@
 	}
 	return names
 }
+
+// Successors returns the neighbours that lie ahead on the ring. Every edge of
+// the graph has one end whose successors hold the other end.
+func (g Graph) Successors(v View, self string) []string {
+	at, ok := v.Index(self)
+	if !ok {
+		return nil
+	}
+	n := v.Len()
+	var names []string
+	for _, offset := range g.Offsets(n) {
+		names = append(names, v.members[(at+offset)%n].Name)
+	}
+	return names
+}
