Keep cleared suspects clear when their crash is told again

Cause: with single mechanisms taken out of quarantine, no test failed for runs on a restarted server, for a notice that comes again after its suspect ran whole, and for the start of a refused fingerprint. Change: a tracker remembers the suspects that ran whole; a test for each of the three; two checks that stood twice are gone.

--- a/internal/quarantine/incident.go
+++ b/internal/quarantine/incident.go
@@ -55,7 +55,9 @@
 }
 
 func (i *incident) merge(n *Notice) {
-	i.reports = append(i.reports, report{n.Reporter, n.Epoch})
+	if r := (report{n.Reporter, n.Epoch}); !slices.Contains(i.reports, r) {
+		i.reports = append(i.reports, r)
+	}
 	if n.since().After(i.since) {
 		i.since = n.since()
 	}
@@ -108,9 +110,6 @@
 
 func soleRepeater(incidents []incident, crashes map[uint64]int, now time.Time) (uint64, bool) {
 	for _, i := range incidents {
-		if now.Sub(i.at) < settleTime {
-			continue
-		}
 		var repeaters []uint64
 		for _, f := range i.members {
 			if crashes[f] >= convictingCrashes {
--- a/internal/quarantine/learn.go
+++ b/internal/quarantine/learn.go
@@ -1,42 +1,23 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
-// Learn takes a notice of another instance.
+// Learn takes a notice of another instance. A notice may come more than once.
 func (t *Tracker) Learn(n Notice, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if n.Cleared != 0 {
 		t.clear(n.Cleared, n.at())
 	}
-	if n.Server != "" && now.Sub(n.at()) < t.options.Keep && !t.known(&n) {
+	if n.Server != "" && now.Sub(n.at()) < t.options.Keep {
 		t.add(&n)
 	}
 }
 
-// known reports whether the notice was learned before.
-func (t *Tracker) known(n *Notice) bool {
-	for i := range t.incidents {
-		in := &t.incidents[i]
-		if in.matches(n) && slices.Contains(in.reports, report{n.Reporter, n.Epoch}) && containsAll(in.members, n.Fingerprints) {
-			return true
-		}
-	}
-	return false
-}
-
-func containsAll(members, wanted []uint64) bool {
-	for _, f := range wanted {
-		if !slices.Contains(members, f) {
-			return false
-		}
-	}
-	return true
-}
-
 // Notices returns what an instance that has just come up needs to know.
 func (t *Tracker) Notices(now time.Time) []Notice {
 	t.mu.Lock()
@@ -56,6 +37,10 @@
 // add merges the notice into the incident that it tells of, or into a new one.
 func (t *Tracker) add(n *Notice) {
 	t.stale = true
+	n.Fingerprints = slices.DeleteFunc(slices.Clone(n.Fingerprints), func(f uint64) bool {
+		cleared, ok := t.cleared[f]
+		return ok && !cleared.Before(n.at())
+	})
 	for i := range t.incidents {
 		if t.incidents[i].matches(n) {
 			t.incidents[i].merge(n)
@@ -83,7 +68,10 @@
 		in.members = slices.Delete(in.members, at, at+1)
 		cleared = true
 	}
-	t.stale = t.stale || cleared
+	if cleared {
+		t.stale = true
+		t.cleared[fingerprint] = until
+	}
 	return cleared
 }
 
@@ -91,6 +79,7 @@
 // or expired.
 func (t *Tracker) judge(now time.Time) findings {
 	before := len(t.incidents)
+	maps.DeleteFunc(t.cleared, func(_ uint64, at time.Time) bool { return now.Sub(at) >= t.options.Keep })
 	t.incidents = slices.DeleteFunc(t.incidents, func(in incident) bool {
 		return now.Sub(in.at) >= t.options.Keep || len(in.members) == 0
 	})
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -41,6 +41,7 @@
 	judgedAt  time.Time
 	stale     bool // incidents changed since judgedAt
 	runs      map[string]map[*Run]struct{}
+	cleared   map[uint64]time.Time // suspects that ran whole, by when the run began
 }
 
 // Run is one execution on a backend server.
@@ -63,7 +64,7 @@
 	if o.Recorder == nil {
 		o.Recorder = timeline.Discard
 	}
-	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{})}
+	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{}), cleared: make(map[uint64]time.Time)}
 }
 
 // Refused reports whether the fingerprint is refused everywhere.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -41,6 +41,7 @@
 	fresh.Crashed(later)
 	settled := later.Add(settleTime)
 	is.True(tr.Refused(1, settled))
+	is.True(!tr.MayRun(1, "s9", settled))
 	is.True(!tr.Refused(2, settled) && !tr.Refused(3, settled))
 	is.True(tr.MayRun(2, "s3", settled)) // and they are no suspects any more
 	run(t, tr, 3, "s3", 1, settled)
@@ -79,6 +80,28 @@
 	onRestarted.Ended(true, later)
 }
 
+func TestRunOnRestartedServerIsNoSuspect(t *testing.T) {
+	is := is.New(t)
+	tr := New(Options{})
+	before := run(t, tr, 1, "s1", 1, start)
+	run(t, tr, 2, "s1", 2, start)
+	before.Crashed(start)
+	is.True(tr.MayRun(1, "s2", start))
+	run(t, tr, 1, "s2", 1, start)
+	is.True(tr.MayRun(2, "s2", start)) // would be kept apart if it were one
+}
+
+func TestClearedFingerprintStaysClear(t *testing.T) {
+	is := is.New(t)
+	tr := New(Options{Instance: "a"})
+	crash := Notice{Reporter: "b", Server: "s1", SinceMillis: start.UnixMilli(), UnixMillis: start.UnixMilli(), Fingerprints: []uint64{2}}
+	tr.Learn(crash, start)
+	run(t, tr, 2, "s2", 1, later).Ended(true, later)
+	tr.Learn(crash, later) // told again by a third instance
+	run(t, tr, 2, "s3", 1, later).Crashed(later)
+	is.True(!tr.Refused(2, later.Add(time.Minute)))
+}
+
 func TestOneCrashSeenByTwoInstancesCountsOnce(t *testing.T) {
 	is := is.New(t)
 	a, b := New(Options{Instance: "a"}), New(Options{Instance: "b"})
