--- a/internal/faultmatrix/fleet_test.go
+++ b/internal/faultmatrix/fleet_test.go
@@ -23,6 +23,8 @@
 	restartTime = 20 * time.Second
 	raceTime    = 9400 * time.Millisecond // a lease and the margin of its successor
 	settleTime  = 3 * time.Minute
+	longestWait = 12 * time.Minute
+	calmTime    = 10 * time.Second
 )
 
 const fleetSize = 3
@@ -57,8 +59,9 @@
 	life        int // number of restarts
 	stop        context.CancelFunc
 	pausedUntil time.Time
-	down        bool // crashed and not yet started anew
-	duplicates  int  // writes still to be sent twice
+	calmAt      time.Time // when no call waits for a fault any more
+	down        bool      // crashed and not yet started anew
+	duplicates  int       // writes still to be sent twice
 	strikes     map[Fault]strike
 }
 
@@ -89,6 +92,7 @@
 	if c.Step == LeaseAcquire || c.Step == LeaseRelease {
 		f.changeHolder()
 	}
+	f.awaitStrike()
 	time.Sleep(settleTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -97,6 +101,20 @@
 	}
 }
 
+// awaitStrike waits until the faults have struck, for longer than any step is
+// away.
+func (f *fleet) awaitStrike() {
+	for waited := time.Duration(0); waited < longestWait; waited += time.Second {
+		f.mu.Lock()
+		struck := !f.struck.IsZero()
+		f.mu.Unlock()
+		if struck {
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
 // changeHolder stops the instance that acquired a lease last, and starts it anew.
 func (f *fleet) changeHolder() {
 	holder := f.nodes[0]
@@ -266,6 +284,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.pausedUntil = time.Now().Add(d)
+	n.calmAt = later(n.calmAt, n.pausedUntil.Add(calmTime))
 }
 
 // during strikes the instance for a time.
@@ -289,6 +308,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.strikes[name] = s
+	n.calmAt = later(n.calmAt, time.Now().Add(outageTime+calmTime))
 	for _, face := range faces {
 		var sum standin.Fault
 		for _, s := range n.strikes {
@@ -300,6 +320,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func worse(a, b standin.Fault) standin.Fault {
 	return standin.Fault{
 		Down:        a.Down || b.Down,
--- a/internal/faultmatrix/lease_test.go
+++ b/internal/faultmatrix/lease_test.go
@@ -19,6 +19,7 @@
 	{"lease/duty/", `"instance":""`, LeaseRelease},
 	{"lease/duty/", "", LeaseAcquire},
 	{"config/", "", ConfigCommit},
+	{"usage/frontier", "", UsageFreeze},
 }
 
 var zoneNames = []string{"zone-a", "zone-b"}
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -8,12 +8,30 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/usage"
 )
 
 var scenarios = map[string]func(t *testing.T, c Cell){
 	scenarioPath:   runPath,
 	scenarioLease:  func(t *testing.T, c Cell) { runFleet(t, c, launchLease) },
 	scenarioConfig: func(t *testing.T, c Cell) { runFleet(t, c, launchConfig) },
+	scenarioUsage:  runUsage,
+}
+
+// runUsage strikes a fleet that meters and reports usage, and compares the
+// windows before the last two with what was metered.
+func runUsage(t *testing.T, c Cell) {
+	synctest.Test(t, func(t *testing.T) {
+		shared := &custodies{held: make(map[string]*usage.Custody)}
+		f := newFleet(t, shared.launchUsage)
+		f.run(c)
+		time.Sleep(usageSettle)
+		through := usage.WindowAt(time.Now().Add(-2 * usage.WindowLength))
+		f.checkBilled(c.Fault == InstanceCrash || c.With == InstanceCrash, through)
+		f.finish()
+	})
 }
 
 // runFleet strikes a fleet whose instances run the given duties.
--- a/internal/faultmatrix/rules_duties.go
+++ b/internal/faultmatrix/rules_duties.go
@@ -5,11 +5,10 @@
 // Scenarios of the duties; each names a function of the tests.
 const (
 	scenarioLease  = "lease"  // lease holders contend for a duty and place orders
+	scenarioUsage  = "usage"  // usage is metered, frozen and reported
 	scenarioConfig = "config" // changes are committed and spread
 )
 
-const usageMissing = "no scenario drives the usage reporter yet"
-
 var (
 	processFaults = []Fault{InstanceCrash, InstancePause}
 	storeFaults   = []Fault{Silence, Slow, LostReply, Duplicate, StoreDown, StoreSlow, Race}
@@ -24,7 +23,7 @@
 		sees: "an order is late; none is placed twice or by a former holder", missing: "no scenario drives the scaler yet"},
 	{steps: orderSteps, faults: slicesOf(processFaults, append(storeFaults, LeaseLapse, ZoneOut, Reclaim)...), scenario: scenarioLease,
 		sees: "an order is late; none is placed twice or by a former holder"},
-	{steps: usageSteps, faults: slicesOf(processFaults, append(storeFaults, LeaseLapse)...), missing: usageMissing,
+	{steps: usageSteps, faults: slicesOf(processFaults, append(storeFaults, LeaseLapse)...), scenario: scenarioUsage,
 		sees: "a report is late; its figures never change"},
 	{steps: configSteps, faults: slicesOf(processFaults, storeFaults...), scenario: scenarioConfig,
 		sees: "the change is in force everywhere within seconds, or not accepted; an instance cut off takes no new work"},
@@ -48,6 +47,6 @@
 		codes: []result.Code{result.KeyWithdrawn, result.StreamKeyLapsed, result.OutcomeUnknown, result.AlreadyRunning, result.WillNotRunAgain, result.LedgerUnavailable}},
 	{steps: []Step{LeaseRenew, OrderSend}, faults: moneyFaults, scenario: scenarioLease,
 		sees: "an order is late; none is placed twice or by a former holder"},
-	{steps: usageSteps, faults: moneyFaults, missing: usageMissing,
+	{steps: usageSteps, faults: moneyFaults, scenario: scenarioUsage,
 		sees: "a report is late; its figures never change"},
 }
