Wire membership, leases and usage into the instance

Cause: membership came from the platform's lagging list alone; answered tokens were not billed. Change: probes between instances, leases for the usage duty, metering with a copy of each batch to an instance in another availability zone, windows closed by the duty's holder. A stopping instance tells the others, finishes its requests, hands on its duties and flushes its usage.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -134,5 +134,5 @@
 		return
 	}
 	x.server.metrics.tokens(x.req.Class.Name, out.Usage.InputTokens, out.Usage.OutputTokens)
-	x.record(timeline.Event{Kind: timeline.UsageMetered, Count: out.Usage.InputTokens + out.Usage.OutputTokens})
+	x.server.o.Meter.Add(x.id, x.req.Organisation, x.req.Class.Name, x.req.Pool, out.Usage.InputTokens, out.Usage.OutputTokens)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -26,6 +26,13 @@
 	Refused(fingerprint uint64, now time.Time) bool
 }
 
+// Meter counts billed usage.
+type Meter interface {
+	// Add counts an answered request once per request id and reports whether it
+	// was new. Tokens are those that reached the caller.
+	Add(request, organisation, class, model string, inputTokens, outputTokens int64) bool
+}
+
 // Options are what a Server needs. Every field is required.
 type Options struct {
 	Source     config.Source
@@ -33,6 +40,7 @@
 	Dispatcher *dispatch.Dispatcher
 	Ledger     *ledger.Ledger
 	Quarantine Quarantine
+	Meter      Meter
 	Recorder   timeline.Recorder
 	Logger     hclog.Logger
 	Limits     Limits
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,15 +16,17 @@
 	"github.com/hawthornwick/hawthornwick/internal/confsync"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
+	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
+	"github.com/hawthornwick/hawthornwick/internal/member"
 	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/platform/httpapi"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/relay"
 	"github.com/hawthornwick/hawthornwick/internal/scheduler"
 	"github.com/hawthornwick/hawthornwick/internal/settings"
-	"github.com/hawthornwick/hawthornwick/internal/spread"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/usage"
 )
 
 // freshnessInterval is the time between checks whether the configuration is
@@ -46,7 +48,10 @@
 	platform         *httpapi.Client
 	peers            *peer.Node
 	relay            *relay.Relay
-	view             atomic.Pointer[spread.View]
+	members          *member.Service
+	leases           *lease.Manager
+	meter            *usage.Meter
+	custody          *usage.Custody
 	store            *confsync.Store
 	scheduler        *scheduler.Scheduler
 	dispatcher       *dispatch.Dispatcher
@@ -110,6 +115,10 @@
 
 func (i *Instance) startServices(ctx context.Context, running *sync.WaitGroup) {
 	running.Go(func() { _ = i.store.Run(ctx) })
+	running.Go(func() { _ = i.members.Run(ctx) })
+	running.Go(func() { _ = i.leases.Run(ctx) })
+	running.Go(func() { _ = i.meter.Run(ctx) })
+	running.Go(func() { _ = i.custody.Run(ctx) })
 	running.Go(func() { i.fleet.run(ctx) })
 	running.Go(func() { i.callers.Run(ctx) })
 	running.Go(func() { i.followConfig(ctx) })
@@ -182,6 +191,7 @@
 	cut := i.callers.Active()
 	i.scheduler.Stop()
 	_ = i.listener.Close()
+	i.leave()
 	stopServices()
 	i.ring.Record(timeline.Event{Kind: timeline.InstanceStopped, Count: cut})
 	_ = i.operators.Close()
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -1,12 +1,50 @@
 package instance
 
 import (
+	"context"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/lease"
+	"github.com/hawthornwick/hawthornwick/internal/member"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
-	"github.com/hawthornwick/hawthornwick/internal/spread"
+	"github.com/hawthornwick/hawthornwick/internal/usage"
 )
 
+// leaveTimeout bounds the news that this instance stops.
+const leaveTimeout = time.Second
+
+// provisionMembers builds the membership and the leases of duties.
+func (i *Instance) provisionMembers() {
+	i.members = member.New(member.Options{
+		Self: member.Member{
+			Name: i.settings.Instance, Zone: i.settings.Zone, Peer: i.peers.Addr().String(),
+		},
+		Instances: i.platform.Instances(),
+		Network:   i.peers,
+		Recorder:  i.ring,
+		Logger:    i.logger.Named("member"),
+	})
+	i.leases = lease.NewManager(lease.Options{
+		Instance: i.settings.Instance,
+		Table:    i.platform.Table(),
+		Duties:   []string{usage.Duty},
+		Members:  i.candidateNames,
+		Recorder: i.ring,
+		Logger:   i.logger.Named("lease"),
+	})
+}
+
+// candidateNames are the live instances that may take duties.
+func (i *Instance) candidateNames() []string {
+	var names []string
+	for _, m := range i.members.Live() {
+		if m.State == member.Alive || m.State == member.Suspect {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
 // self is this instance's entry in the platform's list.
 func (i *Instance) self() platform.Instance {
 	return platform.Instance{
@@ -22,15 +60,31 @@
 	i.engines.setServers(list)
 }
 
+// setInstances tells the scheduler who may share the backend servers: whoever
+// the platform lists and whoever other instances hold for live.
 func (i *Instance) setInstances(list []platform.Instance, asked time.Time) {
+	known := make(map[string]bool, len(list))
 	names := make([]string, 0, len(list))
-	members := make([]spread.Member, 0, len(list))
+	add := func(name string) {
+		if !known[name] {
+			known[name] = true
+			names = append(names, name)
+		}
+	}
 	for _, in := range list {
-		names = append(names, in.Name)
-		members = append(members, spread.Member{Name: in.Name, Zone: in.Zone})
+		add(in.Name)
+	}
+	for _, m := range i.members.Live() {
+		if m.Name != i.settings.Instance {
+			add(m.Name)
+		}
 	}
 	i.scheduler.SetMembers(names, asked)
-	i.peers.SetPeers(list)
-	view := spread.NewView(members)
-	i.view.Store(&view)
+}
+
+// leave tells the other instances that this one stops.
+func (i *Instance) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	i.members.Leave(ctx)
 }
--- a/internal/instance/peers.go
+++ b/internal/instance/peers.go
@@ -26,11 +26,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for instances on %s: %w", i.settings.Peers.Address, err)
 	}
-	i.view.Store(&spread.View{})
 	i.relay = relay.New(relay.Options{
 		Instance: i.settings.Instance,
 		Network:  i.peers,
-		View:     func() spread.View { return *i.view.Load() },
+		View:     func() spread.View { return i.members.View() },
 		Logger:   i.logger.Named("relay"),
 	})
 	return nil
--- a/internal/instance/provision.go
+++ b/internal/instance/provision.go
@@ -23,7 +23,9 @@
 	if err := i.provisionPeers(o); err != nil {
 		return err
 	}
+	i.provisionMembers()
 	i.provisionStore()
+	i.provisionUsage()
 	i.provisionQuarantine()
 	i.provisionRequestPath()
 	i.provisionFleet()
@@ -81,6 +83,7 @@
 		Dispatcher: i.dispatcher,
 		Ledger:     i.ledger,
 		Quarantine: i.quarantine,
+		Meter:      i.meter,
 		Recorder:   i.ring,
 		Logger:     i.logger.Named("entry"),
 		Limits: entry.Limits{
--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -59,7 +59,7 @@
 	var synced time.Time
 	members := 1
 	every(ctx, quarantineCheckInterval, func(ctx context.Context) {
-		now := i.view.Load().Len()
+		now := i.members.View().Len()
 		grown := now > members
 		members = now
 		if now < 2 || (!grown && time.Since(synced) < quarantineSyncInterval) {
@@ -71,7 +71,7 @@
 }
 
 func (i *Instance) fetchNotices(ctx context.Context) {
-	view := i.view.Load()
+	view := i.members.View()
 	name := view.At(rand.IntN(view.Len())).Name
 	if name == i.settings.Instance {
 		return
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -42,7 +42,7 @@
 
 // peerStatus lists the other instances of the newest membership.
 func (i *Instance) peerStatus() []operator.PeerStatus {
-	view := i.view.Load()
+	view := i.members.View()
 	connected := i.peers.Connected()
 	list := make([]operator.PeerStatus, 0, view.Len())
 	for n := range view.Len() {
