--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
+)
+
+const (
+	benchStreams   = 100
+	benchTokenRate = 150 // tokens a second and stream
+	benchTokens    = 300 // of each stream
+	benchArrivals  = 60  // requests a second
+	maxLatency     = int64(10 * time.Second)
+)
+
+// timedEngine streams events that bear the time at which they were written.
+func timedEngine(tokens int, pause time.Duration) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(engineapi.AttemptHeader, r.Header.Get(engineapi.AttemptHeader))
+		w.Header().Set("Content-Type", "text/event-stream")
+		control := http.NewResponseController(w)
+		for i := range tokens {
+			if i > 0 && pause > 0 {
+				time.Sleep(pause)
+			}
+			_, _ = fmt.Fprintf(w, `data: {"id":"chatcmpl-1","object":"chat.completion.chunk","created":1700000000,"model":"m","choices":[{"index":0,"delta":{"content":"%d"},"finish_reason":null}]}`+"\n\n", time.Now().UnixNano())
+			_ = control.Flush()
+		}
+		_, _ = w.Write([]byte("data: [DONE]\n\n"))
+	}))
+}
+
+// routed serves callers through a dispatcher before the engine.
+func routed(b *testing.B, engine *httptest.Server) *httptest.Server {
+	d := newDispatcher(b, Options{})
+	target := traffic.Target{Server: "e", Address: engine.Listener.Addr().String()}
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		c := modelCall(streamBody, &list{targets: []traffic.Target{target}})
+		c.Header, c.Body = r.Header, body
+		if out := d.Do(r.Context(), c, w); out.Err != nil {
+			b.Error(out.Err)
+		}
+	}))
+}
+
+// latencies are what callers saw.
+type latencies struct {
+	mu        sync.Mutex
+	firstByte *hdrhistogram.Histogram
+	event     *hdrhistogram.Histogram
+	events    int
+}
+
+func newLatencies() *latencies {
+	return &latencies{
+		firstByte: hdrhistogram.New(1, maxLatency, 3), event: hdrhistogram.New(1, maxLatency, 3),
+	}
+}
+
+var contentStart = []byte(`"content":"`)
+
+// stream reads one answer and notes how old each event is on arrival.
+func (l *latencies) stream(b *testing.B, client *http.Client, url string) {
+	begun := time.Now()
+	response, err := client.Post(url, "application/json", bytes.NewReader([]byte(streamBody)))
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	var ages []int64
+	var first time.Duration
+	for lines.Scan() {
+		_, rest, ok := bytes.Cut(lines.Bytes(), contentStart)
+		if !ok {
+			continue
+		}
+		if first == 0 {
+			first = time.Since(begun)
+		}
+		digits, _, _ := bytes.Cut(rest, []byte(`"`))
+		written, _ := strconv.ParseInt(string(digits), 10, 64)
+		ages = append(ages, time.Now().UnixNano()-written)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.firstByte.RecordValue(int64(first))
+	for _, age := range ages {
+		_ = l.event.RecordValue(age)
+	}
+	l.events += len(ages)
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// load runs the streams, which arrive evenly, and returns what callers saw and
+// the processor time of the whole process.
+func load(b *testing.B, url string) (*latencies, time.Duration) {
+	l := newLatencies()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchStreams}}
+	defer client.CloseIdleConnections()
+	before := cpuTime()
+	var wg sync.WaitGroup
+	for range benchStreams {
+		wg.Go(func() { l.stream(b, client, url) })
+		time.Sleep(time.Second / benchArrivals)
+	}
+	wg.Wait()
+	return l, cpuTime() - before
+}
+
+// BenchmarkPacedStreams compares callers of the router with callers of the
+// engine itself: 100 streams of 150 tokens a second, 60 arrivals a second. Run
+// it with -benchtime=1x.
+func BenchmarkPacedStreams(b *testing.B) {
+	engine := timedEngine(benchTokens, time.Second/benchTokenRate)
+	defer engine.Close()
+	router := routed(b, engine)
+	defer router.Close()
+	for b.Loop() {
+		direct, directCPU := load(b, engine.URL)
+		through, throughCPU := load(b, router.URL)
+		report := func(name string, quantile float64, a, b2 *hdrhistogram.Histogram) {
+			added := b2.ValueAtQuantile(quantile) - a.ValueAtQuantile(quantile)
+			b.ReportMetric(float64(added)/float64(time.Microsecond), name)
+		}
+		report("added-first-p50-µs", 50, direct.firstByte, through.firstByte)
+		report("added-first-p99-µs", 99, direct.firstByte, through.firstByte)
+		report("added-event-p50-µs", 50, direct.event, through.event)
+		report("added-event-p99-µs", 99, direct.event, through.event)
+		perToken := (throughCPU - directCPU) / time.Duration(through.events)
+		b.ReportMetric(float64(perToken)/float64(time.Microsecond), "cpu-µs/token")
+	}
+}
+
+// discardWriter is a caller that takes everything at once.
+type discardWriter struct{ header http.Header }
+
+func (w discardWriter) Header() http.Header         { return w.header }
+func (w discardWriter) WriteHeader(int)             {}
+func (w discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (w discardWriter) Flush()                      {}
+
+// BenchmarkStreamEvents relays events that come as fast as they are read. Time
+// and allocations are for one event.
+func BenchmarkStreamEvents(b *testing.B) {
+	b.ReportAllocs()
+	tokens := b.N
+	event := `data: {"id":"chatcmpl-1","object":"chat.completion.chunk","created":1700000000,"model":"m","choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}` + "\n\n"
+	body := io.MultiReader(&repeat{text: []byte(event), left: tokens}, bytes.NewReader([]byte("data: [DONE]\n\n")))
+	x, a := relayOf(b, io.NopCloser(body), discardWriter{make(http.Header)})
+	b.ResetTimer()
+	if err := x.relayStream(a); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// repeat reads a text over and over.
+type repeat struct {
+	text []byte
+	at   int
+	left int
+}
+
+func (r *repeat) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, r.text[r.at:])
+	r.at += n
+	if r.at == len(r.text) {
+		r.at = 0
+		r.left--
+	}
+	return n, nil
+}
--- a/internal/dispatch/chunk.go
+++ b/internal/dispatch/chunk.go
@@ -22,13 +22,17 @@
 
 // chunk is one event of a model's stream.
 type chunk struct {
-	ID      json.RawMessage `json:"id"`
-	Created json.RawMessage `json:"created"`
 	Choices []chunkChoice   `json:"choices"`
 	Usage   *engineUsage    `json:"usage"`
 	Error   json.RawMessage `json:"error"`
 }
 
+// identity names the stream that a chunk belongs to.
+type identity struct {
+	ID      json.RawMessage `json:"id"`
+	Created json.RawMessage `json:"created"`
+}
+
 type chunkChoice struct {
 	Index        int             `json:"index"`
 	Delta        json.RawMessage `json:"delta"`
@@ -86,25 +90,33 @@
 
 // chain extends the digest of the contents before by this chunk's content.
 func (c *chunk) chain(before uint64) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(strconv.FormatUint(before, 10))
+	var number [20]byte
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(strconv.AppendUint(number[:0], before, 10))
 	for _, choice := range c.Choices {
-		_, _ = d.WriteString(strconv.Itoa(choice.Index))
+		_, _ = d.Write(strconv.AppendInt(number[:0], int64(choice.Index), 10))
 		_, _ = d.Write(choice.Delta)
 		_, _ = d.Write(choice.Text)
 	}
 	return d.Sum64()
 }
 
+func readIdentity(data string) identity {
+	var i identity
+	_ = json.Unmarshal([]byte(data), &i) // parseChunk decoded it before
+	return i
+}
+
 // withIdentity gives the event the id and time of the stream's first event.
-func withIdentity(data string, id, created json.RawMessage) string {
+func withIdentity(data string, first identity) string {
 	fields := make(map[string]json.RawMessage)
 	if json.Unmarshal([]byte(data), &fields) != nil {
 		return data
 	}
-	fields["id"] = id
-	if len(created) > 0 {
-		fields["created"] = created
+	fields["id"] = first.ID
+	if len(first.Created) > 0 {
+		fields["created"] = first.Created
 	}
 	changed, err := json.Marshal(fields)
 	if err != nil {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -31,8 +29,8 @@
 	digest   uint64 // chained over the content events
 	finished int    // finish events
 	usage    bool   // the usage event
-	id       json.RawMessage
-	created  json.RawMessage
+	named    bool   // identity is that of the first event
+	identity identity
 }
 
 // resumable reports whether another attempt can continue the stream.
@@ -145,7 +143,7 @@
 			return nil
 		}
 	}
-	return s.give(event, c)
+	return s.give(event)
 }
 
 // content counts a content event and reports whether the caller lacks it.
@@ -168,13 +166,13 @@
 
 // give writes an event to the caller. Events of a later attempt bear the
 // identity of the first one's.
-func (s *streamRelay) give(event sse.Event, c *chunk) *attemptError {
+func (s *streamRelay) give(event sse.Event) *attemptError {
 	p := &s.x.progress
-	if p.id == nil {
-		p.id, p.created = c.ID, c.Created
+	if !p.named {
+		p.named, p.identity = true, readIdentity(event.Data)
 	}
-	if len(p.id) > 0 && !bytes.Equal(p.id, c.ID) {
-		event.Data = withIdentity(event.Data, p.id, p.created)
+	if len(p.identity.ID) > 0 && s.x.outcome.Attempts > 1 {
+		event.Data = withIdentity(event.Data, p.identity)
 	}
 	return s.x.writeEvent(event.Type, event.Data)
 }
