Plan which instances route to which servers

At 12,000 servers and 410 instances no instance can hear every engine. The plan gives each server eight instances of its region, over at least two availability zones, by position on a ring of hashes, and an order in which they read it.

--- /dev/null
+++ b/internal/enginewatch/plan.go
@@ -0,0 +1,181 @@
+package enginewatch
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+const (
+	// covers is the number of instances that route to each server. With fewer
+	// instances all do.
+	covers = 8
+	// zoneCovers is the number of covers in one availability zone, if there are
+	// enough instances in others.
+	zoneCovers = covers / 2
+	// nearCovers is the number of covers taken from the server's availability zone
+	// before any other.
+	nearCovers = covers / 4
+	// poolMinimum is the number of servers of each model that an instance routes
+	// to at least, if the model has that many.
+	poolMinimum = 4
+)
+
+// Server is one backend server as a Plan sees it.
+type Server struct {
+	Name   string
+	Zone   string
+	Region string
+	Pool   string // model that it serves
+}
+
+// Plan says which instances route to which servers. It is computed from the
+// lists alone, so instances with the same lists compute the same plan. It is not
+// changed once built.
+type Plan struct {
+	members  []Member
+	servers  []Server
+	byName   map[string]int32 // index of a server
+	watchers [][]uint16       // members by server, in the order in which they read it
+}
+
+// NewPlan computes the plan. Each server is routed to by the instances that
+// follow it on a ring of hashes: some of its availability zone first, then those
+// of its region, with no more than half in one availability zone where others have instances. Instances
+// left with too few servers of a model take those before them on the ring.
+func NewPlan(members []Member, servers []Server) *Plan {
+	b := newPlanner(members, servers)
+	for i := range b.plan.servers {
+		b.cover(i)
+	}
+	b.topUp()
+	return b.plan
+}
+
+// Watchers returns the instances that route to a server, in the order in which
+// they read it; nil for an unknown server.
+func (p *Plan) Watchers(server string) []string {
+	i, ok := p.byName[server]
+	if !ok {
+		return nil
+	}
+	names := make([]string, 0, len(p.watchers[i]))
+	for _, m := range p.watchers[i] {
+		names = append(names, p.members[m].Name)
+	}
+	return names
+}
+
+// Subset returns the servers that an instance routes to, in order of name.
+func (p *Plan) Subset(self string) []string {
+	m := slices.IndexFunc(p.members, func(m Member) bool { return m.Name == self })
+	var names []string
+	for i, list := range p.watchers {
+		if slices.Contains(list, uint16(m)) {
+			names = append(names, p.servers[i].Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Subset returns the names of the servers that self routes to, in order. Up to
+// eight members all route to every server.
+func Subset(members []Member, self string, servers []Server) []string {
+	return NewPlan(members, servers).Subset(self)
+}
+
+// planner builds a Plan.
+type planner struct {
+	plan    *Plan
+	all     ring            // members
+	zones   map[string]ring // members by availability zone
+	regions map[string]ring // members by region
+	at      []uint64        // position by member
+	chosen  []uint16        // reused between servers
+	perZone map[string]int  // reused between servers
+}
+
+func newPlanner(members []Member, servers []Server) *planner {
+	byName := func(a, b Member) int { return strings.Compare(a.Name, b.Name) }
+	p := &Plan{members: slices.SortedFunc(slices.Values(members), byName)}
+	p.members = slices.CompactFunc(p.members, func(a, b Member) bool { return a.Name == b.Name })
+	p.servers = slices.SortedFunc(slices.Values(servers), func(a, b Server) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+	p.byName = make(map[string]int32, len(p.servers))
+	for i, s := range p.servers {
+		p.byName[s.Name] = int32(i)
+	}
+	p.watchers = make([][]uint16, len(p.servers))
+	b := &planner{
+		plan:    p,
+		all:     newRing(len(p.members), func(i int) string { return p.members[i].Name }),
+		zones:   make(map[string]ring),
+		regions: make(map[string]ring),
+		at:      make([]uint64, len(p.members)),
+		perZone: make(map[string]int),
+	}
+	for _, m := range b.all {
+		zone, region := p.members[m.index].Zone, p.members[m.index].Region
+		b.zones[zone] = append(b.zones[zone], m)
+		b.regions[region] = append(b.regions[region], m)
+		b.at[m.index] = m.at
+	}
+	return b
+}
+
+// cover chooses the members that route to a server.
+func (b *planner) cover(server int) {
+	s := &b.plan.servers[server]
+	at := position(s.Name)
+	b.chosen = b.chosen[:0]
+	clear(b.perZone)
+	b.take(b.zones[s.Zone], at, nearCovers)
+	b.take(b.regions[s.Region], at, zoneCovers)
+	b.take(b.all, at, zoneCovers)
+	b.take(b.regions[s.Region], at, covers)
+	b.take(b.all, at, covers)
+	b.order(s, at)
+	b.plan.watchers[server] = slices.Clone(b.chosen)
+}
+
+// take adds members from a position on, up to a number per availability zone.
+func (b *planner) take(r ring, at uint64, zoneLimit int) {
+	if len(b.chosen) >= covers {
+		return
+	}
+	r.walk(at, func(p place) bool {
+		zone := b.plan.members[p.index].Zone
+		if b.perZone[zone] >= zoneLimit || slices.Contains(b.chosen, uint16(p.index)) {
+			return true
+		}
+		b.perZone[zone]++
+		b.chosen = append(b.chosen, uint16(p.index))
+		return len(b.chosen) < covers
+	})
+}
+
+// order sorts the chosen members: those of the server's zone, then those of its
+// region, each by rendezvous hashing.
+func (b *planner) order(s *Server, at uint64) {
+	slices.SortFunc(b.chosen, func(x, y uint16) int {
+		return cmp.Or(
+			cmp.Compare(b.distance(s, x), b.distance(s, y)),
+			cmp.Compare(affinity(at, b.at[y]), affinity(at, b.at[x])),
+			cmp.Compare(x, y),
+		)
+	})
+}
+
+// distance is 0 in the server's availability zone, 1 in its region, else 2.
+func (b *planner) distance(s *Server, member uint16) int {
+	m := &b.plan.members[member]
+	switch {
+	case m.Zone == s.Zone:
+		return 0
+	case m.Region == s.Region:
+		return 1
+	}
+	return 2
+}
