--- a/internal/enginewatch/plan.go
+++ b/internal/enginewatch/plan.go
@@ -66,12 +66,27 @@
 	return names
 }
 
+// member returns the index of a member, -1 for an unknown one.
+func (p *Plan) member(name string) int {
+	return slices.IndexFunc(p.members, func(m Member) bool { return m.Name == name })
+}
+
+// rank returns the place of a member among the readers of a server, -1 when it
+// does not route to it.
+func (p *Plan) rank(server string, member int) int {
+	i, ok := p.byName[server]
+	if !ok || member < 0 {
+		return -1
+	}
+	return slices.Index(p.watchers[i], uint16(member))
+}
+
 // Subset returns the servers that an instance routes to, in order of name.
 func (p *Plan) Subset(self string) []string {
-	m := slices.IndexFunc(p.members, func(m Member) bool { return m.Name == self })
+	m := p.member(self)
 	var names []string
 	for i, list := range p.watchers {
-		if slices.Contains(list, uint16(m)) {
+		if m >= 0 && slices.Contains(list, uint16(m)) {
 			names = append(names, p.servers[i].Name)
 		}
 	}
@@ -157,7 +172,8 @@
 }
 
 // order sorts the chosen members: those of the server's zone, then those of its
-// region, each by rendezvous hashing.
+// region, each by rendezvous hashing. The second one is of another zone than the
+// first, so that the loss of a zone leaves one of them.
 func (b *planner) order(s *Server, at uint64) {
 	slices.SortFunc(b.chosen, func(x, y uint16) int {
 		return cmp.Or(
@@ -166,6 +182,17 @@
 			cmp.Compare(x, y),
 		)
 	})
+	b.splitZones()
+}
+
+func (b *planner) splitZones() {
+	for i, m := range b.chosen {
+		if b.plan.members[m].Zone != b.plan.members[b.chosen[0]].Zone {
+			copy(b.chosen[2:i+1], b.chosen[1:i])
+			b.chosen[1] = m
+			return
+		}
+	}
 }
 
 // distance is 0 in the server's availability zone, 1 in its region, else 2.
--- a/internal/enginewatch/plan_test.go
+++ b/internal/enginewatch/plan_test.go
@@ -63,9 +63,13 @@
 					t.Fatalf("%d of the covers of server %d are in %s", n, i, zone)
 				}
 			}
-			if owner := p.members[watchers[0]]; owner.Zone != s.Zone {
+			owner, backup := p.members[watchers[0]], p.members[watchers[1]]
+			if owner.Zone != s.Zone {
 				t.Fatalf("owner of a server in %s is in %s", s.Zone, owner.Zone)
 			}
+			if backup.Zone == owner.Zone {
+				t.Fatalf("owner and backup of a server are in %s", owner.Zone)
+			}
 		}
 	})
 }
