--- a/internal/faultmatrix/path_test.go
+++ b/internal/faultmatrix/path_test.go
@@ -23,6 +23,12 @@
 	body: `{"model":"label-2b","stream":true,"messages":[{"role":"user","content":"` + poison + `"}]}`,
 }
 
+// bystanderProbe is another request for the same model.
+var bystanderProbe = probe{
+	method: http.MethodPost, path: "/v1/chat/completions",
+	body: `{"model":"label-2b","stream":true,"messages":[{"role":"user","content":"and what does label 4 mean"}]}`,
+}
+
 // creditProbe is a non-idempotent request.
 var creditProbe = probe{method: http.MethodPost, path: "/services/credits/run", body: `{"drums":3}`, idempotencyKey: "credit-1"}
 
