--- /dev/null
+++ b/internal/faultmatrix/acts_test.go
@@ -0,0 +1,76 @@
+package faultmatrix
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/invariant"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+var draftProbe = probe{
+	method: http.MethodPost, path: "/v1/chat/completions",
+	body: `{"model":"roster-8b","stream":true,"messages":[{"role":"user","content":"draft the heat sheets"}]}`,
+}
+
+// load sends requests of several kinds through both instances until stopped.
+type load struct {
+	s        *site
+	stopped  atomic.Bool
+	answered atomic.Int64
+	wait     sync.WaitGroup
+}
+
+func (s *site) startLoad() *load {
+	l := &load{s: s}
+	for _, p := range []probe{chatProbe, draftProbe} {
+		for n := range 4 {
+			l.wait.Go(func() { l.send(n%2, p) })
+		}
+	}
+	return l
+}
+
+func (l *load) send(instance int, p probe) {
+	for !l.stopped.Load() {
+		a := l.s.sendAs(instance, otherOrganisation, p)
+		switch {
+		case a.whole && a.code == 0:
+			l.answered.Add(1)
+		case a.status == http.StatusOK:
+			l.s.t.Errorf("a stream was cut off: result %d, %d events, %v", int(a.code), a.events, a.cut)
+		case a.status == 0:
+			return // the instance has stopped
+		}
+	}
+}
+
+// TestPlannedActsUnderLoad takes an availability zone out, lets a backend server
+// leave and stops both instances, under load. No stream is cut off.
+func TestPlannedActsUnderLoad(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSite(t, Cell{}, chatProbe)
+	l := s.startLoad()
+	_, err := s.demo.Editor(1).SetZone(context.Background(), "zone-a", true)
+	is.NoErr(err)
+	s.demo.Backends.Timeline.Record(timeline.Event{Kind: timeline.ServerState, Server: "engine-2", State: "leaving"})
+	s.demo.Backends.Platform.Announce("engine-2")
+	time.Sleep(invariant.DefaultZoneBound + time.Second) // the load goes on
+	before := l.answered.Load()
+	is.True(before > 0)
+	_, err = s.demo.Editor(0).SetZone(context.Background(), "zone-a", false)
+	is.NoErr(err)
+	is.NoErr(s.demo.Close())
+	l.stopped.Store(true)
+	l.wait.Wait()
+	for _, v := range invariant.Check(s.events(), invariant.Options{Complete: true}) {
+		t.Error(v)
+	}
+}
