Harden the callers' side against ambiguous keys, slow callers and stale rights

Cause: a review of the callers' side with tests that fail first. Faults found: - several Authorization headers, or one of another form, passed on open routes and took the first key elsewhere; - a caller could name a class of a higher tier than the operators gave it, and by naming another class make a non-idempotent model request idempotent; - a key moved to another organisation, a removed organisation and a service closed to the caller did not end waiting requests; rights were those from before the body was read; - after its caller had left, a run could no longer be ended by a withdrawal; - a duplicate that waited could hear not run when its key was withdrawn; - a caller that sent part of a body and then nothing held its connection, the backend server's and the planned stop for good; - HTTP/2 streams that paused longer than one write may take were reset, and on HTTP/1.1 an old write deadline cut the next request's interim answer; - answers in both directions over HTTP/1.1 did not flow before the body's end; - Retry-After was spread by less than its unit, or missing; - field names were taken in any case, other than engines do; - paths were redirected or sent on with dot segments; queries of one path had one fingerprint, so that one crashing query quarantined the others; - a key in the path, in other headers, cookies or parameters, or in a kept body reached logs or backend servers.

Every refused request has its reception in the time line.

--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -105,3 +105,17 @@
 	is.Equal(len(back.Callers), 2)
 	is.Equal(len(back.Keys), 4)
 }
+
+// The description lists the classes for callers to name.
+func TestEveryClassMayBeNamedForEveryModel(t *testing.T) {
+	is := is.New(t)
+	d := start(t)
+	for _, model := range d.Description.Models {
+		for _, class := range d.Description.Classes {
+			body := strings.Replace(chat, "label-2b", model, 1)
+			answer, _ := call(t, http.MethodPost, d.Description.Callers[0]+"/v1/chat/completions", d.Description.Keys["setubal-depot"], body,
+				entry.ClassHeader, class, entry.IdempotencyHeader, model+class)
+			is.Equal(answer.StatusCode, http.StatusOK)
+		}
+	}
+}
--- a/internal/dispatch/body.go
+++ b/internal/dispatch/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -30,6 +31,7 @@
 	if c.Stream != nil {
 		request.ContentLength = c.ContentLength
 		request.Body = &callerBody{a: a}
+		context.AfterFunc(a.ctx, a.interruptBody)
 		return
 	}
 	if len(a.x.body) == 0 {
@@ -40,6 +42,14 @@
 	request.Body = io.NopCloser(bytes.NewReader(a.x.body))
 }
 
+// interruptBody ends a read of the caller's body, for which the transport would
+// wait. A body that no attempt has read may still be sent by another.
+func (a *attempt) interruptBody() {
+	if body, ok := a.x.call.Stream.(Interrupter); ok && a.x.bodyRead.Load() {
+		body.Interrupt()
+	}
+}
+
 // emptyBody is a body that the transport does not know to be empty, so that it
 // does not send the request again by itself. Other methods than these would be
 // sent with a chunked body.
@@ -68,6 +78,9 @@
 		b.a.watch.arm(phaseCallerBody, t.Body)
 	}
 	b.a.x.bodyRead.Store(true)
+	if cause := context.Cause(b.a.ctx); cause != nil { // interruptBody may have come before
+		return 0, cause
+	}
 	n, err := b.a.x.call.Stream.Read(p)
 	if !answering {
 		b.a.watch.arm(phaseHeaders, t.Headers)
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -24,7 +24,8 @@
 	// Body of a model request, or of a plain one that was read whole.
 	Body []byte
 	// Stream is the body of a plain request that is sent while it arrives.
-	// Nil: Body is sent. A streamed body can't be sent twice.
+	// Nil: Body is sent. A streamed body can't be sent twice. An Interrupter is
+	// interrupted when its attempt ends.
 	Stream io.Reader
 	// ContentLength of Stream in bytes; -1 if unknown.
 	ContentLength int64
@@ -38,6 +39,10 @@
 	SendBefore time.Time
 }
 
+// Interrupter is a body whose pending and later reads can be ended. Without it
+// a caller that sends no more keeps an attempt from ending.
+type Interrupter interface{ Interrupt() }
+
 // Timeouts bound how long an attempt may make no progress. Zero fields take
 // the values of DefaultTimeouts.
 type Timeouts struct {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -13,12 +13,6 @@
 	choices    int  // answers asked for in one request; 0 and 1 mean one
 }
 
-type modelFields struct {
-	Stream        bool            `json:"stream"`
-	N             int             `json:"n"`
-	StreamOptions json.RawMessage `json:"stream_options"`
-}
-
 type usageOption struct {
 	IncludeUsage bool `json:"include_usage"`
 }
@@ -28,16 +22,18 @@
 // is, for the engine to refuse.
 func readModelRequest(body []byte) modelRequest {
 	m := modelRequest{body: body}
-	var fields modelFields
+	var fields map[string]json.RawMessage // exact names, as engines read them
 	if json.Unmarshal(body, &fields) != nil {
 		return m
 	}
-	m.stream, m.choices = fields.Stream, fields.N
+	options := fields["stream_options"]
 	var option usageOption
-	_ = json.Unmarshal(fields.StreamOptions, &option)
+	_ = json.Unmarshal(fields["stream"], &m.stream)
+	_ = json.Unmarshal(fields["n"], &m.choices)
+	_ = json.Unmarshal(options, &option)
 	m.wantsUsage = option.IncludeUsage
 	if m.stream && !m.wantsUsage {
-		m.body = askForUsage(body, fields.StreamOptions)
+		m.body = askForUsage(body, options)
 	}
 	return m
 }
--- a/internal/entry/answerwriter.go
+++ b/internal/entry/answerwriter.go
@@ -6,7 +6,8 @@
 )
 
 // answerWriter bounds each write to a caller and remembers whether the answer
-// has begun.
+// has begun. Between a flush and the next write no deadline runs, because
+// HTTP/2 would reset a stream that is merely waiting for the next token.
 type answerWriter struct {
 	http.ResponseWriter
 	control *http.ResponseController
@@ -31,7 +32,9 @@
 func (w *answerWriter) FlushError() error {
 	w.begun = true
 	w.extend()
-	return w.control.Flush()
+	err := w.control.Flush()
+	w.unlimit()
+	return err
 }
 
 // Flush implements http.Flusher.
@@ -40,8 +43,17 @@
 // Unwrap gives http.ResponseController the underlying writer.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// extend bounds the next writes, those of the HTTP server after the handler's
+// end included.
 func (w *answerWriter) extend() {
 	if w.timeout > 0 {
 		_ = w.control.SetWriteDeadline(time.Now().Add(w.timeout))
 	}
 }
+
+// unlimit ends the bound, also one that an earlier request left on the connection.
+func (w *answerWriter) unlimit() {
+	if w.timeout > 0 {
+		_ = w.control.SetWriteDeadline(time.Time{})
+	}
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -21,7 +21,11 @@
 	arrived time.Time
 	snap    *config.Snapshot
 	gate    result.Gate
+	secret  secret
+	body    *requestBody
 	req     *traffic.Request // nil until authenticated and classified
+	counted bool             // its reception is in the time line
+	lasting context.Context  // of run: ends by the router's decision alone
 }
 
 // identify authenticates the caller and fills in the parts of the request that
@@ -31,7 +35,11 @@
 	if refusal != nil {
 		return refusal
 	}
-	class, refusal := chooseClass(x.snap, x.r.Header, who.organisation, routeClass, &x.gate)
+	choice := classChoice{
+		snap: x.snap, organisation: who.organisation, pool: pool, poolClass: routeClass,
+		asked: x.r.Header.Get(ClassHeader),
+	}
+	class, refusal := choice.choose(&x.gate)
 	if refusal != nil {
 		return refusal
 	}
@@ -43,6 +51,8 @@
 		Arrived:  x.arrived,
 		Deadline: x.arrived.Add(time.Duration(class.Deadline)),
 		Gate:     &x.gate,
+		// Plain services replace this by their methods' rule.
+		Idempotent: !choice.nonIdempotent(class),
 	}
 	if who.organisation != nil {
 		x.req.Organisation = who.organisation.Name
@@ -53,14 +63,22 @@
 // authenticate lets a request without a key pass on an open route. A key that
 // is present must be valid on every route.
 func (x *exchange) authenticate(open bool) (caller, *result.Error) {
-	if open && bearerKey(x.r.Header) == "" {
+	if open && len(x.r.Header.Values("Authorization")) == 0 {
 		return caller{}, nil
 	}
 	return authenticate(x.snap, x.r.Header, &x.gate)
 }
 
-// received records the request once it is fully described.
+// received records the request once it is fully described, or refused before.
 func (x *exchange) received() {
+	if x.counted {
+		return
+	}
+	x.counted = true
+	if x.req == nil {
+		x.record(timeline.Event{Kind: timeline.RequestReceived})
+		return
+	}
 	x.record(timeline.Event{Kind: timeline.RequestReceived, Idempotent: x.req.Idempotent, KeyDigest: string(x.req.Key)})
 	if x.req.Key != "" {
 		x.record(timeline.Event{Kind: timeline.KeyAccepted, KeyDigest: string(x.req.Key), Version: x.snap.Version})
@@ -80,29 +98,39 @@
 	x.server.o.Recorder.Record(e)
 }
 
-// watched returns a context that ends with the caller or with its key; the
-// cause tells which.
+// watched returns a context that ends with the caller or when a newer
+// configuration does not permit the request; the cause tells which.
 func (x *exchange) watched() (context.Context, func()) {
-	ctx, cancel := context.WithCancelCause(x.r.Context())
-	remove := func() {}
-	if x.req.Key != "" {
-		remove = x.server.withdrawals.add(&watch{key: x.req.Key, gate: &x.gate, cancel: cancel})
-		x.recheckKey(cancel)
-	}
+	lasting, end := context.WithCancelCause(context.WithoutCancel(x.r.Context()))
+	x.lasting = lasting
+	ctx, cancel := context.WithCancelCause(lasting)
+	unhook := context.AfterFunc(x.r.Context(), func() { cancel(context.Cause(x.r.Context())) })
+	w := &watch{key: x.req.Key, organisation: x.req.Organisation, gate: &x.gate, cancel: end}
+	if x.req.Plain {
+		w.service = x.req.Pool
+	}
+	remove := x.server.withdrawals.add(w)
+	// A change since the request was authenticated found nothing to cancel.
+	w.apply(x.server.o.Source.Current())
 	return ctx, func() {
+		unhook()
 		remove()
-		cancel(nil)
+		end(nil)
 	}
 }
 
-// recheckKey closes the gap between authentication and registration: a
-// withdrawal in between found nothing to cancel.
-func (x *exchange) recheckKey(cancel context.CancelCauseFunc) {
-	snap := x.server.o.Source.Current()
-	state, ok := snap.Key(x.req.Key)
-	if !ok || state.Withdrawn {
-		cancel(withdrawalError(&x.gate))
-	}
+// renew takes the configuration in force after time has passed, such as that
+// of reading a body.
+func (x *exchange) renew() *result.Error {
+	x.snap = x.server.o.Source.Current()
+	if x.server.o.Source.Fresh() {
+		return nil
+	}
+	return x.stale()
+}
+
+func (x *exchange) stale() *result.Error {
+	return x.gate.Refuse(result.ConfigurationStale, "the instance does not know whether its configuration is current")
 }
 
 // refuse ends the request with an error. When the answer has begun, dispatch
@@ -112,12 +140,28 @@
 	if e.NotRun() {
 		kind = timeline.RequestRefused
 	}
+	e.Message = x.secret.redact(e.Message)
+	e.RetryAfter = x.server.retryAfter(e)
 	x.server.count(e)
+	x.received()
 	x.record(timeline.Event{Kind: kind, Code: e.Code, NotRun: e.NotRun(), Detail: e.Message})
 	x.server.metrics.failed(x.className(), e.Code)
 	x.log("request failed", "result", int(e.Code), "not_run", e.NotRun(), "message", e.Message)
-	if !x.w.begun {
-		writeResult(x.w, x.id, e)
+	if x.w.begun {
+		return
+	}
+	if x.body.unread() {
+		x.answerEarly()
+	}
+	writeResult(x.w, x.id, e)
+}
+
+// answerEarly lets an answer go out before the body has arrived. The HTTP/1.1
+// server would wait for the body first; the connection is closed instead.
+func (x *exchange) answerEarly() {
+	if x.r.ProtoMajor == 1 {
+		_ = x.w.control.EnableFullDuplex()
+		x.w.Header().Set("Connection", "close")
 	}
 }
 
@@ -130,7 +174,7 @@
 
 // log writes one line with the request's identity.
 func (x *exchange) log(message string, fields ...any) {
-	identity := []any{"request", x.id, "method", x.r.Method, "path", x.r.URL.Path}
+	identity := []any{"request", x.id, "method", x.r.Method, "path", x.secret.redact(x.r.URL.Path)}
 	if x.req != nil {
 		identity = append(identity, "organisation", x.req.Organisation, "class", x.req.Class.Name)
 	}
@@ -146,21 +190,3 @@
 	}
 	return nil
 }
-
-// bodyReadError tells a body that is too large or too slow from a caller that left.
-func (x *exchange) bodyReadError(err error) *result.Error {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return x.gate.Refuse(result.BodyTooLarge, "the body exceeds %d bytes", tooLarge.Limit)
-	case isTimeout(err):
-		return x.gate.Refuse(result.BodyTimeout, "the body did not arrive within %s", x.server.o.Limits.BodyTimeout)
-	default:
-		return x.gate.Refuse(result.BadRequest, "the body cannot be read: %v", err)
-	}
-}
-
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,355 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/ledger"
+	api "github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/scheduler"
+	"github.com/hawthornwick/hawthornwick/internal/standin/engine"
+	"github.com/hawthornwick/hawthornwick/internal/standin/plain"
+	"github.com/hawthornwick/hawthornwick/internal/standin/platform"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+const (
+	clubKey  = "club-key-4c1f9a"
+	depotKey = "depot-key-77e0b2"
+)
+
+// source is a config.Source that tests drive.
+type source struct {
+	mu      sync.Mutex
+	current *config.Snapshot
+	stale   bool
+	changed chan struct{}
+}
+
+func (s *source) Current() *config.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+func (s *source) Changed(version uint64) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.current != nil && s.current.Version > version {
+		c := make(chan struct{})
+		close(c)
+		return c
+	}
+	return s.changed
+}
+
+func (s *source) Fresh() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.stale
+}
+
+func (s *source) set(snap *config.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = snap
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *source) setStale(stale bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = stale
+}
+
+// edge is a callers' listener before stand-ins.
+type edge struct {
+	t         *testing.T
+	server    *Server
+	listener  *Listener
+	source    *source
+	scheduler *scheduler.Scheduler
+	engine    *engine.Engine
+	entries   *plain.Service
+	bookings  *plain.Service
+	ring      *timeline.Ring // of the instance
+	backends  *timeline.Ring
+	logs      *lockedBuffer
+	base      string
+	keys      map[config.KeyDigest]config.KeyState
+	version   uint64
+	config    config.Config
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+type edgeOptions struct {
+	engine      engine.Options
+	latency     time.Duration // of the plain services
+	bodyTimeout time.Duration
+	bodyBytes   int64
+	listener    ListenerOptions
+	limit       int // requests in flight per backend server
+}
+
+func startEdge(t *testing.T, o edgeOptions) *edge {
+	t.Helper()
+	e := &edge{t: t, ring: timeline.NewRing("i1", 0, nil), backends: timeline.NewRing("b", 0, nil), logs: new(lockedBuffer)}
+	e.startBackends(o)
+	e.configure(o)
+	e.serve(o)
+	return e
+}
+
+func (e *edge) startBackends(o edgeOptions) {
+	o.engine.Name, o.engine.Zone, o.engine.Model, o.engine.Recorder = "e1", "a", "m", e.backends
+	var err error
+	if e.engine, err = engine.Start(o.engine); err != nil {
+		e.t.Fatal(err)
+	}
+	e.t.Cleanup(func() { _ = e.engine.Close() })
+	e.entries = e.startPlain("entries", o.latency)
+	e.bookings = e.startPlain("bookings", o.latency)
+}
+
+func (e *edge) startPlain(name string, latency time.Duration) *plain.Service {
+	s, err := plain.Start(plain.Options{Name: name, Service: name, Zone: "a", Latency: latency, Recorder: e.backends})
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	e.t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func (e *edge) configure(o edgeOptions) {
+	if o.limit == 0 {
+		o.limit = 16
+	}
+	endpoint := func(s *plain.Service) []config.Endpoint {
+		return []config.Endpoint{{Address: s.Address(), Zone: "a"}}
+	}
+	reads := []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+	e.config = config.Config{
+		Organisations: []config.Organisation{{Name: "club"}, {Name: "depot", Class: "draft"}},
+		Classes: []config.Class{
+			{Name: "status", Tier: 1, Deadline: config.Duration(10 * time.Second)},
+			{Name: "money", Tier: 1, Deadline: config.Duration(10 * time.Second), NonIdempotent: true},
+			{Name: "label", Tier: 2, Deadline: config.Duration(10 * time.Second)},
+			{Name: "draft", Tier: 5, Deadline: config.Duration(10 * time.Second)},
+		},
+		Models: []config.Model{{Name: "m", Class: "label", ColdLimit: o.limit, WarmLimit: o.limit}},
+		Services: []config.Service{
+			{Name: "entries", Class: "status", Route: true, Idempotent: append([]string{http.MethodPut}, reads...), Servers: endpoint(e.entries), Limit: o.limit},
+			{Name: "results", Class: "draft", Route: true, Open: true, Idempotent: reads, Servers: endpoint(e.entries), Limit: o.limit},
+			{Name: "bookings", Class: "money", Route: true, Idempotent: reads, Organisations: []string{"club"}, Servers: endpoint(e.bookings), Limit: o.limit},
+		},
+		Zones: []config.Zone{{Name: "a"}},
+	}
+	e.keys = map[config.KeyDigest]config.KeyState{
+		config.DigestKey(clubKey):  {Organisation: "club"},
+		config.DigestKey(depotKey): {Organisation: "depot"},
+	}
+	e.source = &source{changed: make(chan struct{})}
+	e.scheduler = scheduler.New(scheduler.Options{Instance: "i1", Zone: "a", Recorder: e.ring})
+	e.apply(func(*config.Config, map[config.KeyDigest]config.KeyState) {})
+	e.scheduler.SetMembers([]string{"i1"}, time.Now())
+	e.scheduler.SetServers([]api.Server{{
+		Name: "e1", Address: e.engine.Address(), Zone: "a", Model: "m", Epoch: 1, State: api.ServerRunning,
+	}})
+}
+
+// apply puts a changed configuration in force.
+func (e *edge) apply(change func(*config.Config, map[config.KeyDigest]config.KeyState)) {
+	keys := make(map[config.KeyDigest]config.KeyState, len(e.keys))
+	for d, k := range e.keys {
+		keys[d] = k
+	}
+	c := e.config
+	change(&c, keys)
+	e.config, e.keys = c, keys
+	e.version++
+	snap := config.NewSnapshot(e.version, "", c, keys, nil)
+	e.scheduler.SetConfig(snap)
+	e.source.set(snap)
+}
+
+func (e *edge) withdraw(key string) {
+	e.apply(func(_ *config.Config, keys map[config.KeyDigest]config.KeyState) {
+		state := keys[config.DigestKey(key)]
+		state.Withdrawn = true
+		keys[config.DigestKey(key)] = state
+	})
+}
+
+func (e *edge) serve(o edgeOptions) {
+	if o.bodyTimeout == 0 {
+		o.bodyTimeout = 5 * time.Second
+	}
+	if o.bodyBytes == 0 {
+		o.bodyBytes = 1 << 20
+	}
+	stores := platform.New(platform.Options{})
+	e.t.Cleanup(stores.Close)
+	caller := stores.Caller("i1")
+	logger := hclog.New(&hclog.LoggerOptions{Output: e.logs, JSONFormat: true, Level: hclog.Trace})
+	dispatcher := dispatch.New(dispatch.Options{Recorder: e.ring, Logger: logger})
+	e.t.Cleanup(dispatcher.Close)
+	e.server = New(Options{
+		Source: e.source, Scheduler: e.scheduler, Dispatcher: dispatcher,
+		Ledger:   ledger.New(caller.Table(), caller.Objects(), ledger.Options{Recorder: e.ring}),
+		Recorder: e.ring, Logger: logger,
+		Limits: Limits{BodyBytes: o.bodyBytes, BodyTimeout: o.bodyTimeout, WriteTimeout: o.bodyTimeout},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.t.Cleanup(cancel)
+	go e.server.Run(ctx)
+	o.listener.Address = "127.0.0.1:0"
+	var err error
+	if e.listener, err = Listen(o.listener, e.server, logger); err != nil {
+		e.t.Fatal(err)
+	}
+	go func() { _ = e.listener.Serve() }()
+	e.t.Cleanup(func() { _ = e.listener.Close() })
+	e.base = "http://" + e.listener.Address()
+}
+
+// reply is an answer with its body read.
+type reply struct {
+	*http.Response
+	text string
+}
+
+// refusal decodes the JSON body of a refusal.
+func (r reply) refusal(t *testing.T) errorFields {
+	t.Helper()
+	var body errorBody
+	if err := json.Unmarshal([]byte(r.text), &body); err != nil {
+		t.Fatalf("status %d, body %q: %v", r.StatusCode, r.text, err)
+	}
+	return body.Error
+}
+
+// call sends a request with a key (empty: none) and header fields in pairs.
+func (e *edge) call(method, path, key, body string, header ...string) reply {
+	e.t.Helper()
+	return e.do(http.DefaultClient, e.request(method, path, key, body, header...))
+}
+
+func (e *edge) request(method, path, key, body string, header ...string) *http.Request {
+	e.t.Helper()
+	r, err := http.NewRequest(method, e.base+path, strings.NewReader(body))
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Add(header[i], header[i+1])
+	}
+	return r
+}
+
+// begin sends a request and does not wait for its answer. A request that fails
+// yields the error as its text.
+func (e *edge) begin(method, path, key, body string, header ...string) <-chan reply {
+	e.t.Helper()
+	r := e.request(method, path, key, body, header...)
+	done := make(chan reply, 1)
+	go func() {
+		got, err := send(http.DefaultClient, r)
+		if err != nil {
+			got.text = err.Error()
+		}
+		done <- got
+	}()
+	return done
+}
+
+func (e *edge) do(c *http.Client, r *http.Request) reply {
+	e.t.Helper()
+	got, err := send(c, r)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	return got
+}
+
+func send(c *http.Client, r *http.Request) (reply, error) {
+	response, err := c.Do(r)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return reply{response, string(text)}, err
+}
+
+// raw writes bytes to a new connection.
+func (e *edge) raw(text string) net.Conn {
+	e.t.Helper()
+	c, err := net.Dial("tcp", e.listener.Address())
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	e.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		e.t.Fatal(err)
+	}
+	return c
+}
+
+// await polls until the condition holds.
+func (e *edge) await(what string, holds func() bool) {
+	e.t.Helper()
+	for end := time.Now().Add(5 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			e.t.Fatalf("not within 5s: %s", what)
+		}
+	}
+}
+
+// events returns the events of a kind in a ring.
+func events(r *timeline.Ring, kind timeline.Kind) []timeline.Event {
+	all, _ := r.Snapshot()
+	var found []timeline.Event
+	for _, e := range all {
+		if e.Kind == kind {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+const chat = `{"model":"m","messages":[{"role":"user","content":"hi"}]}`
+
+const streamedChat = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
--- a/internal/entry/listener.go
+++ b/internal/entry/listener.go
@@ -18,7 +18,8 @@
 	Address string
 	// CertificateFile and KeyFile enable TLS when both are set.
 	CertificateFile, KeyFile string
-	// HeaderBytes bounds the headers of one request.
+	// HeaderBytes bounds the headers of one request. Over it the handler refuses
+	// with a numbered result; over twice that the HTTP server does without one.
 	HeaderBytes int
 	// HeaderTimeout bounds the time to read them.
 	HeaderTimeout time.Duration
@@ -28,6 +29,17 @@
 	MaxConnections int
 }
 
+const (
+	// headerSlack is the HTTP server's own limit as a multiple of HeaderBytes.
+	headerSlack = 2
+	// pingAfter is the silence on an HTTP/2 connection after which it is pinged.
+	pingAfter = 15 * time.Second
+	// pingTimeout closes an HTTP/2 connection whose caller does not answer a ping.
+	pingTimeout = 10 * time.Second
+	// writeByteTimeout closes an HTTP/2 connection that takes no byte.
+	writeByteTimeout = 30 * time.Second
+)
+
 // Listener accepts callers' connections with HTTP/1.1 and HTTP/2.
 type Listener struct {
 	net     net.Listener
@@ -41,11 +53,16 @@
 	listener := new(Listener)
 	server := &http.Server{
 		Handler:           listener.closeAfterAnswer(h),
-		MaxHeaderBytes:    o.HeaderBytes,
+		MaxHeaderBytes:    headerSlack * o.HeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		ErrorLog:          logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		Protocols:         new(http.Protocols),
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  pingAfter,
+			PingTimeout:      pingTimeout,
+			WriteByteTimeout: writeByteTimeout,
+		},
 	}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetHTTP2(true)
--- a/internal/entry/modelbody.go
+++ b/internal/entry/modelbody.go
@@ -13,17 +13,26 @@
 // modelBody is what the router reads of an OpenAI request. All other fields
 // pass through unchanged.
 type modelBody struct {
-	Model    string          `json:"model"`
-	Stream   bool            `json:"stream"`
-	Messages json.RawMessage `json:"messages"`
-	Prompt   json.RawMessage `json:"prompt"`
+	Model    string
+	Stream   bool
+	Messages json.RawMessage
+	Prompt   json.RawMessage
 }
 
+// parseModelBody reads fields by their exact names: decoding into a struct
+// would take "MODEL" for "model", which an engine does not.
 func parseModelBody(body []byte) (modelBody, error) {
-	var m modelBody
-	if err := json.Unmarshal(body, &m); err != nil {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
 		return modelBody{}, fmt.Errorf("the body is not a JSON request: %w", err)
 	}
+	m := modelBody{Messages: fields["messages"], Prompt: fields["prompt"]}
+	if err := readField(fields, "model", &m.Model); err != nil {
+		return modelBody{}, err
+	}
+	if err := readField(fields, "stream", &m.Stream); err != nil {
+		return modelBody{}, err
+	}
 	if m.Model == "" {
 		return modelBody{}, fmt.Errorf("field %q is missing", "model")
 	}
@@ -33,6 +42,18 @@
 	return m, nil
 }
 
+// readField decodes a field that may be absent.
+func readField[T any](fields map[string]json.RawMessage, name string, into *T) error {
+	raw, ok := fields[name]
+	if !ok {
+		return nil
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("field %q: %w", name, err)
+	}
+	return nil
+}
+
 // promptText returns the raw JSON of the prompt, which prefix digests cover.
 func (m modelBody) promptText() []byte {
 	if len(m.Messages) > 0 {
--- a/internal/entry/modelroute.go
+++ b/internal/entry/modelroute.go
@@ -19,6 +19,10 @@
 		x.refuse(refusal)
 		return
 	}
+	if refusal := x.renew(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
 	if refusal := x.describeModelRequest(body); refusal != nil {
 		x.refuse(refusal)
 		return
@@ -41,7 +45,6 @@
 		return refusal
 	}
 	x.req.Stream = parsed.Stream
-	x.req.Idempotent = !x.req.Class.NonIdempotent
 	x.req.Prefixes = parsed.prefixes()
 	x.req.InputTokens = parsed.inputTokens()
 	x.req.Fingerprint = fingerprint(x.r, model.Name, body)
@@ -54,7 +57,9 @@
 	h := xxhash.New()
 	_, _ = h.WriteString(r.Method)
 	_, _ = h.WriteString("\x00")
-	_, _ = h.WriteString(r.URL.Path)
+	_, _ = h.WriteString(r.URL.EscapedPath())
+	_, _ = h.WriteString("\x00")
+	_, _ = h.WriteString(r.URL.RawQuery)
 	_, _ = h.WriteString("\x00")
 	_, _ = h.WriteString(pool)
 	_, _ = h.WriteString("\x00")
--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -34,7 +34,7 @@
 	for _, m := range x.snap.Config.Models {
 		list.Data = append(list.Data, newModelInfo(m))
 	}
-	writeJSON(x.w, list)
+	x.answerJSON(list)
 }
 
 func (s *Server) serveModelInfo(x *exchange) {
@@ -48,10 +48,12 @@
 		x.refuse(x.gate.Refuse(result.UnknownModel, "the configuration has no model %q", name))
 		return
 	}
-	writeJSON(x.w, newModelInfo(*m))
+	x.answerJSON(newModelInfo(*m))
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+// answerJSON answers a request that no backend server takes part in.
+func (x *exchange) answerJSON(v any) {
+	x.w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(x.w).Encode(v)
+	x.log("request answered", "status", http.StatusOK)
 }
--- a/internal/entry/recorded.go
+++ b/internal/entry/recorded.go
@@ -21,6 +21,9 @@
 	if x.req.Idempotent {
 		return nil
 	}
+	if lines := x.r.Header.Values(IdempotencyHeader); len(lines) > 1 {
+		return x.gate.Refuse(result.BadRequest, "the request bears %d %s headers; send one", len(lines), IdempotencyHeader)
+	}
 	key := x.r.Header.Get(IdempotencyHeader)
 	if key == "" {
 		return x.gate.Refuse(result.IdempotencyKeyMissing, "%s %s needs an %s header", x.r.Method, x.r.URL.Path, IdempotencyHeader)
@@ -70,7 +73,7 @@
 		x.settleDuplicate(ctx, d, refusal)
 		return
 	}
-	x.runOwned(ctx, ticket, body, claim.Attempt, d.Owned)
+	x.runOwned(ticket, body, claim.Attempt, d.Owned)
 }
 
 // refuseUnlessRun refuses a request that was not admitted, unless a duplicate
@@ -88,6 +91,9 @@
 // settleDuplicate gives a stored answer again, or the reason why there is none.
 func (x *exchange) settleDuplicate(ctx context.Context, d ledger.Decision, refusal *result.Error) {
 	if cause := interruption(ctx); cause != nil {
+		if refusal == nil || !refusal.NotRun() { // the first request may have run
+			cause = result.MayHaveRun(cause.Code, "%s", cause.Message)
+		}
 		x.refuse(cause)
 		return
 	}
@@ -103,9 +109,8 @@
 
 // runOwned dispatches the only attempt that the record allows. The caller's
 // departure does not stop it, because its answer can still be had again.
-func (x *exchange) runOwned(ctx context.Context, ticket traffic.Ticket, body payload, attempt string, owned *ledger.Owned) {
-	ctx, stop := detach(ctx)
-	defer stop()
+func (x *exchange) runOwned(ticket traffic.Ticket, body payload, attempt string, owned *ledger.Owned) {
+	ctx := x.lasting
 	if x.req.Stream {
 		capture := x.server.o.Ledger.NewCapture(x.w)
 		out := x.dispatchOwned(ctx, ticket, body, attempt, owned, capture)
@@ -147,18 +152,3 @@
 	}
 	owned.Lost(ctx)
 }
-
-// detach returns a context that outlives the caller and ends only by what the
-// router itself decides, such as the withdrawal of the caller's key.
-func detach(ctx context.Context) (context.Context, func()) {
-	detached, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
-	unhook := context.AfterFunc(ctx, func() {
-		if cause := interruption(ctx); cause != nil {
-			cancel(cause)
-		}
-	})
-	return detached, func() {
-		unhook()
-		cancel(nil)
-	}
-}
--- a/internal/entry/results.go
+++ b/internal/entry/results.go
@@ -2,10 +2,8 @@
 
 import (
 	"encoding/json"
-	"math"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/result"
 )
@@ -46,13 +44,8 @@
 	h.Set(ResultHeader, strconv.Itoa(int(e.Code)))
 	h.Set(NotRunHeader, strconv.FormatBool(e.NotRun()))
 	if e.RetryAfter > 0 {
-		h.Set("Retry-After", retryAfterSeconds(e.RetryAfter))
+		setRetryAfter(h, e.RetryAfter)
 	}
 	w.WriteHeader(e.Code.HTTPStatus())
 	_, _ = w.Write(append(body, '\n'))
 }
-
-// retryAfterSeconds rounds up to whole seconds, as the header demands.
-func retryAfterSeconds(d time.Duration) string {
-	return strconv.Itoa(int(math.Ceil(d.Seconds())))
-}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
@@ -24,6 +23,10 @@
 func (x *exchange) run(body payload) {
 	ctx, stop := x.watched()
 	defer stop()
+	if ended := interruption(ctx); ended != nil {
+		x.refuse(ended)
+		return
+	}
 	if x.req.Idempotent {
 		x.runOnce(ctx, body)
 		return
@@ -57,17 +60,19 @@
 
 // call describes the request to the dispatcher.
 func (x *exchange) call(ticket traffic.Ticket, body payload) dispatch.Call {
+	timeouts := dispatch.TimeoutsFor(x.req.Class)
+	timeouts.Body = x.server.o.Limits.BodyTimeout
 	return dispatch.Call{
 		Request:       x.req,
 		Targets:       ticket,
 		Method:        x.r.Method,
 		Path:          x.backendPath(),
-		RawQuery:      x.r.URL.RawQuery,
-		Header:        x.r.Header,
+		RawQuery:      x.secret.query(x.r.URL.RawQuery),
+		Header:        x.secret.header(x.r.Header),
 		Body:          body.bytes,
 		Stream:        body.stream,
 		ContentLength: body.length,
-		Timeouts:      dispatch.TimeoutsFor(x.req.Class),
+		Timeouts:      timeouts,
 	}
 }
 
@@ -78,15 +83,13 @@
 	if !x.req.Plain {
 		return path
 	}
-	_, rest, _ := strings.Cut(strings.TrimPrefix(path, servicesPrefix), "/")
-	return "/" + rest
+	return afterService(path)
 }
 
-const servicesPrefix = "/services/"
-
 // finish records how the request ended and bills it.
 func (x *exchange) finish(out dispatch.Outcome) {
 	x.bill(out)
+	x.server.metrics.retried(x.req.Class.Name, out.Attempts)
 	if out.Err != nil {
 		x.refuse(out.Err)
 		x.cut(out)
@@ -110,7 +113,7 @@
 		Kind: timeline.RequestAnswered, Count: out.Events, Server: out.Server,
 		Attempt: out.Attempt, Duration: out.FirstByte,
 	})
-	x.server.metrics.answered(x.req.Class.Name, took)
+	x.server.metrics.answered(x.req.Class.Name, took, out.FirstByte)
 	x.log("request answered", "status", out.Status, "backend_server", out.Server, "attempts", out.Attempts,
 		"first_byte_ms", out.FirstByte.Milliseconds(), "took_ms", took.Milliseconds())
 }
--- a/internal/entry/serviceroute.go
+++ b/internal/entry/serviceroute.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"slices"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
@@ -10,13 +9,7 @@
 
 // serveService serves /services/NAME/ routes.
 func (s *Server) serveService(x *exchange) {
-	name := x.r.PathValue("service")
-	service := x.snap.Service(name)
-	if service == nil || !service.Route {
-		x.refuse(x.gate.Refuse(result.UnknownService, "the configuration has no route to a service %q", name))
-		return
-	}
-	if refusal := x.describeServiceRequest(service); refusal != nil {
+	if refusal := x.describeServiceRequest(); refusal != nil {
 		x.refuse(refusal)
 		return
 	}
@@ -29,7 +22,13 @@
 	x.run(body)
 }
 
-func (x *exchange) describeServiceRequest(service *config.Service) *result.Error {
+// describeServiceRequest builds the request's description from its headers.
+func (x *exchange) describeServiceRequest() *result.Error {
+	name := x.r.PathValue("service")
+	service := x.snap.Service(name)
+	if service == nil || !service.Route {
+		return x.gate.Refuse(result.UnknownService, "the configuration has no route to a service %q", name)
+	}
 	if refusal := x.identify(service.Name, service.Class, service.Open); refusal != nil {
 		return refusal
 	}
@@ -53,17 +52,29 @@
 // servicePayload reads the body of a non-idempotent request, whose digest the
 // idempotency record keeps, and streams any other.
 func (x *exchange) servicePayload() (payload, *result.Error) {
-	if !x.req.Idempotent {
-		body, refusal := x.readBody()
-		if refusal != nil {
-			return payload{}, refusal
-		}
-		x.req.Fingerprint = fingerprint(x.r, x.req.Pool, body)
-		return payload{bytes: body}, nil
+	if x.req.Idempotent {
+		return x.streamedPayload(), nil
+	}
+	body, refusal := x.readBody()
+	if refusal != nil {
+		return payload{}, refusal
+	}
+	if refusal := x.renew(); refusal != nil {
+		return payload{}, refusal
 	}
-	if x.r.Body == nil || x.r.Body == http.NoBody {
+	if refusal := x.describeServiceRequest(); refusal != nil {
+		return payload{}, refusal
+	}
+	x.req.Fingerprint = fingerprint(x.r, x.req.Pool, body)
+	return payload{bytes: body}, nil
+}
+
+func (x *exchange) streamedPayload() payload {
+	if x.body == nil {
 		x.req.Fingerprint = fingerprint(x.r, x.req.Pool, nil)
-		return payload{bytes: []byte{}}, nil
+		return payload{bytes: []byte{}}
 	}
-	return payload{stream: x.r.Body, length: x.r.ContentLength}, nil
+	// An answer may begin before the body has ended. HTTP/2 needs no leave.
+	_ = x.w.control.EnableFullDuplex()
+	return payload{stream: x.body, length: x.r.ContentLength}
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -126,7 +126,9 @@
 		Ledger:     i.ledger,
 		Recorder:   i.ring,
 		Logger:     i.logger.Named("entry"),
+		Seed:       uint64(i.started.UnixNano()),
 		Limits: entry.Limits{
+			HeaderBytes:  i.settings.Callers.HeaderLimit,
 			BodyBytes:    i.settings.Callers.BodyLimit,
 			BodyTimeout:  time.Duration(i.settings.Callers.BodyTimeout),
 			WriteTimeout: time.Duration(i.settings.Callers.BodyTimeout),
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -60,6 +60,6 @@
 
 // writeMetrics writes every component's metrics in the Prometheus text format.
 func (i *Instance) writeMetrics(w io.Writer) {
-	i.callers.Metrics().WritePrometheus(w)
+	i.callers.WriteMetrics(w)
 	metrics.WriteProcessMetrics(w)
 }
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -16,6 +16,7 @@
 	UnknownClass          Code = 1008
 	IdempotencyKeyMissing Code = 1009
 	MethodNotAllowed      Code = 1010
+	UpgradeUnsupported    Code = 1011
 
 	KeyMissing      Code = 2001
 	KeyUnknown      Code = 2002
@@ -78,6 +79,7 @@
 
 const (
 	fixRequest  = "correct the request"
+	retry       = "retry"
 	retryLater  = "retry after Retry-After"
 	nothingToDo = "nothing"
 )
@@ -94,6 +96,7 @@
 	{UnknownClass, "unknown_class", http.StatusBadRequest, RunNever, "The class header names no class.", fixRequest, "add the class to the configuration"},
 	{IdempotencyKeyMissing, "idempotency_key_missing", http.StatusBadRequest, RunNever, "A non-idempotent request needs an Idempotency-Key.", "send the header", nothingToDo},
 	{MethodNotAllowed, "method_not_allowed", http.StatusMethodNotAllowed, RunNever, "The route does not take this method.", fixRequest, nothingToDo},
+	{UpgradeUnsupported, "upgrade_unsupported", http.StatusNotImplemented, RunNever, "The connection can't change to another protocol.", "use HTTP/1.1 or HTTP/2", nothingToDo},
 
 	{KeyMissing, "key_missing", http.StatusUnauthorized, RunNever, "The request bears no key.", "send Authorization: Bearer KEY", nothingToDo},
 	{KeyUnknown, "key_unknown", http.StatusUnauthorized, RunNever, "The key was never granted here.", "ask the operator for a key", "grant a key with `key grant`"},
@@ -109,7 +112,7 @@
 
 	{NoBackendServer, "no_backend_server", http.StatusServiceUnavailable, RunDepends, "No backend server can take the request.", retryLater, "see `status` for the backend servers' states"},
 	{DependencyDown, "dependency_down", http.StatusServiceUnavailable, RunNever, "A service that this one depends on is down.", retryLater, "restore the service named in the message"},
-	{ConnectFailed, "connect_failed", http.StatusBadGateway, RunNever, "No connection to a backend server came up.", "retry", "see `timeline` for the backend server's failures"},
+	{ConnectFailed, "connect_failed", http.StatusBadGateway, RunNever, "No connection to a backend server came up.", retry, "see `timeline` for the backend server's failures"},
 	{AttemptTimeout, "attempt_timeout", http.StatusGatewayTimeout, RunMaybe, "A backend server made no progress in time.", "retry only what is idempotent", "see `timeline` for the backend server"},
 	{StreamBroken, "stream_broken", http.StatusBadGateway, RunMaybe, "The answer ended before its last event.", "retry only what is idempotent", "see `timeline` for the backend server"},
 	{AnswerCrossed, "answer_crossed", http.StatusBadGateway, RunMaybe, "A backend server answered another attempt's id.", "retry only what is idempotent", "restart the backend server that crosses answers"},
@@ -123,8 +126,8 @@
 	{AlreadyRunning, "already_running", http.StatusConflict, RunMaybe, "The same request still runs.", "retry with the same Idempotency-Key to get the answer", nothingToDo},
 	{WillNotRunAgain, "outcome_unknown_will_not_run_again", http.StatusConflict, RunMaybe, "An earlier attempt's outcome is unknown; it will not run again.", "ask the service for the state", "see `timeline` for the request"},
 
-	{ConfigurationStale, "configuration_stale", http.StatusServiceUnavailable, RunNever, "The instance cannot tell whether its configuration is current.", "retry", "check the instance's links to peers and the table service"},
-	{InstanceDraining, "instance_draining", http.StatusServiceUnavailable, RunNever, "The instance stops.", "retry", nothingToDo},
+	{ConfigurationStale, "configuration_stale", http.StatusServiceUnavailable, RunNever, "The instance cannot tell whether its configuration is current.", retry, "check the instance's links to peers and the table service"},
+	{InstanceDraining, "instance_draining", http.StatusServiceUnavailable, RunNever, "The instance stops.", retry, nothingToDo},
 	{Internal, "internal", http.StatusInternalServerError, RunDepends, "A fault of the router.", "report the request id", "keep the log and report it"},
 
 	{ConfigInvalid, "config_invalid", http.StatusUnprocessableEntity, RunNever, "The text has faults; nothing changed.", nothingToDo, "correct the faults listed"},
@@ -147,5 +150,11 @@
 	return i, ok
 }
 
+// WaitingHelps reports whether the same request may succeed some time later.
+func (c Code) WaitingHelps() bool {
+	caller := byCode[c].Caller
+	return caller == retry || caller == retryLater
+}
+
 // Table returns every code in ascending order.
 func Table() []Info { return append([]Info(nil), table...) }
