--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -224,8 +224,8 @@
 	e.t.Cleanup(dispatcher.Close)
 	e.server = New(Options{
 		Source: e.source, Scheduler: e.scheduler, Dispatcher: dispatcher,
-		Ledger:   ledger.New(caller.Table(), caller.Objects(), ledger.Options{Recorder: e.ring}),
-		Recorder: e.ring, Logger: logger,
+		Ledger:     ledger.New(caller.Table(), caller.Objects(), ledger.Options{Recorder: e.ring}),
+		Quarantine: noQuarantine{}, Meter: noMeter{}, Recorder: e.ring, Logger: logger,
 		Limits: Limits{BodyBytes: o.bodyBytes, BodyTimeout: o.bodyTimeout, WriteTimeout: o.bodyTimeout},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -241,6 +241,14 @@
 	e.base = "http://" + e.listener.Address()
 }
 
+type noQuarantine struct{}
+
+func (noQuarantine) Refused(uint64, time.Time) bool { return false }
+
+type noMeter struct{}
+
+func (noMeter) Add(string, string, string, string, int64, int64) bool { return true }
+
 // reply is an answer with its body read.
 type reply struct {
 	*http.Response
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -65,6 +65,7 @@
 	engines          *engineWatch
 
 	leaving   atomic.Bool
+	forced    atomic.Bool // operators cut off what still ran
 	drainOnce sync.Once
 }
 
@@ -177,7 +178,7 @@
 			i.Drain(false)
 			ctx = context.WithoutCancel(ctx)
 		case err := <-failed:
-			i.Drain(true)
+			i.life.fire(eventForced)
 			return err
 		case <-i.life.closing:
 			return nil
@@ -193,7 +194,7 @@
 	_ = i.listener.Close()
 	i.leave()
 	stopServices()
-	i.ring.Record(timeline.Event{Kind: timeline.InstanceStopped, Count: cut})
+	i.ring.Record(i.stopped(cut))
 	_ = i.operators.Close()
 	running.Wait()
 	i.closeLedger()
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -1,8 +1,10 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"maps"
 	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -57,21 +59,28 @@
 	return list
 }
 
+// classStatus sums up the classes over all pools, highest tier first.
 func classStatus(p placement.Status) []operator.ClassStatus {
-	var list []operator.ClassStatus
+	sums := make(map[string]operator.ClassStatus)
 	for _, pool := range p.Pools {
 		for _, c := range pool.Classes {
-			list = append(list, operator.ClassStatus{Name: c.Name, Tier: c.Tier, Queued: c.Waiting})
+			sum := sums[c.Name]
+			sum.Name, sum.Tier = c.Name, c.Tier
+			sum.Queued += c.Waiting
+			sum.Running += c.Running
+			sums[c.Name] = sum
 		}
 	}
-	return list
+	return slices.SortedFunc(maps.Values(sums), func(a, b operator.ClassStatus) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Name, b.Name))
+	})
 }
 
 func serverStatus(p placement.Status) []operator.ServerStatus {
 	list := make([]operator.ServerStatus, 0, len(p.Servers))
 	for _, s := range p.Servers {
 		list = append(list, operator.ServerStatus{
-			Name: s.Name, Zone: s.Zone, State: s.Health, InFlight: s.InFlight, Limit: s.Slots, Cheap: s.Cheap,
+			Name: s.Name, Pool: s.Pool, Zone: s.Zone, State: s.Health, InFlight: s.InFlight, Limit: s.Slots, Cheap: s.Cheap,
 		})
 	}
 	return list
@@ -80,5 +89,6 @@
 // writeMetrics writes every component's metrics in the Prometheus text format.
 func (i *Instance) writeMetrics(w io.Writer) {
 	i.callers.WriteMetrics(w)
+	writeLoadMetrics(w, i.scheduler.Status())
 	metrics.WriteProcessMetrics(w)
 }
--- a/internal/placement/class.go
+++ b/internal/placement/class.go
@@ -21,6 +21,7 @@
 type class struct {
 	spec       *config.Class
 	budget     *retrybudget.Budget
+	running    int               // admitted requests
 	firstToken admission.History // from start to first token
 	whole      admission.History // from start to the end
 	output     float64           // expected output tokens; 0 if unknown
--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -117,6 +117,7 @@
 	}
 	if j.admitted {
 		j.admitted = false
+		j.class.running--
 		j.pool.running[j.tier()].remove(j)
 	}
 	e.pump(now, j.pool)
--- a/internal/placement/start.go
+++ b/internal/placement/start.go
@@ -96,6 +96,7 @@
 	target := e.hold(now, j, j.chosen)
 	if !j.admitted {
 		j.admitted = true
+		j.class.running++
 		j.class.budget.Attempt()
 		j.pool.starts[j.tier()].Add(now)
 		j.pool.running[j.tier()].add(j)
--- a/internal/placement/status.go
+++ b/internal/placement/status.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/routing"
 )
 
 // Status describes an engine for operators.
@@ -20,7 +22,7 @@
 	Slots    int           `json:"slots"` // requests that this instance may have in flight
 	InFlight int           `json:"in_flight"`
 	Waiting  int           `json:"waiting"`
-	Classes  []ClassStatus `json:"classes,omitempty"` // those that wait
+	Classes  []ClassStatus `json:"classes,omitempty"` // those with work
 }
 
 // ClassStatus describes one class's queue.
@@ -28,12 +30,14 @@
 	Name    string  `json:"name"`
 	Tier    int     `json:"tier"`
 	Waiting int     `json:"waiting"`
+	Running int     `json:"running"` // admitted requests
 	Retries float64 `json:"retries_left"`
 }
 
 // ServerStatus describes one backend server as this instance sees it.
 type ServerStatus struct {
 	Name     string `json:"name"`
+	Pool     string `json:"pool"` // model or plain service; empty when none is configured
 	Zone     string `json:"zone"`
 	ZoneOut  bool   `json:"zone_out,omitempty"`
 	State    string `json:"state"` // of the platform
@@ -50,18 +54,29 @@
 	for _, p := range e.pools {
 		s.Pools = append(s.Pools, e.poolStatus(now, p))
 	}
-	for _, c := range e.store.Snapshot().Servers {
-		s.Servers = append(s.Servers, ServerStatus{
-			Name: c.Name, Zone: c.Zone, ZoneOut: c.ZoneOut, State: string(c.State),
-			Health: c.Live.State().Name, Epoch: c.Live.Epoch(),
-			Slots: c.Live.Slots(now, e.store.Members), InFlight: c.Live.Outstanding(), Cheap: c.Cheap,
-		})
+	snapshot := e.store.Snapshot()
+	pools := make(map[*routing.Candidate]string, len(snapshot.Servers))
+	for _, p := range snapshot.Pools {
+		for _, c := range p.Candidates {
+			pools[c] = p.Name
+		}
+	}
+	for _, c := range snapshot.Servers {
+		s.Servers = append(s.Servers, e.serverStatus(now, pools[c], c))
 	}
 	slices.SortFunc(s.Pools, func(a, b PoolStatus) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(s.Servers, func(a, b ServerStatus) int { return strings.Compare(a.Name, b.Name) })
 	return s
 }
 
+func (e *Engine) serverStatus(now time.Time, pool string, c *routing.Candidate) ServerStatus {
+	return ServerStatus{
+		Name: c.Name, Pool: pool, Zone: c.Zone, ZoneOut: c.ZoneOut, State: string(c.State),
+		Health: c.Live.State().Name, Epoch: c.Live.Epoch(),
+		Slots: c.Live.Slots(now, e.store.Members), InFlight: c.Live.Outstanding(), Cheap: c.Cheap,
+	}
+}
+
 func (e *Engine) poolStatus(now time.Time, p *pool) PoolStatus {
 	p.refresh(now, e.store.Members)
 	s := PoolStatus{Name: p.name, Slots: p.slots, Waiting: p.queue.Len()}
@@ -69,9 +84,9 @@
 		s.InFlight += c.Live.Outstanding()
 	}
 	for name, c := range p.classes {
-		if n := p.queue.ClassLen(name); n > 0 {
+		if n := p.queue.ClassLen(name); n > 0 || c.running > 0 {
 			s.Classes = append(s.Classes, ClassStatus{
-				Name: name, Tier: c.spec.Tier, Waiting: n, Retries: c.budget.Left(),
+				Name: name, Tier: c.spec.Tier, Waiting: n, Running: c.running, Retries: c.budget.Left(),
 			})
 		}
 	}
