Tell long answers from silent connections, and refuse answers without framing

Cause: an answer that comes in one piece was cut at the limit for headers, or a silent connection held it for half of its deadline; a plain non-idempotent request lost its answer at that limit although nothing is gained by leaving it. An answer that ends with its connection could be a short one. Change: before an attempt is left in the headers phase, the engine is asked over a fresh connection whether it still works on the attempt (engineapi.AttemptPath). Non-idempotent requests are awaited until their deadline. Answers with neither a length nor chunks are failures.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -55,6 +55,7 @@
 	a.epoch = max(target.Epoch, x.d.epochs.known(target.Server))
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	a.watch = newWatch(a.cancel)
+	a.watch.extend = a.mayStillAnswer
 	a.permit = &permit{decide: a.maySend}
 	x.outcome.Attempts++
 	x.watchPreemption(a)
@@ -100,7 +101,7 @@
 // and, for a stream, for its first byte.
 func (a *attempt) send() error {
 	request := a.newRequest()
-	a.watch.arm(phaseHeaders, a.headersLimit())
+	a.watch.arm(phaseHeaders, a.x.call.Timeouts.Headers)
 	response, err := a.transport().RoundTrip(request)
 	if err != nil {
 		return a.explain(err)
@@ -110,6 +111,9 @@
 	if err := a.checkEcho(); err != nil {
 		return err
 	}
+	if err := a.checkFraming(); err != nil {
+		return err
+	}
 	if err := a.checkStatus(); err != nil {
 		return err
 	}
@@ -153,17 +157,6 @@
 	}
 }
 
-// headersLimit leaves time for a second attempt when the answer comes in one
-// piece, because a whole answer takes long even on a sound connection.
-func (a *attempt) headersLimit() time.Duration {
-	limit := a.x.call.Timeouts.Headers
-	r := a.x.call.Request
-	if r.Stream || r.Plain || r.Deadline.IsZero() {
-		return limit
-	}
-	return max(limit, time.Until(r.Deadline)/2)
-}
-
 func (a *attempt) noteEpoch() {
 	epoch, err := strconv.ParseUint(a.response.Header.Get(engineapi.EpochHeader), 10, 64)
 	if err != nil {
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -63,23 +65,35 @@
 	if plain {
 		return probeResult{reachable: reachable(ctx, target.Address)}
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+engineapi.LoadPath, nil)
+	var report engineapi.LoadReport
+	err := getJSON(ctx, target.Address, engineapi.LoadPath, &report)
 	if err != nil {
-		return probeResult{}
+		return probeResult{reachable: !errors.Is(err, syscall.ECONNREFUSED)}
+	}
+	d.epochs.note(target.Server, report.Epoch)
+	return probeResult{reachable: true, epoch: report.Epoch}
+}
+
+// getJSON asks a backend server over a fresh connection.
+func getJSON(ctx context.Context, address, path string, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
 	}
 	client := http.Transport{DisableKeepAlives: true}
 	response, err := client.RoundTrip(request)
 	if err != nil {
-		return probeResult{reachable: !errors.Is(err, syscall.ECONNREFUSED)}
+		return err
 	}
 	defer response.Body.Close()
-	var report engineapi.LoadReport
-	if json.NewDecoder(response.Body).Decode(&report) == nil {
-		d.epochs.note(target.Server, report.Epoch)
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s of %s answered status %d", path, address, response.StatusCode)
 	}
-	return probeResult{reachable: true, epoch: report.Epoch}
+	return json.NewDecoder(io.LimitReader(response.Body, maxProbeBytes)).Decode(answer)
 }
 
+const maxProbeBytes = 64 << 10
+
 func reachable(ctx context.Context, address string) bool {
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -90,6 +90,20 @@
 	return &attemptError{code: result.AnswerCrossed, cause: cause, retrySame: a.reused}
 }
 
+// checkFraming refuses an answer whose end can't be told from a broken
+// connection. A stream has its terminal event for that.
+func (a *attempt) checkFraming() error {
+	r := a.response
+	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || a.x.call.Method == http.MethodHead {
+		return nil
+	}
+	if a.x.model.stream && isStream(r) {
+		return nil
+	}
+	cause := fmt.Errorf("the answer of server %q has neither a length nor chunks", a.target.Server)
+	return &attemptError{code: result.BackendServerError, cause: cause}
+}
+
 // checkStatus decides which answers are failures of the backend server. All
 // other answers, and every answer to a non-idempotent request, are the caller's.
 func (a *attempt) checkStatus() error {
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -179,6 +180,67 @@
 	is.True(!l.failures[0].Crashed)
 }
 
+// An answer in one piece takes longer than a silent connection may; the engine
+// itself says whether it still works on it.
+func TestLongAnswerIsToldFromSilence(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, engine.Options{FirstToken: 200 * time.Millisecond})
+	d := newDispatcher(t, Options{})
+	call := func() Call {
+		c := modelCall(chatBody, engineTargets(e))
+		c.Request.Deadline = time.Now().Add(time.Minute)
+		c.Timeouts.Headers = 20 * time.Millisecond
+		return c
+	}
+	out, _ := do(t, d, call())
+	is.True(out.Err == nil)
+	is.Equal(out.Attempts, 1)
+
+	go func() {
+		for e.InFlight() == 0 {
+			runtime.Gosched()
+		}
+		e.SilenceConnections()
+	}()
+	out, _ = do(t, d, call())
+	is.True(out.Err == nil)
+	is.Equal(out.Attempts, 2)
+	is.True(out.FirstByte < 10*time.Second) // long before half of the deadline
+}
+
+// A non-idempotent request is not left before its deadline.
+func TestSlowNonIdempotentRequestIsAwaited(t *testing.T) {
+	is := is.New(t)
+	s, err := plain.Start(plain.Options{Service: "credits", Latency: 100 * time.Millisecond})
+	is.NoErr(err)
+	defer s.Close()
+	c := plainCall(plainTargets(s))
+	c.Request.Deadline = time.Now().Add(time.Minute)
+	c.Timeouts.Headers = 10 * time.Millisecond
+	out, _ := do(t, newDispatcher(t, Options{}), c)
+	is.True(out.Err == nil)
+}
+
+// An answer that ends with its connection can't be told from a broken one.
+func TestAnswerWithoutFramingIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\n"+engineapi.AttemptHeader+": "+r.Header.Get(engineapi.AttemptHeader)+"\r\n\r\n{\"half\":")
+	}))
+	defer s.Close()
+	l := &list{targets: []traffic.Target{{Server: "s", Address: s.Listener.Addr().String()}}}
+	for _, c := range []Call{plainCall(l), modelCall(chatBody, l)} {
+		out, w := do(t, newDispatcher(t, Options{}), c)
+		is.True(out.Err != nil)
+		is.Equal(w.Body.Len(), 0)
+	}
+}
+
 func TestBrokenWholeAnswerIsNotGiven(t *testing.T) {
 	is := is.New(t)
 	broken, sound := startEngine(t, engine.Options{}), startEngine(t, engine.Options{})
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -35,6 +35,9 @@
 	limit  time.Duration
 	armed  bool
 	until  time.Time
+	// extend is asked, without the lock, before an attempt is given up in the
+	// headers phase; true starts the limit anew. Nil: never.
+	extend func() bool
 }
 
 func newWatch(cancel context.CancelCauseFunc) *watch { return &watch{cancel: cancel} }
@@ -63,9 +66,34 @@
 }
 
 func (w *watch) fire() {
+	phase, expired := w.expired()
+	if !expired {
+		return // armed anew or disarmed meanwhile
+	}
+	if phase == phaseHeaders && w.extend != nil && w.extend() {
+		w.armAgain()
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.armed && !time.Now().Before(w.until) { // else armed anew meanwhile
+	if w.armed && !time.Now().Before(w.until) {
 		w.cancel(&silenceError{phase: w.phase, limit: w.limit})
 	}
 }
+
+func (w *watch) expired() (phase string, expired bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.phase, w.armed && !time.Now().Before(w.until)
+}
+
+// armAgain extends the limit if the phase still is the same.
+func (w *watch) armAgain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.armed || time.Now().Before(w.until) {
+		return
+	}
+	w.until = time.Now().Add(w.limit)
+	w.timer.Reset(w.limit)
+}
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -30,6 +30,7 @@
 	CacheEventsPath = "/engine/cache-events" // GET ?after=SEQ: CacheEvents
 	OrderPath       = "/engine/orders"       // POST: Order, answers OrderResult
 	CancelPath      = "/engine/cancel"       // POST ?attempt=ID
+	AttemptPath     = "/engine/attempts"     // GET ?attempt=ID: AttemptStatus
 )
 
 // LoadReport is an engine's view of itself; it lags.
@@ -43,6 +44,13 @@
 	ColdRemaining int     `json:"cold_remaining"`
 }
 
+// AttemptStatus tells whether an engine still works on an attempt. An engine
+// that runs it while the router hears nothing has lost the connection, or is
+// not done yet; one that does not run it will not answer any more.
+type AttemptStatus struct {
+	Running bool `json:"running"`
+}
+
 // CacheEvent tells that a prompt prefix entered or left an engine's cache.
 type CacheEvent struct {
 	Sequence uint64 `json:"sequence"`
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
@@ -43,6 +42,7 @@
 	mux.HandleFunc("GET "+engineapi.CacheEventsPath, e.serveCacheEvents)
 	mux.HandleFunc("POST "+engineapi.OrderPath, e.serveOrder)
 	mux.HandleFunc("POST "+engineapi.CancelPath, e.serveCancel)
+	mux.HandleFunc("GET "+engineapi.AttemptPath, e.serveAttempt)
 	server, err := fault.Serve(o.Address, mux)
 	if err != nil {
 		return nil, err
@@ -108,48 +108,3 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
-
-// attempts remembers the newest attempt id for crossed answers and the running
-// attempts for cancellation.
-type attempts struct {
-	mu       sync.Mutex
-	previous string
-	running  map[string]func()
-}
-
-// begin registers a running attempt and returns the id of the one before it.
-func (a *attempts) begin(id string, cancel func()) (previous string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.running == nil {
-		a.running = make(map[string]func())
-	}
-	a.running[id] = cancel
-	previous = a.previous
-	a.previous = id
-	return previous
-}
-
-func (a *attempts) end(id string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.running, id)
-}
-
-func (a *attempts) cancel(id string) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	cancel, ok := a.running[id]
-	if ok {
-		cancel()
-	}
-	return ok
-}
-
-func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
-	if !e.attempts.cancel(r.URL.Query().Get("attempt")) {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	w.WriteHeader(http.StatusNoContent)
-}
