--- /dev/null
+++ b/internal/dispatch/plain_test.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
+	"github.com/hawthornwick/hawthornwick/internal/standin/plain"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
+)
+
+// callerServer serves one call over a real connection.
+func callerServer(t *testing.T, makeCall func(r *http.Request) Call) *httptest.Server {
+	d := newDispatcher(t, Options{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		if out := d.Do(r.Context(), makeCall(r), w); out.Abort {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func TestPlainBodiesStreamBothWays(t *testing.T) {
+	is := is.New(t)
+	backend := startPlain(t)
+	s := callerServer(t, func(r *http.Request) Call {
+		c := plainCall(plainTargets(backend))
+		c.Path, c.Stream, c.ContentLength = plain.EchoPath, r.Body, -1
+		return c
+	})
+	body, feed := io.Pipe()
+	response, err := http.Post(s.URL, "text/plain", body)
+	is.NoErr(err)
+	defer response.Body.Close()
+	piece := make([]byte, 5)
+	for range 3 {
+		_, err = feed.Write([]byte("hello"))
+		is.NoErr(err)
+		_, err = io.ReadFull(response.Body, piece)
+		is.NoErr(err)
+	}
+	is.NoErr(feed.Close())
+	_, err = io.Copy(io.Discard, response.Body)
+	is.NoErr(err)
+	is.Equal(backend.TotalRuns(), 1)
+}
+
+func TestCutPlainAnswerIsCutForTheCaller(t *testing.T) {
+	for _, path := range []string{"/credit", plain.EchoPath} { // with and without a length
+		is := is.New(t)
+		backend := startPlain(t)
+		backend.Set(fault.Settings{BreakAfter: 5})
+		s := callerServer(t, func(*http.Request) Call {
+			c := plainCall(plainTargets(backend))
+			c.Path, c.Body = path, []byte("a longer body")
+			return c
+		})
+		response, err := http.Get(s.URL)
+		is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		is.True(err != nil) // never a short answer that looks whole
+		is.NoErr(response.Body.Close())
+		is.Equal(backend.TotalRuns(), 1)
+	}
+}
+
+// A streamed body can't be sent a second time, even for an idempotent request.
+func TestStreamedBodyIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	s := startPlain(t)
+	s.Set(fault.Settings{Paused: true})
+	l := plainTargets(s)
+	c := plainCall(l)
+	c.Request.Idempotent, c.Method = true, http.MethodPut
+	c.Stream, c.ContentLength = strings.NewReader("body"), -1
+	c.Timeouts.Headers = 50 * time.Millisecond
+	out, _ := do(t, newDispatcher(t, Options{}), c)
+	is.Equal(out.Err.Code, result.AttemptTimeout)
+	is.Equal(l.handed, 1)
+
+	unsent := newExchange(t.Context(), newDispatcher(t, Options{}), c, httptest.NewRecorder())
+	defer unsent.close()
+	unsent.bodyRead.Store(true) // read, but the connection broke before a write
+	err := &attemptError{code: result.ConnectFailed, cause: io.EOF}
+	is.True(unsent.mustEnd(err, &traffic.Failure{}, 1) != nil)
+}
