Add scaler and at-most-once orders to platform and engines

Cause: spending must follow demand, losing a zone of cheap servers must leave higher tiers served, and a lost reply must not order twice.

Change: internal/order holds a pure Scaler (demand by class, growth over the start-up time, split over firm and cheap servers, zone spread, hysteresis, drain before return, pacing) and an Executor that writes an intent row fenced by the duty's row, sends the order under its id after a last check of the tenure, and looks an unknown outcome up under the same id. lease.Guard gets Fence, a check of the duty's row for transactions.

--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -37,6 +37,18 @@
 	return nil
 }
 
+// Fence returns a check that fails in the table service once the duty has
+// changed hands, so that a transaction with it needs no other guard.
+func (g Guard) Fence() platform.Check {
+	g.m.mu.Lock()
+	defer g.m.mu.Unlock()
+	check := platform.Check{Key: dutyKey(g.Duty)}
+	if h, ok := g.m.core.held[g.Duty]; ok && h.token == g.Token {
+		check.Version = h.version
+	}
+	return check
+}
+
 // Context returns a context whose calls to the platform check the tenure once
 // more right before they are written.
 func (g Guard) Context(ctx context.Context) context.Context {
--- /dev/null
+++ b/internal/order/orderer.go
@@ -0,0 +1,157 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/lease"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+)
+
+// decideInterval is the time between two decisions.
+const decideInterval = 5 * time.Second
+
+// Observer gives what the scaler looks at. Draining and Open are filled in by
+// the Orderer.
+type Observer interface {
+	Observe(ctx context.Context) (Observation, error)
+}
+
+// Orderer runs the scaler and places its orders. Only the holder of Duty runs it.
+type Orderer struct {
+	options  Options
+	policy   Policy
+	observer Observer
+	executor *Executor // of the last tenure; its order ids must not start anew
+}
+
+// NewOrderer returns an orderer.
+func NewOrderer(o Options, p Policy, observer Observer) *Orderer {
+	return &Orderer{options: o.withDefaults(), policy: p, observer: observer}
+}
+
+// Work runs under the duty's lease until ctx ends; see lease.Manager.Do. It
+// first carries on what an earlier holder left open.
+func (o *Orderer) Work(ctx context.Context, g lease.Guard) error {
+	if token := uint64(g.Token); o.executor == nil || o.executor.token != token {
+		o.executor = NewExecutor(o.options, g, Duty, token)
+	}
+	return o.run(ctx, o.executor)
+}
+
+func (o *Orderer) run(ctx context.Context, e *Executor) error {
+	scaler := NewScaler(o.policy)
+	for {
+		err := o.step(ctx, e, scaler)
+		var stale *platform.StaleTokenError
+		if errors.As(err, &stale) {
+			return err
+		}
+		if err != nil {
+			o.options.Logger.Debug("orders are behind", "error", err)
+		}
+		if !sleep(ctx, decideInterval) {
+			return ctx.Err()
+		}
+	}
+}
+
+// step resolves what is open, and then decides anew.
+func (o *Orderer) step(ctx context.Context, e *Executor, s *Scaler) error {
+	if err := e.Resume(ctx); err != nil {
+		return err
+	}
+	seen, err := o.observer.Observe(ctx)
+	if err != nil {
+		return err
+	}
+	seen.Draining, err = Draining(ctx, o.options.Table)
+	if err != nil {
+		return err
+	}
+	for _, a := range s.Decide(o.options.Now(), seen) {
+		if err := o.act(ctx, e, s, a); err != nil {
+			return err
+		}
+	}
+	return o.forgetGone(ctx, e, seen)
+}
+
+// forgetGone deletes the drain rows of servers that no longer exist.
+func (o *Orderer) forgetGone(ctx context.Context, e *Executor, seen Observation) error {
+	listed := make(map[string]bool, len(seen.Servers))
+	for _, server := range seen.Servers {
+		listed[server.Name] = true
+	}
+	for name := range seen.Draining {
+		if listed[name] {
+			continue
+		}
+		if err := e.commit(ctx, platform.Write{Key: drainKey(name), Delete: true}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// act carries one action out.
+func (o *Orderer) act(ctx context.Context, e *Executor, s *Scaler, a Action) error {
+	switch a.Kind {
+	case Start:
+		out, err := e.Place(ctx, platform.Order{Kind: platform.OrderStart, Model: a.Model, Zone: a.Zone, Cheap: a.Cheap})
+		if err == nil && !out.Accepted {
+			o.options.Logger.Warn("start was not accepted", "order", out.ID, "zone", a.Zone, "reason", out.Reason)
+			s.Refused(o.options.Now(), a.Zone)
+		}
+		return err
+	case Drain:
+		write, err := writeOf(drainKey(a.Server), drainRow{Since: o.options.Now()})
+		if err != nil {
+			return err
+		}
+		return e.commit(ctx, write)
+	case Undrain:
+		return e.commit(ctx, platform.Write{Key: drainKey(a.Server), Delete: true})
+	case Return:
+		_, err := e.Place(ctx, platform.Order{Kind: platform.OrderReturn, Model: a.Model, Server: a.Server})
+		return err
+	}
+	return nil
+}
+
+// Draining returns the servers that take no new work, and since when.
+func Draining(ctx context.Context, table platform.Table) (map[string]time.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	draining := make(map[string]time.Time)
+	for after := ""; ; {
+		rows, err := table.List(ctx, drainPrefix, after, rowsPerPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			value, err := decodeRow[drainRow](row)
+			if err != nil {
+				return nil, err
+			}
+			draining[row.Key[len(drainPrefix):]] = value.Since
+			after = row.Key
+		}
+		if len(rows) < rowsPerPage {
+			return draining, nil
+		}
+	}
+}
+
+// sleep returns false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
