faultmatrix: run the faults of the scaler and its orders

The lease cells now run the real orderer: intent, order and outcome. Pairs of faults cover all three steps.

--- a/internal/faultmatrix/fleet_test.go
+++ b/internal/faultmatrix/fleet_test.go
@@ -403,7 +403,7 @@
 func stepOf(txn platform.Txn) Step {
 	i := slices.IndexFunc(txn.Writes, func(w platform.Write) bool { return !w.Delete })
 	if i < 0 {
-		return ""
+		return stepOfDelete(txn)
 	}
 	w := txn.Writes[i]
 	for _, s := range stepsOfRows {
@@ -413,3 +413,11 @@
 	}
 	return ""
 }
+
+// stepOfDelete tells the step of a transaction that only deletes rows.
+func stepOfDelete(txn platform.Txn) Step {
+	if len(txn.Writes) > 0 && strings.HasPrefix(txn.Writes[0].Key, "order/intent/") {
+		return OrderOutcome
+	}
+	return ""
+}
--- a/internal/faultmatrix/lease_test.go
+++ b/internal/faultmatrix/lease_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/lease"
+	"github.com/hawthornwick/hawthornwick/internal/order"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
-	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
 // stepsOfRows tells steps by the rows that a transaction writes.
@@ -18,42 +17,67 @@
 	{"lease/alive/", "", LeaseRenew},
 	{"lease/duty/", `"instance":""`, LeaseRelease},
 	{"lease/duty/", "", LeaseAcquire},
+	{"order/intent/", "", OrderIntent},
 	{"config/", "", ConfigCommit},
 	{"usage/frontier", "", UsageFreeze},
 }
 
 var zoneNames = []string{"zone-a", "zone-b"}
 
-const duty = "orders"
+// demandPeriod is the time between two changes of the demand, so that servers
+// are ordered again and again.
+const demandPeriod = 20 * time.Second
 
-func launchLease(ctx context.Context, n *node) {
+// launchOrders runs the scaler under the lease of its duty.
+func launchOrders(ctx context.Context, n *node) {
 	r := n.recorder()
 	m := lease.NewManager(lease.Options{
-		Instance: n.name, Table: n.table(), Duties: []string{duty}, Recorder: r,
+		Instance: n.name, Table: n.table(), Duties: []string{order.Duty}, Recorder: r,
 		Members: func() []string { return []string{"i0", "i1", "i2"} },
 	})
-	m.Do(duty, func(ctx context.Context, g lease.Guard) error { return n.placeOrders(ctx, g, r) })
+	policy := order.Policy{LowTime: time.Second, DrainTime: time.Second}
+	orderer := order.NewOrderer(order.Options{
+		Table: n.table(), Servers: servers{n.f.platform.Caller(n.name).Servers(), n}, Recorder: r,
+	}, policy, observer{n})
+	m.Do(order.Duty, orderer.Work)
 	_ = m.Run(ctx)
 }
 
-// placeOrders places an order every two seconds while the duty is held.
-func (n *node) placeOrders(ctx context.Context, g lease.Guard, r timeline.Recorder) error {
-	for i := 0; ctx.Err() == nil; i++ {
-		o := platform.Order{
-			ID: fmt.Sprintf("%s-%d-%d", n.name, g.Token, i), Duty: duty, Token: uint64(g.Token),
-			Kind: platform.OrderStart, Zone: zoneNames[i%2], Model: "m",
-		}
-		if err := g.Check(); err != nil {
-			return err
-		}
-		_, _ = call(g.Context(ctx), n, OrderSend, func(ctx context.Context) (platform.OrderOutcome, error) {
-			if err := g.Check(); err != nil {
-				return platform.OrderOutcome{}, err
-			}
-			r.Record(timeline.Event{Kind: timeline.OrderSent, Order: o.ID, Duty: o.Duty, Token: o.Token, Zone: o.Zone})
-			return n.f.platform.Caller(n.name).Servers().Place(ctx, o)
-		})
-		time.Sleep(2 * time.Second)
+// observer shows a demand that rises and falls.
+type observer struct{ n *node }
+
+// Observe implements order.Observer.
+func (o observer) Observe(context.Context) (order.Observation, error) {
+	queued := 20 + 20*int(time.Now().Unix()/int64(demandPeriod.Seconds())%4)
+	seen := order.Observation{
+		Models: []order.Model{{
+			Name: "m", MinServers: 1, MaxServers: 100, Slots: 4, StartTime: time.Second,
+			Demands: []order.Demand{{Class: "c", Tier: 1, Queued: queued, Attainment: -1}},
+		}},
+		Servers: o.n.f.platform.ServerList(),
+		Busy:    make(map[string]int),
+	}
+	for _, name := range zoneNames {
+		seen.Zones = append(seen.Zones, order.Zone{Name: name})
+	}
+	for _, s := range seen.Servers {
+		seen.Busy[s.Name] = 0
 	}
-	return nil
+	return seen, nil
+}
+
+// servers is the interface for orders as one instance reaches it.
+type servers struct {
+	platform.Servers
+	n *node
+}
+
+// Place implements platform.Servers.
+func (s servers) Place(ctx context.Context, o platform.Order) (platform.OrderOutcome, error) {
+	return call(ctx, s.n, OrderSend, func(ctx context.Context) (platform.OrderOutcome, error) { return s.Servers.Place(ctx, o) })
+}
+
+// Lookup implements platform.Servers.
+func (s servers) Lookup(ctx context.Context, id string) (platform.OrderOutcome, error) {
+	return call(ctx, s.n, "", func(ctx context.Context) (platform.OrderOutcome, error) { return s.Servers.Lookup(ctx, id) })
 }
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -15,7 +15,7 @@
 
 var scenarios = map[string]func(t *testing.T, c Cell){
 	scenarioPath:   runPath,
-	scenarioLease:  func(t *testing.T, c Cell) { runFleet(t, c, launchLease) },
+	scenarioLease:  func(t *testing.T, c Cell) { runFleet(t, c, launchOrders) },
 	scenarioConfig: func(t *testing.T, c Cell) { runFleet(t, c, launchConfig) },
 	scenarioUsage:  runUsage,
 }
--- a/internal/faultmatrix/rules_duties.go
+++ b/internal/faultmatrix/rules_duties.go
@@ -19,8 +19,6 @@
 var rulesDuties = []rule{
 	{steps: leaseSteps, faults: slicesOf(processFaults, append(storeFaults, LeaseLapse)...), scenario: scenarioLease,
 		sees: "the duty pauses until its lease is renewed or taken over; never two holders act"},
-	{steps: []Step{OrderIntent, OrderOutcome}, faults: slicesOf(processFaults, append(storeFaults, LeaseLapse, ZoneOut, Reclaim)...),
-		sees: "an order is late; none is placed twice or by a former holder", missing: "no scenario drives the scaler yet"},
 	{steps: orderSteps, faults: slicesOf(processFaults, append(storeFaults, LeaseLapse, ZoneOut, Reclaim)...), scenario: scenarioLease,
 		sees: "an order is late; none is placed twice or by a former holder"},
 	{steps: usageSteps, faults: slicesOf(processFaults, append(storeFaults, LeaseLapse)...), scenario: scenarioUsage,
@@ -45,7 +43,7 @@
 	{steps: ledgerSteps, faults: []Fault{InstanceCrash, LostReply, Duplicate, StoreDown, StoreSlow, ServerCrash, KeyWithdrawn}, scenario: scenarioPath,
 		sees:  "an answer or a refusal; at most one run",
 		codes: []result.Code{result.KeyWithdrawn, result.StreamKeyLapsed, result.OutcomeUnknown, result.AlreadyRunning, result.WillNotRunAgain, result.LedgerUnavailable}},
-	{steps: []Step{LeaseRenew, OrderSend}, faults: moneyFaults, scenario: scenarioLease,
+	{steps: []Step{LeaseRenew, OrderIntent, OrderSend, OrderOutcome}, faults: moneyFaults, scenario: scenarioLease,
 		sees: "an order is late; none is placed twice or by a former holder"},
 	{steps: usageSteps, faults: moneyFaults, scenario: scenarioUsage,
 		sees: "a report is late; its figures never change"},
