--- a/internal/faultmatrix/acts_test.go
+++ b/internal/faultmatrix/acts_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,6 +12,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/demo"
 	"github.com/hawthornwick/hawthornwick/internal/invariant"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -74,3 +78,27 @@
 		t.Error(v)
 	}
 }
+
+// TestWithdrawnKeyEndsLongStreams withdraws a key while streams of it run that
+// would last for several seconds more.
+func TestWithdrawnKeyEndsLongStreams(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	d, err := demo.Start(context.Background(), demo.Options{Out: io.Discard, AnswerTokens: 800})
+	is.NoErr(err)
+	s := &site{t: t, demo: d}
+	var streams sync.WaitGroup
+	for n := range 4 {
+		streams.Go(func() { s.sendAs(n%2, otherOrganisation, chatProbe) })
+	}
+	time.Sleep(time.Second) // the streams run
+	_, err = d.Editor(1).WithdrawKey(context.Background(), config.DigestKey(d.Description.Keys[otherOrganisation]))
+	is.NoErr(err)
+	streams.Wait()
+	is.NoErr(d.Close())
+	events := s.events()
+	is.True(slices.ContainsFunc(events, func(e timeline.Event) bool { return e.Kind == timeline.RequestFailed }))
+	for _, v := range invariant.Check(events, invariant.Options{Complete: true}) {
+		t.Error(v)
+	}
+}
