Order backend servers by demand of all instances

Cause: the scaler had no view of demand, so nothing was ordered. Change: each instance answers the duty's holder with its queued and running work by model and class, its recent attainment and its work per server; the holder sums them with the configuration and the platform's list. Prices by availability zone and the start time of a model are in the configuration. Draining servers get no new work. Ruled out: deciding without the instances that do not answer (it would return capacity while demand is unknown).

--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -39,6 +39,7 @@
 	for i := range c.Models {
 		yamlfault.SetDefault(&c.Models[i].ColdLimit, DefaultColdLimit)
 		yamlfault.SetDefault(&c.Models[i].WarmLimit, DefaultWarmLimit)
+		yamlfault.SetDefault(&c.Models[i].StartTime, Duration(DefaultStartTime))
 	}
 	for i := range c.Services {
 		setServiceDefaults(&c.Services[i])
--- a/internal/config/model.go
+++ b/internal/config/model.go
@@ -78,6 +78,9 @@
 	// scaling when MaxServers is zero.
 	MinServers int `yaml:"min-servers"`
 	MaxServers int `yaml:"max-servers"`
+	// StartTime is how long a server takes from its order until it is warm.
+	// Default 2m; zero means the default.
+	StartTime Duration `yaml:"start-time"`
 }
 
 // Service is one of the operators' services.
@@ -119,6 +122,11 @@
 	Name string `yaml:"name"`
 	// Region groups zones. Default "": one region.
 	Region string `yaml:"region"`
+	// Price is what a server costs per hour, in any one currency. Default 0:
+	// prices do not matter.
+	Price float64 `yaml:"price"`
+	// CheapPrice is what a cheap server costs per hour. Default 0.
+	CheapPrice float64 `yaml:"cheap-price"`
 }
 
 // Defaults of optional fields.
@@ -127,6 +135,7 @@
 	DefaultRetryBudget = 0.1
 	DefaultColdLimit   = 1
 	DefaultWarmLimit   = 32
+	DefaultStartTime   = 2 * time.Minute
 	DefaultLimit       = 64
 	// MinimumFloor is the floor of a class that states none, as a share of dispatches.
 	MinimumFloor = 0.01
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -65,6 +65,8 @@
 	for i, z := range v.config.Zones {
 		v.define(v.zones, field("zones", i), z.Name, "")
 		v.region(field("zones", i)+".region", z.Region)
+		v.price(field("zones", i)+".price", z.Price)
+		v.price(field("zones", i)+".cheap-price", z.CheapPrice)
 	}
 	v.required("organisations", len(v.config.Organisations))
 	v.required("classes", len(v.config.Classes))
@@ -77,6 +79,12 @@
 	}
 }
 
+func (v *validator) price(path string, price float64) {
+	if !(price >= 0) || math.IsInf(price, 0) {
+		v.doc.FaultOnce(path, "%v is not a price of 0 or more", price)
+	}
+}
+
 func (v *validator) required(list string, length int) {
 	if length == 0 {
 		v.doc.FaultOnce(list, "at least one is required")
--- a/internal/demo/backends.go
+++ b/internal/demo/backends.go
@@ -5,9 +5,12 @@
 	"crypto/rand"
 	_ "embed"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
@@ -23,9 +26,14 @@
 var configurationText string
 
 const (
-	firstToken  = 40 * time.Millisecond
-	engineSlots = 64
-	loopback    = "127.0.0.1:0"
+	firstToken = 40 * time.Millisecond
+	// serverStartTime and weightBytes make an ordered server start within seconds.
+	serverStartTime = 500 * time.Millisecond
+	weightBytes     = 64 << 20
+	// orderedColdLimit is what a freshly started engine bears.
+	orderedColdLimit = 2
+	engineSlots      = 64
+	loopback         = "127.0.0.1:0"
 )
 
 // Backends are the stand-ins of a demo.
@@ -40,6 +48,9 @@
 	Endpoint string
 
 	server *http.Server
+
+	mu      sync.Mutex
+	ordered map[string]*engine.Engine // by name; started by the platform's orders
 }
 
 // engineSpecs are the engines: two zones, one cheap engine per model.
@@ -61,8 +72,14 @@
 // StartBackends starts the stand-ins. Close ends them.
 func StartBackends(o Options) (*Backends, error) {
 	o = o.withDefaults()
-	b := &Backends{Timeline: timeline.NewRing("stand-ins", 0, nil)}
-	b.Platform = standin.New(standin.Options{Recorder: b.Timeline})
+	b := &Backends{Timeline: timeline.NewRing("stand-ins", 0, nil), ordered: make(map[string]*engine.Engine)}
+	b.Platform = standin.New(standin.Options{
+		Recorder:    b.Timeline,
+		StartTime:   serverStartTime,
+		WeightBytes: weightBytes,
+		StartServer: func(order platform.Order, name string) (string, error) { return b.startOrdered(o, order, name) },
+		StopServer:  b.stopOrdered,
+	})
 	if err := b.servePlatform(); err != nil {
 		return nil, err
 	}
@@ -107,6 +124,33 @@
 	return nil
 }
 
+// startOrdered starts an engine that the router ordered.
+func (b *Backends) startOrdered(o Options, order platform.Order, name string) (string, error) {
+	e, err := engine.Start(engine.Options{
+		Name: name, Zone: order.Zone, Model: order.Model, ColdLimit: orderedColdLimit, Slots: engineSlots,
+		FirstToken: firstToken, BetweenTokens: o.BetweenTokens, AnswerTokens: o.AnswerTokens,
+		Recorder: b.Timeline,
+	})
+	if err != nil {
+		return "", err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ordered[name] = e
+	return e.Address(), nil
+}
+
+// stopOrdered ends an engine that the router returned or the platform reclaimed.
+func (b *Backends) stopOrdered(name string) {
+	b.mu.Lock()
+	e := b.ordered[name]
+	delete(b.ordered, name)
+	b.mu.Unlock()
+	if e != nil {
+		_ = e.Close()
+	}
+}
+
 func (b *Backends) startPlain() error {
 	for _, service := range plainServices {
 		for _, zone := range zones {
@@ -178,4 +222,10 @@
 	}
 	_ = b.server.Close()
 	b.Platform.Close()
+	b.mu.Lock()
+	names := slices.Collect(maps.Keys(b.ordered))
+	b.mu.Unlock()
+	for _, name := range names {
+		b.stopOrdered(name)
+	}
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -142,6 +142,9 @@
 	}
 	e.Message = x.secret.redact(e.Message)
 	e.RetryAfter = x.server.retryAfter(e)
+	if x.req != nil {
+		x.missed(e.Code)
+	}
 	x.server.count(e)
 	x.received()
 	x.record(timeline.Event{Kind: kind, Code: e.Code, NotRun: e.NotRun(), Detail: e.Message})
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -225,7 +225,7 @@
 	e.server = New(Options{
 		Source: e.source, Scheduler: e.scheduler, Dispatcher: dispatcher,
 		Ledger:     ledger.New(caller.Table(), caller.Objects(), ledger.Options{Recorder: e.ring}),
-		Quarantine: noQuarantine{}, Meter: noMeter{}, Recorder: e.ring, Logger: logger,
+		Quarantine: noQuarantine{}, Meter: noMeter{}, Outcomes: noOutcomes{}, Recorder: e.ring, Logger: logger,
 		Limits: Limits{BodyBytes: o.bodyBytes, BodyTimeout: o.bodyTimeout, WriteTimeout: o.bodyTimeout},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -361,3 +361,7 @@
 const chat = `{"model":"m","messages":[{"role":"user","content":"hi"}]}`
 
 const streamedChat = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]}`
+
+type noOutcomes struct{}
+
+func (noOutcomes) Ended(time.Time, string, string, bool) {}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -122,6 +123,7 @@
 func (x *exchange) answered(out dispatch.Outcome) {
 	took := time.Since(x.arrived)
 	x.server.answered.Add(1)
+	x.ended(inTime(x.req.Class, out.FirstByte))
 	x.record(timeline.Event{
 		Kind: timeline.RequestAnswered, Count: out.Events, Server: out.Server,
 		Attempt: out.Attempt, Duration: out.FirstByte,
@@ -139,3 +141,23 @@
 	x.server.metrics.tokens(x.req.Class.Name, out.Usage.InputTokens, out.Usage.OutputTokens)
 	x.server.o.Meter.Add(x.id, x.req.Organisation, x.req.Class.Name, x.req.Pool, out.Usage.InputTokens, out.Usage.OutputTokens)
 }
+
+// inTime reports whether the first byte met the class's target.
+func inTime(class *config.Class, firstByte time.Duration) bool {
+	return class.FirstToken == 0 || firstByte <= time.Duration(class.FirstToken)
+}
+
+// ended counts the outcome of a request to a model.
+func (x *exchange) ended(inTime bool) {
+	if !x.req.Plain {
+		x.server.o.Outcomes.Ended(time.Now(), x.req.Pool, x.req.Class.Name, inTime)
+	}
+}
+
+// missed counts a refusal that more capacity would have avoided.
+func (x *exchange) missed(code result.Code) {
+	switch code {
+	case result.Shed, result.DeadlineHopeless, result.QueueTimeout, result.Preempted, result.NoBackendServer:
+		x.ended(false)
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,6 +35,12 @@
 	Add(request, organisation, class, model string, inputTokens, outputTokens int64) bool
 }
 
+// Outcomes counts how requests to models ended, for the scaler.
+type Outcomes interface {
+	// Ended counts one request; inTime says whether it met its class's target.
+	Ended(now time.Time, model, class string, inTime bool)
+}
+
 // Options are what a Server needs. Every field is required.
 type Options struct {
 	Source     config.Source
@@ -43,6 +49,7 @@
 	Ledger     *ledger.Ledger
 	Quarantine Quarantine
 	Meter      Meter
+	Outcomes   Outcomes
 	Recorder   timeline.Recorder
 	Logger     hclog.Logger
 	Limits     Limits
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/confsync"
+	"github.com/hawthornwick/hawthornwick/internal/demand"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
 	"github.com/hawthornwick/hawthornwick/internal/lease"
@@ -62,6 +63,8 @@
 	operators        *http.Server
 	operatorListener net.Listener
 	fleet            *fleet
+	backends         *backends
+	recent           *demand.Recent
 	engines          *engineWatch
 
 	leaving   atomic.Bool
@@ -125,6 +128,7 @@
 	running.Go(func() { i.followConfig(ctx) })
 	running.Go(func() { every(ctx, engineWatchInterval, i.engines.poll) })
 	running.Go(func() { i.syncQuarantine(ctx) })
+	running.Go(func() { every(ctx, drainingInterval, i.pollDraining) })
 	running.Go(func() { every(ctx, freshnessInterval, i.checkFreshness) })
 }
 
@@ -213,3 +217,11 @@
 
 // Editor returns the instance's access to the operators' configuration.
 func (i *Instance) Editor() config.Editor { return i.store }
+
+// ConfigVersion returns the configuration version in force, 0 before the first.
+func (i *Instance) ConfigVersion() uint64 {
+	if snap := i.store.Current(); snap != nil {
+		return snap.Version
+	}
+	return 0
+}
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -6,6 +6,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/member"
+	"github.com/hawthornwick/hawthornwick/internal/order"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/usage"
 )
@@ -27,7 +28,7 @@
 	i.leases = lease.NewManager(lease.Options{
 		Instance: i.settings.Instance,
 		Table:    i.platform.Table(),
-		Duties:   []string{usage.Duty},
+		Duties:   []string{usage.Duty, order.Duty},
 		Members:  i.candidateNames,
 		Recorder: i.ring,
 		Logger:   i.logger.Named("lease"),
--- a/internal/instance/provision.go
+++ b/internal/instance/provision.go
@@ -26,6 +26,7 @@
 	i.provisionMembers()
 	i.provisionStore()
 	i.provisionUsage()
+	i.provisionOrders()
 	i.provisionQuarantine()
 	i.provisionRequestPath()
 	i.provisionFleet()
@@ -84,6 +85,7 @@
 		Ledger:     i.ledger,
 		Quarantine: i.quarantine,
 		Meter:      i.meter,
+		Outcomes:   i.recent,
 		Recorder:   i.ring,
 		Logger:     i.logger.Named("entry"),
 		Seed:       uint64(i.started.UnixNano()),
@@ -98,6 +100,7 @@
 
 func (i *Instance) provisionFleet() {
 	i.engines = newEngineWatch(i.scheduler)
+	i.backends = &backends{publish: i.setServers}
 	i.fleet = &fleet{
 		servers:     i.platform.Servers(),
 		instances:   i.platform.Instances(),
@@ -105,7 +108,7 @@
 		logger:      i.logger.Named("fleet"),
 		timeout:     time.Duration(i.settings.Platform.Timeout),
 		self:        i.self,
-		onServers:   i.setServers,
+		onServers:   i.backends.setListed,
 		onInstances: i.setInstances,
 	}
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -28,6 +28,7 @@
 	KindUsage         Kind = 17 // opaque: replicated usage
 	KindLoadDigest    Kind = 18 // opaque: load of backend servers
 	KindColdSlots     Kind = 19 // opaque: slots of backend servers in cold start
+	KindDemand        Kind = 21 // opaque: what an instance asks of each model
 	KindServerSuspect Kind = 20 // opaque: backend servers that were seen to fail
 )
 
