--- a/internal/order/executor.go
+++ b/internal/order/executor.go
@@ -27,9 +27,11 @@
 	Fence() platform.Check
 }
 
-// Engines sends orders to engines.
+// Engines reaches engines at their addresses.
 type Engines interface {
 	Order(ctx context.Context, address string, o engineapi.Order) (engineapi.OrderResult, error)
+	// Load reads what the engine runs and has waiting.
+	Load(ctx context.Context, address string) (engineapi.LoadReport, error)
 }
 
 // Options configure an Executor and an Orderer.
--- a/internal/order/executor_test.go
+++ b/internal/order/executor_test.go
@@ -237,15 +237,15 @@
 	is.Equal(p.Orders(), 1) // the one server that the demand needs
 }
 
-// engine is an engine that refuses or ignores old fencing tokens.
-type engine struct {
+// fakeEngine is an engine that refuses or ignores old fencing tokens.
+type fakeEngine struct {
 	fences bool
 	seen   uint64
 	loads  int
 }
 
 // Order implements Engines.
-func (e *engine) Order(_ context.Context, _ string, o engineapi.Order) (engineapi.OrderResult, error) {
+func (e *fakeEngine) Order(_ context.Context, _ string, o engineapi.Order) (engineapi.OrderResult, error) {
 	if e.fences && o.Token < e.seen {
 		return engineapi.OrderResult{ID: o.ID, Seen: e.seen}, nil
 	}
@@ -256,11 +256,16 @@
 	return engineapi.OrderResult{ID: o.ID, Accepted: true, Seen: e.seen}, nil
 }
 
+// Load implements Engines.
+func (e *fakeEngine) Load(context.Context, string) (engineapi.LoadReport, error) {
+	return engineapi.LoadReport{}, platform.ErrUnavailable
+}
+
 func TestEngineThatFencesRefusesAnOldToken(t *testing.T) {
 	is := is.New(t)
 	c := standin.New(standin.Options{}).Caller("a")
 	g := &tenure{current: func() bool { return true }}
-	server := &engine{fences: true}
+	server := &fakeEngine{fences: true}
 	o := Options{Table: c.Table(), Servers: c.Servers(), Engines: server}
 	load := EngineOrder{Server: "s", Order: engineapi.Order{Kind: engineapi.LoadModel, Model: "m"}}
 	_, err := NewExecutor(o, g, Duty, 2).OrderEngine(t.Context(), load)
--- a/internal/order/orderer.go
+++ b/internal/order/orderer.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 )
 
-// decideInterval is the time between two decisions.
-const decideInterval = 5 * time.Second
+const (
+	decideInterval  = 5 * time.Second // between two decisions
+	loadReadsAtOnce = 16              // engines asked for their load at a time
+)
 
 // Observer gives what the scaler looks at. Draining and Open are filled in by
 // the Orderer.
@@ -70,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	o.readBusy(ctx, &seen)
 	for _, a := range s.Decide(o.options.Now(), seen) {
 		if err := o.act(ctx, e, s, a); err != nil {
 			return err
@@ -78,6 +85,40 @@
 	return o.forgetGone(ctx, e, seen)
 }
 
+// readBusy asks the draining servers for their load; one that gives no answer
+// is of unknown load.
+func (o *Orderer) readBusy(ctx context.Context, seen *Observation) {
+	if o.options.Engines == nil {
+		return
+	}
+	busy := maps.Clone(seen.Busy)
+	if busy == nil {
+		busy = make(map[string]int)
+	}
+	var mu sync.Mutex
+	var reads errgroup.Group
+	reads.SetLimit(loadReadsAtOnce)
+	for _, server := range seen.Servers {
+		if _, draining := seen.Draining[server.Name]; !draining {
+			continue
+		}
+		mu.Lock()
+		delete(busy, server.Name)
+		mu.Unlock()
+		reads.Go(func() error {
+			load, err := o.options.Engines.Load(ctx, server.Address)
+			if err == nil {
+				mu.Lock()
+				busy[server.Name] = load.Running + load.Waiting
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	_ = reads.Wait()
+	seen.Busy = busy
+}
+
 // forgetGone deletes the drain rows of servers that no longer exist.
 func (o *Orderer) forgetGone(ctx context.Context, e *Executor, seen Observation) error {
 	listed := make(map[string]bool, len(seen.Servers))
--- a/internal/platform/httpapi/client.go
+++ b/internal/platform/httpapi/client.go
@@ -42,6 +42,9 @@
 	InstancesEndpoint string
 	// Timeout bounds one call. Zero: DefaultTimeout.
 	Timeout time.Duration
+	// AnswerOnConflict takes the body of status 409 as an answer, as engines
+	// send it. Default false: it is an ErrorAnswer.
+	AnswerOnConflict bool
 }
 
 // Client calls the platform. It is safe for concurrent use.
@@ -96,20 +99,31 @@
 
 // Register announces this instance or renews its registration.
 func (c *Client) Register(ctx context.Context, in platform.Instance) error {
-	_, err := post[platform.Instance, Empty](ctx, c, c.options.InstancesEndpoint+RegisterPath, in)
+	_, err := Post[platform.Instance, Empty](ctx, c, c.options.InstancesEndpoint+RegisterPath, in)
 	return err
 }
 
-// post makes one call. Whatever leaves the effect unknown is ErrUnavailable.
-func post[Q, A any](ctx context.Context, c *Client, url string, query Q) (A, error) {
-	var answer A
+// Post makes one call. Whatever leaves the effect unknown is ErrUnavailable; a
+// check that the context carries runs right before the body is written.
+func Post[Q, A any](ctx context.Context, c *Client, url string, query Q) (A, error) {
 	body, err := json.Marshal(query)
 	if err != nil {
-		return answer, fmt.Errorf("encode the call of %s: %w", url, err)
+		var none A
+		return none, fmt.Errorf("encode the call of %s: %w", url, err)
 	}
+	return call[A](ctx, c, http.MethodPost, url, body)
+}
+
+// Get reads an answer.
+func Get[A any](ctx context.Context, c *Client, url string) (A, error) {
+	return call[A](ctx, c, http.MethodGet, url, nil)
+}
+
+func call[A any](ctx context.Context, c *Client, method, url string, body []byte) (A, error) {
+	var answer A
 	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
-	data, err := c.roundTrip(ctx, url, body)
+	data, err := c.roundTrip(ctx, method, url, body)
 	if err != nil {
 		return answer, err
 	}
@@ -121,13 +135,16 @@
 
 // roundTrip returns the body of a successful answer. After a failure the idle
 // connections are dropped, since others to the same endpoint may be silent too.
-func (c *Client) roundTrip(ctx context.Context, url string, body []byte) ([]byte, error) {
+func (c *Client) roundTrip(ctx context.Context, method, url string, body []byte) ([]byte, error) {
 	checked := &checkedBody{ctx: ctx, body: bytes.NewReader(body)}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, checked)
+	request, err := http.NewRequestWithContext(ctx, method, url, checked)
 	if err != nil {
 		return nil, fmt.Errorf("call of %q: %w", url, err)
 	}
 	request.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		request.Body = http.NoBody
+	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(CallerHeader, c.options.Caller)
 	response, err := c.http.Do(request)
@@ -139,7 +156,8 @@
 		return nil, fmt.Errorf("%w: %v", platform.ErrUnavailable, err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
+	answered := c.options.AnswerOnConflict && response.StatusCode == http.StatusConflict
+	if response.StatusCode != http.StatusOK && !answered {
 		return nil, readError(response, url)
 	}
 	data, err := readBounded(response.Body, maxAnswerBytes)
