Measure admission and routing under load in synthetic time

loadexp drives placement with fake engines that batch, cache prefixes and report late; seven classes, unknown answer lengths, one zone slowed twofold, four instances. It showed, and this change mends: - answers cut at the deadline were missing from the predicted run time, so that doomed work was started; they now count as longer ones; - the wait of a backlogged class was predicted from the difference of two large rates; its own rate is used; - charging one long answer at once stopped small organisations; a slow average per organisation is charged instead; - answers of classes without a target raised the limit of a slowed server; the strictest target of the pool's recent classes judges all; - the price of load was too small against prefix affinity; - a brown-out of most servers made all suspect; a pool that fails as a whole now stays in use, but for servers that cannot be reached.

--- a/internal/admission/class.go
+++ b/internal/admission/class.go
@@ -85,7 +85,7 @@
 	t := e.tenant
 	if t != nil {
 		c.now = max(c.now, t.start)
-		t.start += e.Cost / t.weight
+		t.start += t.charge(e)
 		c.end = max(c.end, t.start)
 	}
 	c.remove(e)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -244,19 +244,18 @@
 	return best
 }
 
-// Correct charges an organisation for what a request used beyond its expected
-// cost; a negative difference gives back.
-func (q *Queue[T]) Correct(className, organisation string, difference float64) {
+// Learn takes what a request of the organisation used beyond its Cost; negative
+// when it used less. Later requests of the organisation are charged accordingly.
+// One unusual request changes little: what it used cannot be known before it
+// starts, and charging it at once would stop a small organisation for long.
+func (q *Queue[T]) Learn(className, organisation string, beyond float64) {
 	c := q.byName[className]
 	if c == nil {
 		return
 	}
-	t := c.tenants[organisation]
-	if t == nil {
-		return
+	if t := c.tenants[organisation]; t != nil {
+		t.surcharge += surchargeWeight * (beyond - t.surcharge)
 	}
-	t.start = max(t.start+difference/t.weight, 0)
-	c.fix(t)
 }
 
 // Each calls f for every waiting entry. f must not change the queue.
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -6,7 +6,7 @@
 )
 
 // rateSpan is the time over which a Rate averages.
-const rateSpan = 5 * time.Second
+const rateSpan = 15 * time.Second
 
 // Rate counts events per second, recent ones more. The zero Rate is 0.
 type Rate struct {
--- a/internal/admission/tenant.go
+++ b/internal/admission/tenant.go
@@ -9,11 +9,25 @@
 	// start is the virtual time at which the oldest entry starts: service
 	// received divided by weight.
 	start float64
+	// surcharge is what its requests usually use beyond their costs.
+	surcharge float64
 	// Positions in the class's heaps; -1 when nothing waits.
 	startIndex, tailIndex int
 	listed                bool // in the class's list of idle tenants
 }
 
+const (
+	// surchargeWeight is the weight of a new request in an organisation's surcharge.
+	surchargeWeight = 0.01
+	// leastCharge is the smallest part of a request's cost that is charged.
+	leastCharge = 0.1
+)
+
+// charge is the virtual time that an entry takes from its organisation.
+func (t *tenant[T]) charge(e *Entry[T]) float64 {
+	return max(e.Cost+t.surcharge, leastCharge*e.Cost) / t.weight
+}
+
 // tail is the virtual time at which the newest entry would end: how far the
 // organisation is over its share if everything it asked for ran.
 func (t *tenant[T]) tail() float64 { return t.start + t.cost/t.weight }
--- /dev/null
+++ b/internal/loadexp/workload.go
@@ -0,0 +1,147 @@
+package loadexp
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+)
+
+// classLoad is one class and what its requests look like.
+type classLoad struct {
+	spec   config.Class
+	share  float64 // of all requests
+	input  int     // mean prompt tokens
+	output float64 // median answer tokens
+	spread float64 // sigma of the log-normal answer length
+}
+
+const (
+	// answerShare is the part of a class's deadline that its longest answer takes
+	// at slowestToken.
+	answerShare  = 0.8
+	slowestToken = 53 * time.Millisecond
+	// largeOrganisations send largeShare of each class's requests.
+	organisations      = 10
+	largeOrganisations = 3
+	largeShare         = 0.7
+	// templates is the number of shared prompt beginnings per class.
+	templates = 6
+	// prefixBlocks is the number of prompt blocks that a template covers, of
+	// promptBlocks.
+	prefixBlocks = 5
+	promptBlocks = 8
+	// inputWork is the work of a prompt token in answer tokens.
+	inputWork = 0.02
+	modelName = "m"
+)
+
+func seconds(s float64) config.Duration { return config.Duration(s * float64(time.Second)) }
+
+// classLoads returns seven classes, one a tier.
+func classLoads() []classLoad {
+	token := seconds(0.053)
+	return []classLoad{
+		{config.Class{Name: "status", Tier: 1, Floor: 0.05, FirstToken: seconds(0.91), BetweenTokens: token, Deadline: seconds(20)}, 0.10, 300, 20, 0.5},
+		{config.Class{Name: "label", Tier: 2, Floor: 0.05, FirstToken: seconds(1.5), BetweenTokens: token, Deadline: seconds(30)}, 0.10, 500, 40, 0.7},
+		{config.Class{Name: "summary", Tier: 3, Floor: 0.05, FirstToken: seconds(3), Deadline: seconds(60)}, 0.20, 4000, 120, 1},
+		{config.Class{Name: "letter", Tier: 4, Floor: 0.04, FirstToken: seconds(5), Deadline: seconds(60)}, 0.15, 1500, 150, 1},
+		{config.Class{Name: "draft", Tier: 5, Floor: 0.03, FirstToken: seconds(10), Deadline: seconds(90), Cheap: true}, 0.20, 2500, 200, 1.2},
+		{config.Class{Name: "report", Tier: 6, Floor: 0.02, FirstToken: seconds(30), Deadline: seconds(120), Cheap: true}, 0.15, 3000, 200, 1.2},
+		{config.Class{Name: "batch", Tier: 7, Floor: 0.02, Deadline: seconds(120), Cheap: true}, 0.10, 1000, 150, 1.2},
+	}
+}
+
+// meanSamples is the number of answers drawn to find the mean work.
+const meanSamples = 20_000
+
+// meanWork is the mean work of a request in answer tokens.
+func meanWork(loads []classLoad) float64 {
+	r := rand.New(rand.NewPCG(0, 0))
+	sum := 0.0
+	for range meanSamples {
+		l := drawClass(r, loads)
+		sum += float64(drawLength(r, l)) + inputWork*float64(l.input)
+	}
+	return sum / meanSamples
+}
+
+// arrival is one request as its caller sends it. Its answer length is unknown to
+// the decisions.
+type arrival struct {
+	at           time.Duration
+	load         *classLoad
+	organisation string
+	large        bool
+	input        int
+	output       int
+	prefixes     []uint64
+	instance     int
+}
+
+// arrivals draws Poisson arrivals of a rate per second.
+func arrivals(r *rand.Rand, loads []classLoad, rate float64, until time.Duration, instances int) []arrival {
+	var all []arrival
+	at := 0.0
+	for {
+		at += r.ExpFloat64() / rate
+		if at >= until.Seconds() {
+			return all
+		}
+		l := drawClass(r, loads)
+		a := arrival{
+			at:       time.Duration(at * float64(time.Second)),
+			load:     l,
+			input:    int(float64(l.input) * (0.5 + r.Float64())),
+			output:   drawLength(r, l),
+			instance: r.IntN(instances),
+		}
+		a.organisation, a.large = drawOrganisation(r)
+		a.prefixes = drawPrefixes(r, l)
+		all = append(all, a)
+	}
+}
+
+func drawClass(r *rand.Rand, loads []classLoad) *classLoad {
+	x := r.Float64()
+	for i := range loads {
+		x -= loads[i].share
+		if x < 0 {
+			return &loads[i]
+		}
+	}
+	return &loads[len(loads)-1]
+}
+
+func drawLength(r *rand.Rand, l *classLoad) int {
+	n := int(l.output * math.Exp(l.spread*r.NormFloat64()))
+	return min(max(n, 1), longestAnswer(l))
+}
+
+// longestAnswer is the class's bound on answers, in tokens.
+func longestAnswer(l *classLoad) int {
+	return int(answerShare * float64(l.spec.Deadline) / float64(slowestToken))
+}
+
+func drawOrganisation(r *rand.Rand) (name string, large bool) {
+	if r.Float64() < largeShare {
+		return fmt.Sprintf("large%d", r.IntN(largeOrganisations)), true
+	}
+	return fmt.Sprintf("small%d", r.IntN(organisations-largeOrganisations)), false
+}
+
+// drawPrefixes returns block digests: a shared template, then blocks of its own.
+func drawPrefixes(r *rand.Rand, l *classLoad) []uint64 {
+	template := uint64(l.spec.Tier)<<32 | uint64(r.IntN(templates))<<8
+	prefixes := make([]uint64, promptBlocks)
+	for i := range prefixes {
+		if i < prefixBlocks {
+			prefixes[i] = template | uint64(i+1)
+		} else {
+			prefixes[i] = r.Uint64()
+		}
+	}
+	return prefixes
+}
--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -27,10 +27,11 @@
 	e.watch(l, func() {
 		l.SeeEpoch(now, o.Epoch)
 		if h.target.Epoch == l.Epoch() || o.Whole {
-			l.Observe(now, shown(j, o))
+			l.Observe(now, j.pool.shown(now, j, o))
 		}
 	})
 	if !o.Whole {
+		j.class.cutOff(now, j.request.Deadline, now.Sub(h.started))
 		return
 	}
 	if o.FirstToken > 0 {
@@ -39,25 +40,54 @@
 	j.class.whole.Add(now, now.Sub(h.started))
 	j.class.answered(o.OutputTokens)
 	used := float64(o.OutputTokens) + inputCost*float64(j.request.InputTokens)
-	j.pool.queue.Correct(j.class.spec.Name, j.request.Organisation, used-j.cost)
+	j.pool.queue.Learn(j.class.spec.Name, j.request.Organisation, used-j.cost)
 }
 
-func shown(j *Job, o traffic.Observation) routing.Shown {
-	spec := j.class.spec
+// targetMargin is the part of a target beyond which an answer counts as slow, so
+// that the concurrency limit settles before targets are missed.
+const targetMargin = 0.85
+
+// shown judges an answer. Requests of all classes share a server's batch, so the
+// time between tokens is held against the strictest target of the classes that
+// recently used the pool, whichever class the answer is of.
+func (p *pool) shown(now time.Time, j *Job, o traffic.Observation) routing.Shown {
 	s := routing.Shown{
 		Good:       o.Whole,
 		FirstToken: o.FirstToken,
+		Input:      j.request.InputTokens,
 		Between:    o.BetweenMean,
-		Slow: spec.FirstToken > 0 && o.FirstToken > time.Duration(spec.FirstToken) ||
-			spec.BetweenTokens > 0 && o.BetweenMean > time.Duration(spec.BetweenTokens),
+		Slow:       beyond(o.FirstToken, time.Duration(j.class.spec.FirstToken)),
+		SlowStream: beyond(o.BetweenMean, p.strictestBetween(now)),
 	}
 	if o.Failure != nil {
 		s.Failed = serverFault(o.Failure.Code)
 		s.Crashed = o.Failure.Crashed
+		s.Dead = o.Failure.Code == result.ConnectFailed
 	}
 	return s
 }
 
+// beyond reports whether a time exceeds the safe part of a target; zero is none.
+func beyond(d, target time.Duration) bool {
+	return target > 0 && float64(d) > targetMargin*float64(target)
+}
+
+// strictestBetween is the shortest target between tokens of the classes whose
+// tiers recently had requests here; zero when there is none.
+func (p *pool) strictestBetween(now time.Time) time.Duration {
+	strictest := time.Duration(0)
+	for _, c := range p.byTier {
+		between := time.Duration(c.spec.BetweenTokens)
+		if between <= 0 || !p.active(now, c.spec.Tier) {
+			continue
+		}
+		if strictest == 0 || between < strictest {
+			strictest = between
+		}
+	}
+	return strictest
+}
+
 // serverFault reports whether a failure tells against the backend server.
 func serverFault(code result.Code) bool {
 	switch code {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -100,6 +100,7 @@
 	p.refreshed = now
 	p.slots, p.free = 0, 0
 	p.use.clearFree()
+	p.servers.Tolerate()
 	for _, c := range p.servers.Candidates {
 		if !c.Usable() {
 			continue
@@ -116,13 +117,18 @@
 func (p *pool) tiersAbove(now time.Time, tier int) int {
 	n := 0
 	for t := 1; t < tier; t++ {
-		if !p.seen[t].IsZero() && now.Sub(p.seen[t]) < activeFor {
+		if p.active(now, t) {
 			n++
 		}
 	}
 	return n
 }
 
+// active reports whether a tier recently had requests here.
+func (p *pool) active(now time.Time, tier int) bool {
+	return !p.seen[tier].IsZero() && now.Sub(p.seen[tier]) < activeFor
+}
+
 // rate is the number of starts per second that the pool's slots allow; 0 if unknown.
 func (p *pool) rate() float64 {
 	if p.holding <= 0 {
@@ -131,19 +137,30 @@
 	return float64(p.slots) / p.holding.Seconds()
 }
 
-// wait predicts how long a waiting job stays in the queue; 0 if unknown. Higher
-// tiers take their recent rate out of the pool's; the class's floor is left.
+// backlogFrom is the number of waiting requests of a class from which its own
+// recent rate predicts better than what higher tiers leave.
+const backlogFrom = 5
+
+// wait predicts how long a waiting job stays in the queue; 0 if unknown.
 func (p *pool) wait(now time.Time, j *Job) time.Duration {
 	rate := p.rate()
 	if rate == 0 {
 		return 0
 	}
-	above := 0.0
-	for t := 1; t < j.tier(); t++ {
-		above += p.starts[t].Value(now)
+	left := max(rate*floorOf(j.class.spec), p.starts[j.tier()].Value(now))
+	if p.queue.ClassLen(j.class.spec.Name) < backlogFrom {
+		left = max(left, rate-p.startsAbove(now, j.tier()))
 	}
-	left := max(rate-above, rate*floorOf(j.class.spec))
 	higher, own := p.queue.Ahead(&j.entry)
 	seconds := float64(higher)/rate + float64(own)/left
 	return time.Duration(seconds * float64(time.Second))
 }
+
+// startsAbove is the recent rate of starts of the tiers above one.
+func (p *pool) startsAbove(now time.Time, tier int) float64 {
+	sum := 0.0
+	for t := 1; t < tier; t++ {
+		sum += p.starts[t].Value(now)
+	}
+	return sum
+}
--- a/internal/placement/start.go
+++ b/internal/placement/start.go
@@ -71,6 +71,8 @@
 		CheapAllowed: j.class.spec.Cheap && r.Idempotent,
 		Prefixes:     r.Prefixes,
 		InputTokens:  r.InputTokens,
+		FirstToken:   time.Duration(j.class.spec.FirstToken),
+		Between:      time.Duration(j.class.spec.BetweenTokens),
 		Tried:        j.tried,
 		Members:      e.store.Members,
 	}
--- a/internal/placement/submit.go
+++ b/internal/placement/submit.go
@@ -138,8 +138,7 @@
 	if e.options.NoEarlyRefusal || j.admitted || j.pool.queue.ClassLen(j.class.spec.Name) <= 1 {
 		return false
 	}
-	limit, run := j.class.target(now)
-	return now.Sub(j.request.Arrived)+wait+run > limit
+	return j.class.late(now, now.Sub(j.request.Arrived)+wait)
 }
 
 // shed refuses the victim of a full queue, which was removed already.
--- a/internal/routing/coldramp.go
+++ b/internal/routing/coldramp.go
@@ -25,6 +25,7 @@
 	cold      int
 	warm      int
 	total     int       // borne at the present step
+	proven    bool      // has shown that it bears more than its cold limit
 	since     time.Time // first sight of the epoch, or the turn back to the start
 	stepped   time.Time
 	successes int // whole, timely answers in a row
@@ -41,7 +42,7 @@
 
 // Restart goes back to the start of the ramp.
 func (r *Ramp) Restart(now time.Time) {
-	r.total = r.cold
+	r.total, r.proven = r.cold, false
 	r.since, r.stepped = now, now
 	r.successes = 0
 	r.remaining = reportUnknown
@@ -73,11 +74,11 @@
 }
 
 // Warm reports whether the server bears its warm limit.
-func (r *Ramp) Warm() bool { return r.total >= r.warm }
+func (r *Ramp) Warm() bool { return r.proven && r.total >= r.warm }
 
 // First reports whether the server is on the first step, where it bears no more
 // than its cold limit.
-func (r *Ramp) First() bool { return r.total <= r.cold && r.total < r.warm }
+func (r *Ramp) First() bool { return !r.proven }
 
 // Total returns the requests in flight that the server bears.
 func (r *Ramp) Total() int { return r.total }
@@ -87,7 +88,7 @@
 func (r *Ramp) Report(now time.Time, report engineapi.LoadReport, own int) {
 	r.remaining = report.ColdRemaining
 	if r.remaining > 0 {
-		r.total = r.cold
+		r.total, r.proven = r.cold, false
 		r.stepped = now
 	}
 	if report.Running+report.Waiting <= own {
@@ -106,6 +107,7 @@
 	r.successes = 0
 	if !r.Warm() {
 		r.total = max(r.total/2, r.cold)
+		r.proven = r.total > r.cold
 		r.stepped = now
 	}
 }
@@ -116,6 +118,7 @@
 		return
 	}
 	r.total = min(r.total*2, r.warm)
+	r.proven = true
 	r.stepped = now
 	if r.remaining == reportUnknown {
 		r.successes = 0
--- a/internal/routing/live.go
+++ b/internal/routing/live.go
@@ -129,10 +129,13 @@
 // Shown is what an attempt showed of a server.
 type Shown struct {
 	Good       bool // whole answer
-	Slow       bool // missed what the class's target allows
+	Slow       bool // the first token took longer than the class's target
+	SlowStream bool // tokens came further apart than the class's target
 	Failed     bool // failure of the server, not of the caller
 	Crashed    bool
+	Dead       bool          // no connection came up
 	FirstToken time.Duration // 0 if unknown
+	Input      int           // prompt tokens
 	Between    time.Duration // mean time between tokens, 0 if unknown
 }
 
@@ -140,15 +143,16 @@
 func (l *Live) Observe(now time.Time, s Shown) (turnedCold bool) {
 	switch {
 	case s.Failed:
-		l.health.failed(now, s.Crashed)
+		l.health.failed(now, s.Crashed, s.Dead)
 		l.ramp.Answer(now, false)
 		return false
 	case !s.Good:
 		return false
 	}
 	l.health.succeeded()
-	l.ramp.Answer(now, !s.Slow)
-	l.limit.Sample(now, s.Slow, l.outstanding)
+	slow := s.Slow || s.SlowStream && l.slowedByLoad(s.Between)
+	l.ramp.Answer(now, !slow)
+	l.limit.Sample(now, slow, l.outstanding+1)
 	if l.latency.take(now, s) && l.outstanding <= l.limit.Value()/2 {
 		l.TurnCold(now)
 		return true
@@ -156,6 +160,12 @@
 	return false
 }
 
+// slowedByLoad reports whether less load would probably make the server faster.
+// Above half of its part it must show by going there.
+func (l *Live) slowedByLoad(between time.Duration) bool {
+	return 2*l.limit.Value() > l.part || l.latency.loaded(between)
+}
+
 // State is what operators see of a server's health.
 type State struct {
 	Name  string // "cold", "warm" or "suspect"
--- a/internal/routing/live_test.go
+++ b/internal/routing/live_test.go
@@ -118,3 +118,22 @@
 	is.Equal(v.inFlight(start.Add(reportHalfLife), 4), 7.0)
 	is.True(!v.take(start, engineapi.LoadReport{UnixMillis: start.UnixMilli() - 1}, 0)) // came out of order
 }
+
+func TestPoolThatFailsAsAWholeStaysInUse(t *testing.T) {
+	is := is.New(t)
+	s := newStore(modelConfig(1, 32), 3)
+	now := warm(s)
+	p := s.Snapshot().Pools["m"]
+	fail := func(name string, dead bool) {
+		for range suspectAfter {
+			s.Live(name).Observe(now, Shown{Failed: true, Dead: dead})
+		}
+		p.Tolerate()
+	}
+	fail("s00000", false)
+	is.Equal(s.Live("s00000").Free(now, s.Members), 0) // one of three: it is the server
+	fail("s00001", false)
+	is.True(s.Live("s00000").Free(now, s.Members) > 0) // most of them: it is not
+	fail("s00001", true)
+	is.Equal(s.Live("s00001").Free(now, s.Members), 0) // a dead one is not used
+}
--- a/internal/routing/pickers.go
+++ b/internal/routing/pickers.go
@@ -22,15 +22,22 @@
 	return best
 }
 
+// DefaultChoices is the number of candidates that BestOf draws by default.
+const DefaultChoices = 5
+
 // BestOf takes the lowest price of N candidates drawn at random, so that
 // instances with the same stale load reports do not all choose one server.
-// N below 2 means 2.
+// Zero means DefaultChoices.
 type BestOf struct{ N int }
 
 // Pick implements Picker.
 func (b BestOf) Pick(r *rand.Rand, eligible []Scored) int {
+	n := b.N
+	if n <= 0 {
+		n = DefaultChoices
+	}
 	best := r.IntN(len(eligible))
-	for range max(b.N, 2) - 1 {
+	for range n - 1 {
 		if i := r.IntN(len(eligible)); eligible[i].Price < eligible[best].Price {
 			best = i
 		}
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -17,6 +17,8 @@
 	// Prefixes are digests of the prompt's leading blocks, shortest first.
 	Prefixes    []uint64
 	InputTokens int
+	// FirstToken and Between are the class's targets. Zero means none.
+	FirstToken, Between time.Duration
 	// Tried names servers that failed this request or still run it.
 	Tried []string
 	// Members is this instance's view of the members.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -17,7 +17,7 @@
 }
 
 // NewRouter returns a router with the request path's filters and scorers. A nil
-// picker means BestOf two.
+// picker means BestOf DefaultChoices.
 func NewRouter(picker Picker, random *rand.Rand) *Router {
 	if picker == nil {
 		picker = BestOf{}
--- a/internal/routing/scorers.go
+++ b/internal/routing/scorers.go
@@ -15,7 +15,7 @@
 
 const (
 	// fullLoadMillis is the price of a server at its warm limit.
-	fullLoadMillis = 400
+	fullLoadMillis = 4000
 	// prefillMillisPerToken is what a cached prompt token saves.
 	prefillMillisPerToken = 0.1
 	// otherZoneMillis and otherRegionMillis are the prices of distance.
@@ -23,6 +23,11 @@
 	otherRegionMillis = 40
 	// cheapMillisPerTier is the benefit of a cheap server per tier number.
 	cheapMillisPerTier = 15
+	// missMillis is the price of a server whose tokens come further apart than the
+	// class's target.
+	missMillis = 500
+	// missMargin is the part of a target beyond which it will probably be missed.
+	missMargin = 0.9
 	// betweenTokens is how many tokens the time between tokens is charged for.
 	betweenTokens = 10
 )
@@ -38,24 +43,40 @@
 	return fullLoadMillis * inFlight / float64(max(l.ramp.total, 1))
 }
 
-// latencyPrice charges the server's recent times.
+// latencyPrice charges what the prompt will probably take on the server, less the
+// part that it probably has cached, and the time between tokens. A server that
+// would miss the class's targets costs more.
 type latencyPrice struct{}
 
 // Price implements Scorer.
-func (latencyPrice) Price(_ *Query, c *Candidate) float64 {
+func (latencyPrice) Price(q *Query, c *Candidate) float64 {
 	l := &c.Live.latency
-	return (l.first + betweenTokens*l.between) / float64(time.Millisecond)
+	first := l.prompt * float64(q.InputTokens) * (1 - c.Live.cached(q))
+	price := (first + betweenTokens*l.between) / float64(time.Millisecond)
+	if q.FirstToken > 0 && first > missMargin*float64(q.FirstToken) {
+		price += missMillis
+	}
+	if q.Between > 0 && l.between > missMargin*float64(q.Between) {
+		price += missMillis
+	}
+	return price
 }
 
-// prefixPrice credits the prompt tokens that the server probably has cached.
+// prefixPrice credits the prompt tokens that the server probably has cached, also
+// while nothing is known of its times.
 type prefixPrice struct{}
 
 // Price implements Scorer.
 func (prefixPrice) Price(q *Query, c *Candidate) float64 {
-	if q.decision == 0 || c.Live.decision != q.decision {
+	return -c.Live.cached(q) * float64(q.InputTokens) * prefillMillisPerToken
+}
+
+// cached is the share of the query's prompt that the server probably holds.
+func (l *Live) cached(q *Query) float64 {
+	if q.decision == 0 || l.decision != q.decision {
 		return 0
 	}
-	return -c.Live.held * float64(q.InputTokens) * prefillMillisPerToken
+	return l.held
 }
 
 // distancePrice charges the way to another availability zone or region.
