--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,12 +14,12 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/confsync"
-	"github.com/hawthornwick/hawthornwick/internal/demand"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	"github.com/hawthornwick/hawthornwick/internal/member"
+	"github.com/hawthornwick/hawthornwick/internal/order"
 	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/platform/httpapi"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
@@ -64,7 +64,8 @@
 	operatorListener net.Listener
 	fleet            *fleet
 	backends         *backends
-	recent           *demand.Recent
+	recent           *order.Recent
+	engineOrders     *order.HTTPEngines
 	engines          *engineWatch
 
 	leaving   atomic.Bool
@@ -204,6 +205,7 @@
 	i.closeLedger()
 	_ = i.peers.Close()
 	i.dispatcher.Close()
+	i.engineOrders.Close()
 	i.platform.Close()
 	i.logger.Info("instance stopped", "cut_off", cut)
 }
--- a/internal/order/collect.go
+++ b/internal/order/collect.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	summaryLifetime  = 30 * time.Second
-	defaultStartTime = 2 * time.Minute // until one start was seen
-	startTimeWeight  = 0.3             // of a new start
+	summaryLifetime = 30 * time.Second
+	startTimeWeight = 0.3 // of a new start
 )
 
 // ClassLoad is what one class asks of one model on one instance.
@@ -105,7 +104,9 @@
 	c.noteStarts(now, list)
 	o := Observation{Servers: list}
 	for _, z := range snapshot.Config.Zones {
-		o.Zones = append(o.Zones, Zone{Name: z.Name, Out: snapshot.ZoneOut(z.Name)})
+		o.Zones = append(o.Zones, Zone{
+			Name: z.Name, Out: snapshot.ZoneOut(z.Name), Price: z.Price, CheapPrice: z.CheapPrice,
+		})
 	}
 	if len(c.summaries) == 0 {
 		return o, nil // without any demand known, nothing is scaled
@@ -120,7 +121,7 @@
 func (c *Collector) model(snapshot *config.Snapshot, m config.Model) Model {
 	start, ok := c.startTime[m.Name]
 	if !ok {
-		start = defaultStartTime
+		start = cmp.Or(time.Duration(m.StartTime), config.DefaultStartTime)
 	}
 	return Model{
 		Name: m.Name, MinServers: m.MinServers, MaxServers: m.MaxServers,
--- /dev/null
+++ b/internal/order/recent.go
@@ -0,0 +1,86 @@
+package order
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	recentBucket  = 5 * time.Second
+	recentBuckets = 12 // one minute in all
+)
+
+// Recent counts the requests that ended within the last minute, by model and
+// class, and how many of them met their class's target. It is safe for
+// concurrent use.
+type Recent struct {
+	mu      sync.Mutex
+	windows map[recentKey]*recentWindow
+}
+
+type recentKey struct{ model, class string }
+
+// recentWindow is a ring of counts; newest is the absolute number of the newest bucket.
+type recentWindow struct {
+	newest  int64
+	buckets [recentBuckets]recentCount
+}
+
+type recentCount struct{ met, missed int }
+
+// NewRecent returns empty counts.
+func NewRecent() *Recent { return &Recent{windows: make(map[recentKey]*recentWindow)} }
+
+// Ended counts one request.
+func (r *Recent) Ended(now time.Time, model, class string, inTime bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := recentKey{model, class}
+	w := r.windows[key]
+	if w == nil {
+		w = new(recentWindow)
+		r.windows[key] = w
+	}
+	w.advance(recentNumber(now))
+	c := &w.buckets[w.newest%recentBuckets]
+	if inTime {
+		c.met++
+		return
+	}
+	c.missed++
+}
+
+// Loads returns the counts without queued and running requests. Windows that
+// have become empty are forgotten.
+func (r *Recent) Loads(now time.Time) []ClassLoad {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var loads []ClassLoad
+	for key, w := range r.windows {
+		w.advance(recentNumber(now))
+		l := ClassLoad{Model: key.model, Class: key.class}
+		for _, c := range w.buckets {
+			l.Met += c.met
+			l.Missed += c.missed
+		}
+		if l.Met+l.Missed == 0 {
+			delete(r.windows, key)
+			continue
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+func recentNumber(now time.Time) int64 { return now.UnixNano() / int64(recentBucket) }
+
+// advance empties the buckets between the newest one and the given one.
+func (w *recentWindow) advance(number int64) {
+	if number <= w.newest {
+		return
+	}
+	for i := max(w.newest+1, number-recentBuckets+1); i <= number; i++ {
+		w.buckets[i%recentBuckets] = recentCount{}
+	}
+	w.newest = number
+}
