Drive leases and usage windows by their state charts

Cause: the lease and usage window charts were documentation only; the code kept its states in fields.

Change: the lease core fires the chart's events per duty and carries out its actions; the closer does the same per window. A rejected event fails the property tests.

--- a/internal/lease/claim.go
+++ b/internal/lease/claim.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/statechart"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -53,7 +55,7 @@
 	byFormer := make(map[Holder]int)
 	for _, duty := range c.duties {
 		w := c.watched[duty]
-		if w == nil {
+		if w == nil || c.state(duty) != stateWaiting {
 			continue
 		}
 		at, known := w.claimableAt(c.timing.Lease+c.timing.Margin, c.delay(duty, w.row.Holder))
@@ -64,6 +66,9 @@
 			again = min(again, wait)
 			continue
 		}
+		if !slices.Contains(c.fire(duty, eventVacant), actionTakeOver) {
+			continue
+		}
 		i, ok := byFormer[w.row.Holder]
 		if !ok {
 			i = len(due)
@@ -81,20 +86,33 @@
 // shows in a later reading, where the rows name this instance, and the duties
 // are claimed anew under higher tokens.
 func (c *core) claimed(now Reading, cl claim, versions []uint64, err error) (readAgain bool) {
-	for _, t := range cl.Taken {
-		delete(c.watched, t.Duty)
-	}
-	if err != nil {
-		var conflict *platform.ConflictError
-		return errors.As(err, &conflict)
-	}
-	if cl.Holder != c.beat.holder || !c.beat.alive(now, 0) {
-		return false
-	}
-	written := versions[len(versions)-len(cl.Taken):] // the duties' rows come last
+	event := c.claimEvent(now, cl, err)
 	for i, t := range cl.Taken {
-		c.held[t.Duty] = held{token: t.Token, version: written[i]}
-		c.record(timeline.LeaseAcquired, t.Duty, t.Token, c.beat.remaining(now), "")
+		if cl.Holder != c.beat.holder || c.state(t.Duty) != stateAcquiring {
+			continue // ran out meanwhile
+		}
+		actions := c.fire(t.Duty, event)
+		delete(c.watched, t.Duty) // what was read before the claim is old
+		if slices.Contains(actions, actionStartDuty) {
+			written := versions[len(versions)-len(cl.Taken):] // the duties' rows come last
+			c.held[t.Duty] = held{token: t.Token, version: written[i]}
+			c.record(timeline.LeaseAcquired, t.Duty, t.Token, c.beat.remaining(now), "")
+		}
+	}
+	return event == eventTaken
+}
+
+// claimEvent names the outcome of a claim.
+func (c *core) claimEvent(now Reading, cl claim, err error) statechart.Event {
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return eventTaken
+	case err != nil:
+		return eventUnanswered
+	case !c.beat.alive(now, 0):
+		return eventExpired
+	default:
+		return eventAcquired
 	}
-	return false
 }
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/statechart"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -26,13 +27,15 @@
 	instance   string
 	duties     []string // sorted
 	beat       heartbeat
-	held       map[string]held
+	machines   map[string]*statechart.Machine[noFacts]
+	held       map[string]held // of the duties in state held or doubtful
 	watched    map[string]*watch
 	members    []string // sorted
 	candidates map[string][]string
 	extra      string // watched although other instances are the candidates
 	draining   bool
 	events     []timeline.Event
+	faults     []error // events that the chart rejects
 }
 
 func newCore(timing Timing, self Holder, duties []string) *core {
@@ -47,6 +50,7 @@
 		watched:  make(map[string]*watch),
 	}
 	c.beat = newHeartbeat(c.timing, self)
+	c.machines = c.newMachines()
 	c.setMembers(nil)
 	return c
 }
@@ -77,9 +81,15 @@
 	}
 }
 
+// loseAll ends every tenure and every claim under way.
 func (c *core) loseAll(reason string) {
-	for _, duty := range c.heldDuties() {
-		c.record(timeline.LeaseLost, duty, c.held[duty].token, 0, reason)
+	for _, duty := range c.duties {
+		c.fire(duty, eventExpired)
+		h, ok := c.held[duty]
+		if !ok {
+			continue
+		}
+		c.record(timeline.LeaseLost, duty, h.token, 0, reason)
 		delete(c.held, duty)
 	}
 }
@@ -123,12 +133,17 @@
 	return step
 }
 
+// noteRenewal tells the held duties whether the lease was extended.
 func (c *core) noteRenewal(now, before Reading) {
+	event := eventRenewed
 	if c.beat.from == before {
-		return
+		event = eventUnanswered
 	}
 	for _, duty := range c.heldDuties() {
-		c.record(timeline.LeaseRenewed, duty, c.held[duty].token, c.beat.remaining(now), "")
+		c.fire(duty, event)
+		if event == eventRenewed {
+			c.record(timeline.LeaseRenewed, duty, c.held[duty].token, c.beat.remaining(now), "")
+		}
 	}
 }
 
@@ -149,8 +164,7 @@
 		return nil
 	}
 	for _, duty := range c.duties {
-		_, holding := c.held[duty]
-		if _, ok := c.turn(duty); !ok || holding {
+		if !c.watches(duty) {
 			delete(c.watched, duty)
 			continue
 		}
@@ -163,6 +177,22 @@
 	return slices.Compact(keys)
 }
 
+// watches reports whether a duty's rows are to be read.
+func (c *core) watches(duty string) bool {
+	if _, holding := c.held[duty]; holding {
+		return false
+	}
+	if _, candidate := c.turn(duty); candidate {
+		c.fire(duty, eventWanted)
+		return true
+	}
+	if c.state(duty) == stateAcquiring {
+		c.fire(duty, eventTaken)
+	}
+	c.fire(duty, eventUnwanted)
+	return false
+}
+
 // observe takes the rows read for watchKeys, at the time of their arrival.
 func (c *core) observe(now Reading, rows []platform.Row) error {
 	byKey := make(map[string]platform.Row, len(rows))
@@ -183,6 +213,9 @@
 }
 
 func (c *core) observeDuty(now Reading, duty string, row platform.Row, byKey map[string]platform.Row) error {
+	if c.state(duty) == stateAcquiring {
+		c.fire(duty, eventTaken) // the rows tell the outcome of the claim
+	}
 	w := c.watched[duty]
 	if w == nil {
 		w = &watch{}
@@ -231,11 +264,11 @@
 
 // release gives duties up and returns the transactions that free them at once.
 // The work under them must have ended.
-func (c *core) release(duties []string) []platform.Txn {
+func (c *core) release(duties []string, why statechart.Event) []platform.Txn {
 	var txns []platform.Txn
 	for _, duty := range duties {
 		h, ok := c.held[duty]
-		if !ok {
+		if !ok || !slices.Contains(c.fire(duty, why), actionClearRow) {
 			continue
 		}
 		delete(c.held, duty)
@@ -261,6 +294,13 @@
 	})
 }
 
+// takeFaults returns the faults since the last call.
+func (c *core) takeFaults() []error {
+	faults := c.faults
+	c.faults = nil
+	return faults
+}
+
 // takeEvents returns the events since the last call.
 func (c *core) takeEvents() []timeline.Event {
 	events := c.events
--- a/internal/lease/history_test.go
+++ b/internal/lease/history_test.go
@@ -279,6 +279,11 @@
 // checkExclusive demands that at most one instance believes to hold a duty,
 // paused ones included.
 func (h *history) checkExclusive() {
+	for _, n := range h.nodes {
+		for _, fault := range n.takeFaults() {
+			h.Fatal(fault)
+		}
+	}
 	for _, duty := range simulatedDuties {
 		var holders []string
 		for _, n := range h.nodes {
@@ -294,7 +299,7 @@
 
 // release gives one instance's duties up.
 func (h *history) release(n *node) {
-	for _, txn := range n.release(n.heldDuties()) {
+	for _, txn := range n.release(n.heldDuties(), eventReleased) {
 		h.begin(n, &call{txn: txn, end: func(*call) {}})
 	}
 }
--- a/internal/lease/loops.go
+++ b/internal/lease/loops.go
@@ -183,7 +183,7 @@
 		return
 	}
 	var txns []platform.Txn
-	m.update(func(c *core, _ Reading) { txns = c.release([]string{duty}) })
+	m.update(func(c *core, _ Reading) { txns = c.release([]string{duty}, eventUnwanted) })
 	for _, txn := range txns {
 		if _, err := m.commit(ctx, txn); err != nil {
 			m.options.Logger.Warn("release of a duty failed; it lapses instead", "duty", duty, "error", err)
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -131,7 +131,7 @@
 	var txns []platform.Txn
 	m.update(func(c *core, now Reading) {
 		c.expire(now)
-		txns = append(c.release(c.heldDuties()), c.drain())
+		txns = append(c.release(c.heldDuties(), eventReleased), c.drain())
 	})
 	var faults []error
 	for _, txn := range txns {
@@ -156,6 +156,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	change(m.core, m.reading())
+	for _, fault := range m.core.takeFaults() {
+		m.options.Logger.Error("lease", "error", fault)
+	}
 	events := m.core.takeEvents()
 	if len(events) == 0 {
 		return
--- a/internal/usage/closer.go
+++ b/internal/usage/closer.go
@@ -26,11 +26,13 @@
 type Closer struct {
 	options Options
 	sink    platform.UsageSink
+	windows windowMachines
 }
 
 // NewCloser returns a closer that reports to the sink.
 func NewCloser(o Options, sink platform.UsageSink) *Closer {
-	return &Closer{options: o.withDefaults(), sink: sink}
+	o = o.withDefaults()
+	return &Closer{options: o, sink: sink, windows: newWindowMachines(o)}
 }
 
 // Work runs under the duty's lease until ctx ends; see lease.Manager.Do.
@@ -40,6 +42,7 @@
 
 // run closes windows as their time comes. Failed calls are tried again.
 func (c *Closer) run(ctx context.Context, token uint64) error {
+	defer c.windows.lost()
 	for {
 		if err := c.step(ctx, token); err != nil {
 			c.options.Logger.Debug("usage windows are not all reported", "error", err)
@@ -134,6 +137,7 @@
 // window takes no more usage, so that every holder would write the same figures.
 func (c *Closer) freeze(ctx context.Context, f frontierRow, version uint64) error {
 	window := f.Frozen
+	c.windows.fire(window, eventEnded, actionFreeze)
 	lines, err := c.sum(ctx, window)
 	if err != nil {
 		return err
@@ -148,8 +152,14 @@
 		writes = append(writes, write)
 	}
 	if err := c.move(ctx, f, version, writes); err != nil {
+		c.windows.failed(window, err)
 		return err
 	}
+	c.windows.fire(window, eventFrozen, actionReport)
+	if len(lines) == 0 {
+		c.windows.fire(window, eventReported, actionMarkDone) // there is nothing to report
+		return nil
+	}
 	c.record(timeline.UsageFrozen, window, lines, 0)
 	return nil
 }
--- a/internal/usage/property_test.go
+++ b/internal/usage/property_test.go
@@ -1,12 +1,15 @@
 package usage
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	standin "github.com/hawthornwick/hawthornwick/internal/standin/platform"
 	"pgregory.net/rapid"
@@ -74,6 +77,7 @@
 	closers  []*Closer
 	sequence uint64
 	metered  map[string]int64
+	faults   bytes.Buffer // events that the chart rejects
 }
 
 func newBilling(t *rapid.T) *billing {
@@ -87,6 +91,7 @@
 		b.origins = append(b.origins, &journal{table: b.table, origin: origin})
 		b.copies = append(b.copies, &journal{table: b.table, origin: origin})
 		o := Options{Instance: origin.Instance, Table: b.table, Now: func() time.Time { return b.now }}
+		o.Logger = hclog.New(&hclog.LoggerOptions{Output: &b.faults, Level: hclog.Error})
 		b.closers = append(b.closers, NewCloser(o, b.p.Caller(origin.Instance).Usage()))
 	}
 	return b
@@ -167,6 +172,9 @@
 		for _, violation := range b.p.Violations() {
 			t.Error(violation)
 		}
+		if b.faults.Len() > 0 {
+			t.Error(b.faults.String())
+		}
 		rows, err := b.table.List(t.Context(), batchPrefix, "", 10)
 		if err != nil && !errors.Is(err, platform.ErrUnavailable) || len(rows) > 0 {
 			t.Errorf("%d batch rows are left, error %v", len(rows), err)
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -28,10 +28,15 @@
 	if err != nil {
 		return err
 	}
+	if !c.windows.found(window) {
+		return fmt.Errorf("window %q cannot be reported now", window)
+	}
 	if err := c.send(ctx, window, frozen.Lines, token); err != nil {
+		c.windows.failed(window, err)
 		return fmt.Errorf("report window %q: %w", window, err)
 	}
 	c.record(timeline.UsageReported, window, frozen.Lines, token)
+	c.windows.fire(window, eventReported, actionMarkDone)
 	if err := c.deleteBatches(ctx, window); err != nil {
 		return err
 	}
