Push changes between instances and accept them by confirmation

Cause: changes must be in force everywhere within seconds, withdrawals also while the table service is away, and an instance must know when it may be behind. Change: a store with a network floods deltas and withdrawals, pulls from neighbours while the table service is away or a change is missing, takes part in rounds, and reports a change as accepted once half of the instances hold it (new result 7005 otherwise). A proof of being current whose version is not in force yet does not end an older one that still holds. The test of a text that does not compile now moves the clock past the limit: a proof of an older version stays good until then.

--- /dev/null
+++ b/internal/confsync/cluster_test.go
@@ -0,0 +1,309 @@
+package confsync
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/result"
+)
+
+// Flags of TestChangeIsInForceEverywhere; the defaults keep it short.
+var (
+	changesFlag = flag.Int("changes", 20, "changes to measure, one a second")
+	delayFlag   = flag.Duration("delay", 3*time.Millisecond, "time that a message between instances takes")
+)
+
+// prepare starts a fleet with a text and one key in force.
+func prepare(t *testing.T, n int) *cluster {
+	c := newCluster(t, n)
+	time.Sleep(2 * time.Second)
+	if _, err := c.instances[0].Apply(t.Context(), sampleText, 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.instances[n-1].GrantKey(t.Context(), "key", "club"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(3 * time.Second)
+	return c
+}
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	const target = 2 * time.Second
+	changes := *changesFlag
+	for _, n := range []int{1, 2, 8, 50, 410} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			c := prepare(t, n)
+			messages, bytes := c.bytes()
+			reads, writes := c.table.reads.Load(), c.table.writes.Load()
+			began := time.Now()
+			var delays []time.Duration
+			for i := range changes {
+				sent := time.Now()
+				key := config.KeyDigest(fmt.Sprint(i))
+				go func() { _, _ = c.instances[i%n].GrantKey(t.Context(), key, "club") }()
+				for c.behind(uint64(3+i)) > 0 {
+					time.Sleep(5 * time.Millisecond)
+				}
+				delays = append(delays, time.Since(sent))
+				time.Sleep(time.Until(sent.Add(time.Second)))
+			}
+			seconds := time.Since(began).Seconds()
+			moreMessages, moreBytes := c.bytes()
+			per := seconds * float64(n)
+			slices.Sort(delays)
+			t.Logf("%3d instances: in force after %v (median), %v (99.9th percentile), %v (worst); each %.1f messages/s, %.0f B/s; store %.1f reads/s, %.1f writes/s",
+				n, delays[changes/2], delays[changes*999/1000], delays[changes-1],
+				float64(moreMessages-messages)/per, float64(moreBytes-bytes)/per,
+				float64(c.table.reads.Load()-reads)/seconds, float64(c.table.writes.Load()-writes)/seconds)
+			is.True(delays[changes-1] < target)
+			is.True(delays[changes/2] < target/4)        // by push, before the next poll
+			is.True(float64(moreBytes-bytes)/per < 2500) // the rest of 3 KB/s is for probes
+			is.True(float64(c.table.reads.Load()-reads)/seconds < 1.6*float64(n)+10)
+			c.close()
+		})
+	}
+}
+
+func TestStoreOutageChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := prepare(t, 8)
+		c.table.setDown(true)
+		for range 3600 {
+			time.Sleep(time.Second)
+			is.Equal(c.fresh(), 8)
+		}
+		c.table.setDown(false)
+		_, err := c.instances[3].Apply(t.Context(), sampleText+" org:new", 2)
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		is.Equal(c.behind(3), 0)
+		c.close()
+	})
+}
+
+func TestCutOffInstanceTurnsStaleAndMissesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := prepare(t, 8)
+		c.instances[5].setCut(true)
+		sent := time.Now()
+		v, err := c.instances[0].SetZone(t.Context(), "b", true)
+		is.NoErr(err)
+		time.Sleep(time.Until(sent.Add(6 * time.Second)))
+		is.True(!c.instances[5].Fresh())
+		is.Equal(c.fresh(), 7)
+		versions, err := c.instances[0].InForce(t.Context())
+		is.NoErr(err)
+		is.Equal(len(versions), 8)
+		for _, in := range versions {
+			is.Equal(in.Version >= v, in.Instance != "i005")
+		}
+		c.instances[5].setCut(false)
+		time.Sleep(3 * time.Second)
+		is.Equal(c.behind(v), 0)
+		is.Equal(c.fresh(), 8)
+		c.close()
+	})
+}
+
+func TestStoredChangeWithoutConfirmationIsNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := prepare(t, 8)
+		for i, in := range c.instances {
+			in.path.cut.Store(i != 0)
+			if i == 0 {
+				in.node.SetGroup(1)
+			}
+		}
+		_, err := c.instances[0].SetZone(t.Context(), "b", true)
+		is.True(isResult(err, result.ConfigNotConfirmed))
+		is.Equal(c.fresh(), 8) // seven are a majority that knows of no accepted change
+		c.close()
+	})
+}
+
+func TestWithdrawalDuringOutageReachesAllAndLateJoiners(t *testing.T) {
+	const target = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := prepare(t, 8)
+		c.table.setDown(true)
+		time.Sleep(10 * time.Second)
+		go func() { _, _ = c.instances[2].WithdrawKey(t.Context(), "key") }()
+		time.Sleep(target)
+		for _, in := range c.instances {
+			k, ok := in.Current().Key("key")
+			is.True(ok && k.Withdrawn)
+		}
+		c.replace(6)
+		late := c.instances[6]
+		for deadline := time.Now().Add(time.Minute); !late.Fresh() && time.Now().Before(deadline); {
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(late.Fresh())
+		if late.Current() == nil {
+			c.close()
+			return
+		}
+		k, _ := late.Current().Key("key")
+		is.True(k.Withdrawn)
+		is.Equal(late.Current().Version, uint64(2))
+		c.replace(2) // the one that took the withdrawal is gone
+		time.Sleep(10 * time.Second)
+		c.table.setDown(false)
+		time.Sleep(5 * time.Second)
+		fresh := newTestStore(c.table, "reader")
+		is.NoErr(fresh.refresh(t.Context()))
+		k, _ = fresh.Current().Key("key")
+		is.True(k.Withdrawn)
+		is.Equal(fresh.State().Version, uint64(3)) // written once
+		c.close()
+	})
+}
+
+func TestWithdrawalMissedByThePushIsPulled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := prepare(t, 8)
+		c.table.setDown(true)
+		c.instances[7].node.SetOff(true)
+		go func() { _, _ = c.instances[0].WithdrawKey(t.Context(), "key") }()
+		time.Sleep(time.Second)
+		c.instances[7].node.SetOff(false)
+		time.Sleep(5 * time.Second)
+		k, _ := c.instances[7].Current().Key("key")
+		is.True(k.Withdrawn)
+		c.close()
+	})
+}
+
+func TestEveryInstanceReplacedDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := prepare(t, 8)
+		c.table.setDown(true)
+		for i := range c.instances {
+			c.replace(i)
+			time.Sleep(15 * time.Second)
+			is.Equal(c.fresh(), 8)
+		}
+		is.Equal(c.behind(2), 0)
+		c.close()
+	})
+}
+
+func TestInstanceThatStartsAloneDuringOutageDoesNotServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		c := prepare(t, 8)
+		c.replace(4)
+		c.instances[4].setCut(true)
+		time.Sleep(time.Minute)
+		is.True(!c.instances[4].Fresh())
+		is.True(c.instances[4].Current() == nil)
+		is.True(!c.instances[4].local().Ready)
+		c.close()
+	})
+}
+
+// watch checks at every step that versions rise and withdrawn keys stay so.
+type watch struct {
+	versions  map[*Store]uint64
+	withdrawn map[config.KeyDigest]time.Time // when the operator's command returned
+	accepted  map[uint64]time.Time
+}
+
+func (w *watch) check(t *testing.T, c *cluster) {
+	const promise = 6 * time.Second
+	for _, in := range c.instances {
+		s := in.Current()
+		if s == nil {
+			continue
+		}
+		if s.Version < w.versions[in.Store] {
+			t.Errorf("%s fell from version %d to %d", in.options.Instance, w.versions[in.Store], s.Version)
+		}
+		w.versions[in.Store] = s.Version
+		if !in.Fresh() {
+			continue
+		}
+		for v, at := range w.accepted {
+			if time.Since(at) > promise && s.Version < v {
+				t.Errorf("%s takes work with version %d, %v after %d was accepted", in.options.Instance, s.Version, time.Since(at), v)
+			}
+		}
+		for d, at := range w.withdrawn {
+			if k, _ := s.Key(d); time.Since(at) > promise && !k.Withdrawn {
+				t.Errorf("%s accepts key %s, %v after its withdrawal", in.options.Instance, d, time.Since(at))
+			}
+		}
+	}
+}
+
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	for seed := range uint64(12) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 5))
+			c := prepare(t, 3+int(seed%5))
+			w := &watch{
+				versions: make(map[*Store]uint64), withdrawn: make(map[config.KeyDigest]time.Time),
+				accepted: make(map[uint64]time.Time),
+			}
+			for step := range 60 {
+				c.disturb(t, rng, w, step)
+				for range 1 + rng.IntN(20) {
+					time.Sleep(100 * time.Millisecond)
+					w.check(t, c)
+				}
+			}
+			if t.Failed() {
+				t.Logf("seed %d", seed)
+			}
+			c.close()
+		})
+	}
+}
+
+// disturb does one random thing to the cluster.
+func (c *cluster) disturb(t *testing.T, rng *rand.Rand, w *watch, step int) {
+	i := rng.IntN(len(c.instances))
+	in := c.instances[i]
+	key := config.KeyDigest(fmt.Sprint("k", step))
+	switch rng.IntN(9) {
+	case 0:
+		c.table.setDown(rng.IntN(2) == 0)
+	case 1:
+		in.setCut(true)
+	case 2:
+		for _, in := range c.instances {
+			in.setCut(false)
+		}
+	case 3:
+		c.replace(i)
+	case 4:
+		c.table.mu.Lock()
+		c.table.loseReply = 1
+		c.table.mu.Unlock()
+	default:
+		v, err := in.GrantKey(t.Context(), key, "club")
+		if err != nil {
+			return
+		}
+		w.accepted[v] = time.Now()
+		if v, err = in.WithdrawKey(t.Context(), key); err == nil && v > 0 {
+			w.accepted[v] = time.Now()
+			w.withdrawn[key] = time.Now()
+		}
+	}
+}
--- a/internal/confsync/commit.go
+++ b/internal/confsync/commit.go
@@ -152,15 +152,12 @@
 	return c.ID, nil
 }
 
-// committed puts a committed change in force here and deletes old log entries
-// now and then.
+// committed puts a committed change in force here, pushes it to the other
+// instances, and deletes old log entries now and then.
 func (s *Store) committed(ctx context.Context, c Change) {
-	next, err := s.State().Apply(c)
-	if err != nil {
-		s.requestPoll() // a newer state arrived in between, or a gap that polling closes
-		return
+	if err := s.push([]Change{c}, ""); err != nil {
+		s.requestPoll()
 	}
-	s.advance(next)
 	if c.Version%compactionStride == 0 && c.Version > logKeptVersions {
 		s.compact(ctx, c.Version-logKeptVersions)
 	}
--- a/internal/confsync/editor.go
+++ b/internal/confsync/editor.go
@@ -4,12 +4,16 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
+// acceptTimeout bounds the wait for the confirmation by other instances.
+const acceptTimeout = 6 * time.Second
+
 // Apply implements config.Editor. Changes of keys and availability zones since
 // base do not conflict; a change of the text does.
 func (s *Store) Apply(ctx context.Context, text string, base uint64) (uint64, error) {
@@ -73,11 +77,18 @@
 	return s.accept(ctx, version, err, timeline.Event{Kind: kind, Zone: zone})
 }
 
-// accept records a confirmed change.
-func (s *Store) accept(_ context.Context, version uint64, err error, e timeline.Event) (uint64, error) {
+// accept waits until enough instances hold a change that was committed, and
+// records that it is accepted.
+func (s *Store) accept(ctx context.Context, version uint64, err error, e timeline.Event) (uint64, error) {
 	if err != nil {
 		return 0, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	if s.rounds != nil && !s.rounds.accepted(ctx, version) {
+		return version, refused(result.ConfigNotConfirmed,
+			"version %d is stored, but fewer than half of the instances confirmed it", version)
+	}
 	e.Version = version
 	e.Time = s.options.Now()
 	s.options.Recorder.Record(e)
@@ -104,14 +115,30 @@
 	return slices.ContainsFunc(snapshot.Config.Zones, func(z config.Zone) bool { return z.Name == name })
 }
 
-// InForce implements config.Editor.
+// InForce implements config.Editor. It returns what the newest round brought
+// back: instances that did not answer have version 0.
 func (s *Store) InForce(context.Context) ([]config.InstanceVersion, error) {
-	snapshot := s.Current()
-	if snapshot == nil {
-		return nil, nil
+	self := config.InstanceVersion{Instance: s.options.Instance, Zone: s.options.Zone, Version: s.inForce()}
+	if s.rounds == nil {
+		return []config.InstanceVersion{self}, nil
+	}
+	confirmed, _ := s.rounds.latest()
+	view := s.options.Members.View()
+	versions := []config.InstanceVersion{self}
+	for i, name := range confirmed.Roster.Names {
+		if name == self.Instance {
+			continue
+		}
+		v := config.InstanceVersion{Instance: name}
+		if at, ok := view.Index(name); ok {
+			v.Zone = view.At(at).Zone
+		}
+		if confirmed.Holders.Has(i) {
+			v.Version = confirmed.Version
+		}
+		versions = append(versions, v)
 	}
-	self := config.InstanceVersion{Instance: s.options.Instance, Zone: s.options.Zone, Version: snapshot.Version}
-	return []config.InstanceVersion{self}, nil
+	return versions, nil
 }
 
 // isResult reports whether err is a result with the code.
--- a/internal/confsync/fresh.go
+++ b/internal/confsync/fresh.go
@@ -13,27 +13,26 @@
 	version uint64
 }
 
-// newer returns the proof of the later time.
-func (p proof) newer(q proof) proof {
-	if q.at.After(p.at) {
-		return q
+// prove takes a proof. One whose version is not in force yet is kept aside.
+func (s *Store) prove(p proof) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.at.After(s.unmet.at) {
+		s.unmet = p
 	}
-	return p
-}
-
-// holds reports whether an instance with the version in force may take new
-// work at the time now.
-func (p proof) holds(now time.Time, inForce uint64, limit time.Duration) bool {
-	if p.at.IsZero() || inForce < p.version {
-		return false
+	if p.version <= s.inForce() && p.at.After(s.proof.at) {
+		s.proof = p
 	}
-	return now.Sub(p.at) < limit
+	s.meet()
 }
 
-func (s *Store) prove(p proof) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.proof = s.proof.newer(p)
+// meet uses the proof that was kept aside once its version is in force. The
+// caller holds the lock.
+func (s *Store) meet() {
+	if s.unmet.version <= s.inForce() && s.unmet.at.After(s.proof.at) {
+		s.proof = s.unmet
+	}
+	s.ready = s.ready || !s.proof.at.IsZero()
 }
 
 // Fresh implements config.Source. It is false before the first configuration.
@@ -44,11 +43,10 @@
 }
 
 func (s *Store) fresh() bool {
-	snapshot := s.Current()
-	if snapshot == nil {
+	if s.Current() == nil || s.proof.at.IsZero() {
 		return false
 	}
-	return s.proof.holds(s.options.Now(), snapshot.Version, s.options.FreshLimit)
+	return s.options.Now().Sub(s.proof.at) < s.options.FreshLimit
 }
 
 // recordFreshness records the moment at which the instance turned stale.
--- a/internal/confsync/load.go
+++ b/internal/confsync/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
@@ -41,41 +40,6 @@
 	return changes, nil
 }
 
-// catchUp returns the state at least as new as the head version. It reads the
-// change log, or everything when the log no longer reaches back to the state.
-func catchUp(ctx context.Context, table platform.Table, s State, head uint64) (State, error) {
-	for s.Version < head {
-		changes, err := readChanges(ctx, table, s.Version)
-		if err != nil {
-			return s, err
-		}
-		next, err := applyAll(s, changes)
-		var gap *GapError
-		if errors.As(err, &gap) || next.Version == s.Version {
-			next, err = loadAll(ctx, table)
-		}
-		if err != nil {
-			return s, err
-		}
-		if next.Version <= s.Version {
-			return s, nil // the table service holds an older copy
-		}
-		s = next
-	}
-	return s, nil
-}
-
-func applyAll(s State, changes []Change) (State, error) {
-	for _, c := range changes {
-		next, err := s.Apply(c)
-		if err != nil {
-			return s, err
-		}
-		s = next
-	}
-	return s, nil
-}
-
 // loadAll reads every row. Rows may be newer than the head read first; the
 // version in each row keeps the log from being applied twice.
 func loadAll(ctx context.Context, table platform.Table) (State, error) {
--- a/internal/confsync/store.go
+++ b/internal/confsync/store.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/confsync/quorum"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -18,7 +19,7 @@
 // Defaults of Options.
 const (
 	DefaultPollInterval = time.Second
-	DefaultReadTimeout  = 2 * time.Second
+	DefaultReadTimeout  = time.Second
 	DefaultFreshLimit   = 5 * time.Second
 )
 
@@ -38,6 +39,8 @@
 	Compile Compile
 	// Network carries messages to other instances. Nil means that there are none.
 	Network Network
+	// Members tells who the others are. Required with Network.
+	Members Members
 	// Recorder takes events. Nil means timeline.Discard.
 	Recorder timeline.Recorder
 	// Logger takes log lines. Nil means none.
@@ -46,7 +49,7 @@
 	Now func() time.Time
 	// PollInterval is the mean time between reads of the head row. Default 1s.
 	PollInterval time.Duration
-	// ReadTimeout bounds one exchange with the table service. Default 2s.
+	// ReadTimeout bounds one exchange with the table service. Default 1s.
 	ReadTimeout time.Duration
 	// FreshLimit is how old the proof that the configuration is current may be
 	// while Fresh holds. Default 5s.
@@ -90,14 +93,28 @@
 	writing  sync.Mutex
 	compiled compiledText
 
+	applying sync.Mutex // held while changes of the log are applied; taken first
+	rounds   *rounds    // nil without other instances
+	pulls    int        // used by Run alone
+
 	mu      sync.Mutex
 	state   State
 	pending Withdrawals
+	recent  []Change      // newest changes, contiguous up to the state's version
 	swapped chan struct{} // closed when snapshot is replaced
-	proof   proof
+	proof   proof         // newest one whose version is in force
+	unmet   proof         // newest one whose version is not in force yet
+	ready   bool          // was proved current once
+	read    readStatus
 	stale   bool // last freshness that was recorded
 }
 
+// readStatus tells how reads of the table service went.
+type readStatus struct {
+	began  time.Time // of the last one that succeeded
+	failed bool      // the last one did
+}
+
 // compiledText is the newest text that compiled.
 type compiledText struct {
 	version uint64 // TextVersion that it was compiled from
@@ -112,13 +129,18 @@
 
 // New returns a store that has read nothing yet. Run keeps it current.
 func New(o Options) *Store {
-	return &Store{
+	s := &Store{
 		options: o.withDefaults(),
 		newID:   uuid.NewString,
 		wake:    make(chan struct{}, 1),
 		swapped: make(chan struct{}),
 		stale:   true,
 	}
+	if !s.alone() {
+		s.rounds = newRounds(s)
+		s.register()
+	}
+	return s
 }
 
 // Current implements config.Source.
@@ -138,8 +160,13 @@
 	return s.swapped
 }
 
-// Run polls the table service until ctx ends.
+// Run keeps the configuration current until ctx ends.
 func (s *Store) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	if s.rounds != nil {
+		running.Go(func() { s.rounds.run(ctx) })
+	}
 	for {
 		s.poll(ctx)
 		timer := time.NewTimer(s.pollDelay())
@@ -160,11 +187,13 @@
 	return half + rand.N(s.options.PollInterval)
 }
 
-// poll reads the head row once and catches up with it.
+// poll reads the head row once and catches up with it. While the table service
+// cannot be read, it asks a neighbour instead.
 func (s *Store) poll(ctx context.Context) {
 	err := s.refresh(ctx)
 	if err != nil && ctx.Err() == nil {
 		s.options.Logger.Debug("table service not read", "error", err)
+		s.pullNext(ctx)
 	}
 	s.recordFreshness()
 	if err == nil {
@@ -179,27 +208,61 @@
 	defer cancel()
 	began := s.options.Now()
 	_, head, err := readHead(ctx, s.options.Table)
-	if err != nil {
-		return err
+	if err == nil {
+		err = s.catchUp(ctx, head, began)
+	}
+	s.noteRead(began, err)
+	return err
+}
+
+func (s *Store) noteRead(began time.Time, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.read.failed = err != nil
+	if err == nil {
+		s.read.began = began
 	}
-	return s.catchUp(ctx, head, began)
 }
 
+// catchUp brings the state to the version of a head row whose read began at a time.
 func (s *Store) catchUp(ctx context.Context, head uint64, began time.Time) error {
 	before := s.State()
-	next, err := catchUp(ctx, s.options.Table, before, head)
-	if err != nil {
-		return err
-	}
 	if head < before.Version {
 		s.options.Logger.Warn("table service holds an older configuration",
 			"version", head, "in_force", before.Version)
 	}
-	s.advance(next)
+	for before.Version < head {
+		changes, err := readChanges(ctx, s.options.Table, before.Version)
+		if err != nil {
+			return err
+		}
+		_, err = s.applyChanges(changes)
+		if err != nil || s.State().Version == before.Version {
+			err = s.loadAll(ctx)
+		}
+		if err != nil {
+			return err
+		}
+		after := s.State()
+		if after.Version == before.Version {
+			break // the table service holds an older copy
+		}
+		before = after
+	}
 	s.prove(proof{at: began, version: head})
 	return nil
 }
 
+// loadAll replaces the state by all rows of the table service.
+func (s *Store) loadAll(ctx context.Context) error {
+	next, err := loadAll(ctx, s.options.Table)
+	if err != nil {
+		return err
+	}
+	s.advance(next)
+	return nil
+}
+
 // State returns the newest state known here.
 func (s *Store) State() State {
 	s.mu.Lock()
@@ -220,18 +283,34 @@
 	s.state = next
 	s.pending = s.pending.Settle(next)
 	s.publish()
+	s.meet()
 	return true
 }
 
+// local returns what this instance contributes to rounds.
+func (s *Store) local() quorum.Local {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return quorum.Local{
+		InForce: s.inForce(), Newest: s.state.Version, Ready: s.ready,
+		ReadBegan: s.read.began, ReadFailed: s.read.failed,
+	}
+}
+
+// inForce returns the version of the snapshot, 0 without one.
+func (s *Store) inForce() uint64 {
+	if snapshot := s.Current(); snapshot != nil {
+		return snapshot.Version
+	}
+	return 0
+}
+
 // publish replaces the snapshot. The caller holds both locks.
 func (s *Store) publish() {
 	if s.compiled.version == 0 {
 		return // nothing can be served before the first text
 	}
-	before := uint64(0)
-	if old := s.Current(); old != nil {
-		before = old.Version
-	}
+	before := s.inForce()
 	version := s.state.Version
 	if s.compiled.version != s.state.TextVersion {
 		version = before // the newest text is not in force
--- a/internal/confsync/store_test.go
+++ b/internal/confsync/store_test.go
@@ -106,6 +106,56 @@
 	is.Equal(a.State().Version, uint64(2))
 }
 
+func TestLostReplyIsTheWinnersEvenWhenAnotherFollows(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	table := newFakeTable()
+	a, b := newTestStore(table, "a"), newTestStore(table, "b")
+	table.loseReply = 1
+	table.afterLost = func() {
+		_, err := b.Apply(ctx, sampleText+" org:third", 1)
+		is.NoErr(err)
+	}
+	v, err := a.Apply(ctx, sampleText, 0) // took effect, then b changed the text
+	is.NoErr(err)
+	is.Equal(v, uint64(1))
+}
+
+func TestCommitsAtTheSameTimeBothTakeEffect(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	table := newFakeTable()
+	a, b := newTestStore(table, "a"), newTestStore(table, "b")
+	_, err := a.Apply(ctx, sampleText, 0)
+	is.NoErr(err)
+	table.beforeCommit = func() {
+		v, err := b.GrantKey(ctx, "b", "depot")
+		is.NoErr(err)
+		is.Equal(v, uint64(2))
+	}
+	v, err := a.GrantKey(ctx, "a", "club")
+	is.NoErr(err)
+	is.Equal(v, uint64(3))
+	for _, s := range []*Store{a, b, newTestStore(table, "reader")} {
+		is.NoErr(s.refresh(ctx))
+		_, ofA := s.Current().Key("a")
+		_, ofB := s.Current().Key("b")
+		is.True(ofA && ofB)
+	}
+}
+
+func TestOlderStateIsNotPutInForce(t *testing.T) {
+	is := is.New(t)
+	a := newTestStore(newFakeTable(), "a")
+	_, err := a.Apply(t.Context(), sampleText, 0)
+	is.NoErr(err)
+	_, err = a.SetZone(t.Context(), "b", true)
+	is.NoErr(err)
+	is.True(!a.advance(State{Version: 1, Text: sampleText, TextVersion: 1}))
+	is.Equal(a.Current().Version, uint64(2))
+	is.True(a.Current().ZoneOut("b"))
+}
+
 func TestVersionNeverFallsWhenTableIsRestoredFromCopy(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
@@ -156,8 +206,10 @@
 	_, err = a.WithdrawKey(ctx, "d")
 	is.True(isResult(err, result.UnknownName))
 	is.NoErr(b.refresh(ctx))
-	is.True(!b.Fresh())
 	is.Equal(b.Current().Version, uint64(1))
+	b.options.Now = func() time.Time { return time.Now().Add(DefaultFreshLimit) }
+	is.NoErr(b.refresh(ctx)) // the table service answers, and its version is not in force
+	is.True(!b.Fresh())
 }
 
 func TestWithdrawalDuringOutageIsWrittenLater(t *testing.T) {
--- a/internal/confsync/withdraw.go
+++ b/internal/confsync/withdraw.go
@@ -63,7 +63,7 @@
 
 // withdrawNow puts a withdrawal in force here and tells the peers.
 func (s *Store) withdrawNow(d config.KeyDigest) {
-	if !s.mergeWithdrawals([]config.KeyDigest{d}) {
+	if !s.takeWithdrawals([]config.KeyDigest{d}, "") {
 		return
 	}
 	s.options.Recorder.Record(timeline.Event{
@@ -101,6 +101,8 @@
 // flushWithdrawals writes the pending withdrawals. Every holder tries; the one
 // that comes second finds nothing to change.
 func (s *Store) flushWithdrawals(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.ReadTimeout)
+	defer cancel()
 	for _, d := range s.Pending() {
 		if _, err := s.commitWithdrawal(ctx, d, true); err != nil {
 			s.options.Logger.Warn("withdrawal not written yet", "error", err)
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -53,6 +53,8 @@
 	ConfigConflict   Code = 7002
 	StoreUnavailable Code = 7003
 	UnknownName      Code = 7004
+
+	ConfigNotConfirmed Code = 7005
 )
 
 // Run says what an outcome tells about execution on a backend server.
@@ -131,6 +133,7 @@
 	{ConfigConflict, "config_conflict", http.StatusConflict, RunNever, "Another change came first; nothing changed.", nothingToDo, "read the current version and apply again"},
 	{StoreUnavailable, "store_unavailable", http.StatusServiceUnavailable, RunNever, "The table service did not confirm the change.", nothingToDo, "run the command again; it is idempotent"},
 	{UnknownName, "unknown_name", http.StatusNotFound, RunNever, "No such organisation, zone or key.", nothingToDo, "correct the name"},
+	{ConfigNotConfirmed, "config_not_confirmed", http.StatusServiceUnavailable, RunNever, "The change is stored, but fewer than half of the instances confirmed it in time.", nothingToDo, "restore the links between the instances; the change takes force as they are reached"},
 }
 
 var byCode = func() map[Code]Info {
