--- a/internal/demo/backends.go
+++ b/internal/demo/backends.go
@@ -5,9 +5,12 @@
 	"crypto/rand"
 	_ "embed"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
@@ -24,7 +27,13 @@
 
 const (
 	firstToken = 40 * time.Millisecond
-	loopback   = "127.0.0.1:0"
+	// serverStartTime and weightBytes make an ordered server start within seconds.
+	serverStartTime = 500 * time.Millisecond
+	weightBytes     = 64 << 20
+	// orderedColdLimit is what a freshly started engine bears.
+	orderedColdLimit = 2
+	engineSlots      = 64
+	loopback         = "127.0.0.1:0"
 )
 
 // Backends are the stand-ins of a demo.
@@ -35,8 +44,13 @@
 	// Timeline holds what the stand-ins saw.
 	Timeline *timeline.Ring
 
-	endpoint string // base URL of the platform
-	server   *http.Server
+	// Endpoint is the base URL of the platform's interfaces.
+	Endpoint string
+
+	server *http.Server
+
+	mu      sync.Mutex
+	ordered map[string]*engine.Engine // by name; started by the platform's orders
 }
 
 // engineSpecs are the engines: two zones, one cheap engine per model.
@@ -55,18 +69,26 @@
 
 var zones = []string{"zone-a", "zone-b"}
 
-func startBackends(o Options) (*Backends, error) {
-	b := &Backends{Timeline: timeline.NewRing("stand-ins", 0, nil)}
-	b.Platform = standin.New(standin.Options{Recorder: b.Timeline})
+// StartBackends starts the stand-ins. Close ends them.
+func StartBackends(o Options) (*Backends, error) {
+	o = o.withDefaults()
+	b := &Backends{Timeline: timeline.NewRing("stand-ins", 0, nil), ordered: make(map[string]*engine.Engine)}
+	b.Platform = standin.New(standin.Options{
+		Recorder:    b.Timeline,
+		StartTime:   serverStartTime,
+		WeightBytes: weightBytes,
+		StartServer: func(order platform.Order, name string) (string, error) { return b.startOrdered(o, order, name) },
+		StopServer:  b.stopOrdered,
+	})
 	if err := b.servePlatform(); err != nil {
 		return nil, err
 	}
 	if err := b.startEngines(o); err != nil {
-		b.close()
+		b.Close()
 		return nil, err
 	}
 	if err := b.startPlain(); err != nil {
-		b.close()
+		b.Close()
 		return nil, err
 	}
 	return b, nil
@@ -77,7 +99,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for the stand-in platform: %w", err)
 	}
-	b.endpoint = "http://" + l.Addr().String()
+	b.Endpoint = "http://" + l.Addr().String()
 	b.server = &http.Server{Handler: b.Platform.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = b.server.Serve(l) }()
 	return nil
@@ -87,7 +109,7 @@
 	for _, spec := range engineSpecs {
 		e, err := engine.Start(engine.Options{
 			Name: spec.name, Zone: spec.zone, Model: spec.model,
-			FirstToken: firstToken, BetweenTokens: o.BetweenTokens, AnswerTokens: o.AnswerTokens,
+			FirstToken: firstToken, BetweenTokens: o.BetweenTokens, AnswerTokens: o.AnswerTokens, Slots: engineSlots,
 			Recorder: b.Timeline,
 		})
 		if err != nil {
@@ -102,6 +124,33 @@
 	return nil
 }
 
+// startOrdered starts an engine that the router ordered.
+func (b *Backends) startOrdered(o Options, order platform.Order, name string) (string, error) {
+	e, err := engine.Start(engine.Options{
+		Name: name, Zone: order.Zone, Model: order.Model, ColdLimit: orderedColdLimit, Slots: engineSlots,
+		FirstToken: firstToken, BetweenTokens: o.BetweenTokens, AnswerTokens: o.AnswerTokens,
+		Recorder: b.Timeline,
+	})
+	if err != nil {
+		return "", err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ordered[name] = e
+	return e.Address(), nil
+}
+
+// stopOrdered ends an engine that the router returned or the platform reclaimed.
+func (b *Backends) stopOrdered(name string) {
+	b.mu.Lock()
+	e := b.ordered[name]
+	delete(b.ordered, name)
+	b.mu.Unlock()
+	if e != nil {
+		_ = e.Close()
+	}
+}
+
 func (b *Backends) startPlain() error {
 	for _, service := range plainServices {
 		for _, zone := range zones {
@@ -117,9 +166,9 @@
 	return nil
 }
 
-// configure applies the sample configuration and grants a key to each
+// Configure applies the sample configuration and grants a key to each
 // organisation. It returns the keys by organisation.
-func (b *Backends) configure(ctx context.Context) (map[string]string, error) {
+func (b *Backends) Configure(ctx context.Context) (map[string]string, error) {
 	text := b.configuration()
 	c, err := config.Decode("demo", []byte(text))
 	if err != nil {
@@ -163,7 +212,8 @@
 	return "[" + strings.Join(entries, ", ") + "]"
 }
 
-func (b *Backends) close() {
+// Close ends the stand-ins.
+func (b *Backends) Close() {
 	for _, e := range b.Engines {
 		e.Close()
 	}
@@ -172,4 +222,10 @@
 	}
 	_ = b.server.Close()
 	b.Platform.Close()
+	b.mu.Lock()
+	names := slices.Collect(maps.Keys(b.ordered))
+	b.mu.Unlock()
+	for _, name := range names {
+		b.stopOrdered(name)
+	}
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -4,9 +4,9 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -24,6 +24,10 @@
 func (x *exchange) run(body payload) {
 	ctx, stop := x.watched()
 	defer stop()
+	if ended := interruption(ctx); ended != nil {
+		x.refuse(ended)
+		return
+	}
 	if x.req.Idempotent {
 		x.runOnce(ctx, body)
 		return
@@ -31,8 +35,21 @@
 	x.runRecorded(ctx, body)
 }
 
+// quarantined refuses a request that crashed backend servers before.
+func (x *exchange) quarantined() *result.Error {
+	if x.req.Fingerprint == 0 || !x.server.o.Quarantine.Refused(x.req.Fingerprint, time.Now()) {
+		return nil
+	}
+	x.record(timeline.Event{Kind: timeline.QuarantineRefused})
+	return x.gate.Refuse(result.RequestQuarantined, "backend servers crashed while running this request")
+}
+
 // runOnce serves a request that needs no idempotency record.
 func (x *exchange) runOnce(ctx context.Context, body payload) {
+	if refusal := x.quarantined(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
 	ticket, refusal := x.admit(ctx)
 	if refusal != nil {
 		x.refuse(refusal)
@@ -57,17 +74,19 @@
 
 // call describes the request to the dispatcher.
 func (x *exchange) call(ticket traffic.Ticket, body payload) dispatch.Call {
+	timeouts := dispatch.TimeoutsFor(x.req.Class)
+	timeouts.Body = x.server.o.Limits.BodyTimeout
 	return dispatch.Call{
 		Request:       x.req,
 		Targets:       ticket,
 		Method:        x.r.Method,
 		Path:          x.backendPath(),
-		RawQuery:      x.r.URL.RawQuery,
-		Header:        x.r.Header,
+		RawQuery:      x.secret.query(x.r.URL.RawQuery),
+		Header:        x.secret.header(x.r.Header),
 		Body:          body.bytes,
 		Stream:        body.stream,
 		ContentLength: body.length,
-		Timeouts:      dispatch.TimeoutsFor(x.req.Class),
+		Timeouts:      timeouts,
 	}
 }
 
@@ -78,15 +97,13 @@
 	if !x.req.Plain {
 		return path
 	}
-	_, rest, _ := strings.Cut(strings.TrimPrefix(path, servicesPrefix), "/")
-	return "/" + rest
+	return afterService(path)
 }
 
-const servicesPrefix = "/services/"
-
 // finish records how the request ended and bills it.
 func (x *exchange) finish(out dispatch.Outcome) {
 	x.bill(out)
+	x.server.metrics.retried(x.req.Class.Name, out.Attempts)
 	if out.Err != nil {
 		x.refuse(out.Err)
 		x.cut(out)
@@ -106,11 +123,12 @@
 func (x *exchange) answered(out dispatch.Outcome) {
 	took := time.Since(x.arrived)
 	x.server.answered.Add(1)
+	x.ended(inTime(x.req.Class, out.FirstByte))
 	x.record(timeline.Event{
 		Kind: timeline.RequestAnswered, Count: out.Events, Server: out.Server,
 		Attempt: out.Attempt, Duration: out.FirstByte,
 	})
-	x.server.metrics.answered(x.req.Class.Name, took)
+	x.server.metrics.answered(x.req.Class.Name, took, out.FirstByte)
 	x.log("request answered", "status", out.Status, "backend_server", out.Server, "attempts", out.Attempts,
 		"first_byte_ms", out.FirstByte.Milliseconds(), "took_ms", took.Milliseconds())
 }
@@ -121,5 +139,25 @@
 		return
 	}
 	x.server.metrics.tokens(x.req.Class.Name, out.Usage.InputTokens, out.Usage.OutputTokens)
-	x.record(timeline.Event{Kind: timeline.UsageMetered, Count: out.Usage.InputTokens + out.Usage.OutputTokens})
+	x.server.o.Meter.Add(x.id, x.req.Organisation, x.req.Class.Name, x.req.Pool, out.Usage.InputTokens, out.Usage.OutputTokens)
+}
+
+// inTime reports whether the first byte met the class's target.
+func inTime(class *config.Class, firstByte time.Duration) bool {
+	return class.FirstToken == 0 || firstByte <= time.Duration(class.FirstToken)
+}
+
+// ended counts the outcome of a request to a model.
+func (x *exchange) ended(inTime bool) {
+	if !x.req.Plain {
+		x.server.o.Outcomes.Ended(time.Now(), x.req.Pool, x.req.Class.Name, inTime)
+	}
+}
+
+// missed counts a refusal that more capacity would have avoided.
+func (x *exchange) missed(code result.Code) {
+	switch code {
+	case result.Shed, result.DeadlineHopeless, result.QueueTimeout, result.Preempted, result.NoBackendServer:
+		x.ended(false)
+	}
 }
