--- /dev/null
+++ b/internal/dispatch/chunk.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// chunkKind tells what an event of a model's stream carries.
+type chunkKind int
+
+const (
+	chunkOther   chunkKind = iota
+	chunkRole              // who speaks, before any content
+	chunkContent           // a token
+	chunkFinish            // why one choice ended
+	chunkUsage             // the counted tokens
+	chunkError             // a failure that the engine reports
+)
+
+// chunk is one event of a model's stream.
+type chunk struct {
+	Choices []chunkChoice   `json:"choices"`
+	Usage   *engineUsage    `json:"usage"`
+	Error   json.RawMessage `json:"error"`
+}
+
+// identity names the stream that a chunk belongs to.
+type identity struct {
+	ID      json.RawMessage `json:"id"`
+	Created json.RawMessage `json:"created"`
+}
+
+type chunkChoice struct {
+	Index        int             `json:"index"`
+	Delta        json.RawMessage `json:"delta"`
+	Text         json.RawMessage `json:"text"`
+	FinishReason *string         `json:"finish_reason"`
+}
+
+type engineUsage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+func parseChunk(data string) (chunk, error) {
+	var c chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return c, fmt.Errorf("decode stream event: %w", err)
+	}
+	return c, nil
+}
+
+// kind classifies the chunk. Only before the first content can a chunk be one
+// that names the role and nothing else.
+func (c *chunk) kind(contentSeen bool) chunkKind {
+	switch {
+	case len(c.Error) > 0 && string(c.Error) != "null":
+		return chunkError
+	case len(c.Choices) == 0 && c.Usage != nil:
+		return chunkUsage
+	case len(c.Choices) == 0:
+		return chunkOther
+	case c.Choices[0].FinishReason != nil:
+		return chunkFinish
+	case !contentSeen && onlyRole(c.Choices[0].Delta):
+		return chunkRole
+	}
+	return chunkContent
+}
+
+// onlyRole reports whether a delta has no field with a value but the role.
+func onlyRole(delta json.RawMessage) bool {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(delta, &fields) != nil {
+		return false
+	}
+	if _, ok := fields["role"]; !ok {
+		return false
+	}
+	for name, value := range fields {
+		if name != "role" && string(value) != `""` && string(value) != "null" {
+			return false
+		}
+	}
+	return true
+}
+
+// chain extends the digest of the contents before by this chunk's content.
+func (c *chunk) chain(before uint64) uint64 {
+	var number [20]byte
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(strconv.AppendUint(number[:0], before, 10))
+	for _, choice := range c.Choices {
+		_, _ = d.Write(strconv.AppendInt(number[:0], int64(choice.Index), 10))
+		_, _ = d.Write(choice.Delta)
+		_, _ = d.Write(choice.Text)
+	}
+	return d.Sum64()
+}
+
+func readIdentity(data string) identity {
+	var i identity
+	_ = json.Unmarshal([]byte(data), &i) // parseChunk decoded it before
+	return i
+}
+
+// withIdentity gives the event the id and time of the stream's first event.
+func withIdentity(data string, first identity) string {
+	fields := make(map[string]json.RawMessage)
+	if json.Unmarshal([]byte(data), &fields) != nil {
+		return data
+	}
+	fields["id"] = first.ID
+	if len(first.Created) > 0 {
+		fields["created"] = first.Created
+	}
+	changed, err := json.Marshal(fields)
+	if err != nil {
+		return data
+	}
+	return string(changed)
+}
