Keep the watching of engines within a share of the control budget

Each instance paces reads and digests by what the plan gives it to do: 1,500 of the 3,000 bytes per second that a node may spend for control.

--- a/internal/enginewatch/core.go
+++ b/internal/enginewatch/core.go
@@ -8,8 +8,12 @@
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 )
 
-// maxTurns bounds how many readers before it an instance waits for in turn.
-const maxTurns = 3
+const (
+	// maxTurns bounds how many readers before it an instance waits for in turn.
+	maxTurns = 3
+	// takeoverMargin is added to the time in which a reader should be heard.
+	takeoverMargin = 200 * time.Millisecond
+)
 
 // Core decides what one instance reads, sends and passes to its router. It does
 // no I/O and is not safe for concurrent use.
@@ -58,8 +62,7 @@
 	age    time.Duration // of the load report when it arrived
 	cache  engineapi.CacheEvents
 	// hasCache is true when the cache events were read.
-	hasCache   bool
-	cacheBytes int
+	hasCache bool
 }
 
 // news is what the router is told of one engine. The nil parts are unchanged.
@@ -85,6 +88,7 @@
 	c.byID = make(map[serverID]*track, len(engines))
 	shared := countIDs(p)
 	self := p.member(c.self)
+	paces := p.paces()
 	for _, e := range engines {
 		rank := p.rank(e.name, self)
 		if rank < 0 {
@@ -96,6 +100,7 @@
 			t = &track{server: e, id: idOf(e.name), heard: now, next: now}
 		}
 		t.shared = shared[t.id] == 1
+		t.every = paces[p.first(e.name)].every()
 		t.better = watchers[:rank]
 		t.peers = slices.Concat(watchers[:rank], watchers[rank+1:])
 		c.tracks = append(c.tracks, t)
@@ -116,11 +121,12 @@
 	return n
 }
 
+// duties counts the engines that this instance reads, also for others.
 func (c *Core) duties() duties {
 	d := duties{members: c.members}
 	receivers := make(map[string]bool)
 	for _, t := range c.tracks {
-		if len(t.better) > 0 {
+		if len(t.better) > 0 && !t.active {
 			continue
 		}
 		d.owned++
@@ -146,7 +152,7 @@
 		list = append(list, read{
 			server:  t.server,
 			after:   t.cache.position,
-			cache:   c.cache.on(now),
+			cache:   c.cache.on(now, c.pace),
 			attempt: t,
 		})
 	}
@@ -172,8 +178,7 @@
 // first reader, or those before it have been silent.
 func (c *Core) reads(now time.Time, t *track) bool {
 	turns := min(len(t.better), maxTurns)
-	wait := time.Duration(turns) * c.pace.takeover()
-	return turns == 0 || now.Sub(t.heard) >= wait
+	return now.Sub(t.heard) >= time.Duration(turns)*(t.every+takeoverMargin) || turns == 0
 }
 
 // done takes the result of a read.
@@ -190,7 +195,6 @@
 	}
 	t.pending = true // sent also when unchanged, so that others know that it was read
 	if result.hasCache {
-		c.cache.bytes += result.cacheBytes
 		events, again := t.cache.read(result.cache)
 		if again {
 			t.next = now
@@ -216,7 +220,10 @@
 	loads := d.loads()
 	for i := range loads {
 		if t := c.byID[loads[i].ID]; t != nil {
-			list = appendNews(list, c.takeLoad(now, t, from, &loads[i], late))
+			if t.newest(loads[i].Epoch, loads[i].Stamp) {
+				t.hear(now, from)
+			}
+			list = appendNews(list, takeLoad(now, t, &loads[i], late))
 		}
 	}
 	for i := range d.Cache {
@@ -227,11 +234,8 @@
 	return list
 }
 
-func (c *Core) takeLoad(now time.Time, t *track, from string, r *loadRecord, late time.Duration) news {
+func takeLoad(now time.Time, t *track, r *loadRecord, late time.Duration) news {
 	n := news{server: t.server.name}
-	if t.newest(r.Epoch, r.Stamp) && slices.Contains(t.better, from) {
-		t.heard = now
-	}
 	if !t.newer(r.Epoch, r.Stamp) {
 		return n
 	}
@@ -265,6 +269,7 @@
 		return nil
 	}
 	c.flushed = now
+	c.pace = paceOf(c.duties())
 	if c.cache.fit(now, c.pace, c.countPrefixes) {
 		for _, t := range c.tracks {
 			t.cache.clear = true
@@ -284,7 +289,7 @@
 		t.pending = false
 		b.addLoad(t.peers, t.record(now))
 	}
-	if !c.cache.on(now) {
+	if !c.cache.on(now, c.pace) {
 		if len(t.cache.held) > 0 {
 			t.cache.lose(t.cache.position)
 		}
--- a/internal/enginewatch/pace.go
+++ b/internal/enginewatch/pace.go
@@ -5,17 +5,16 @@
 // Budgets of one instance in a large fleet, in bytes per second, without the
 // headers of TCP, UDP and IP.
 const (
-	readBudget      = 800 // requests to engines and their answers, without cache events
-	recordBudget    = 400 // load records to other instances
-	messageBudget   = 200 // envelopes and packets around the records
-	cacheSendBudget = 100 // cache records to other instances
-	cacheReadBudget = 300 // answers with cache events; more turns them off for a while
-	totalBudget     = 1500
+	readBudget    = 650  // requests to engines and their answers
+	recordBudget  = 350  // load records to other instances
+	messageBudget = 400  // envelopes and packets around the records
+	cacheBudget   = 600  // cache records to other instances, up to cacheFleet
+	totalBudget   = 1500 // of all in a fleet above cacheFleet
 )
 
 // Estimated sizes in bytes.
 const (
-	readBytes    = 320 // reading one load report
+	readBytes    = 280 // reading one load report
 	recordBytes  = 22  // one load record in a digest
 	messageBytes = 58  // one digest without its records
 	prefixBytes  = 9   // one prefix in a digest
@@ -26,13 +25,11 @@
 	// smallFleetRead the time between two reads of an instance there at least.
 	smallFleet     = 16
 	smallFleetRead = 2 * time.Millisecond
-	// cacheFleet is the number of instances up to which the reading of cache
-	// events has no budget.
+	// cacheFleet is the number of instances up to which cache events are read.
 	cacheFleet = 64
 
 	minInterval = 500 * time.Millisecond
-	maxRead     = 30 * time.Second
-	maxFlush    = 4 * time.Second // an idle connection between instances ends after 5 s
+	maxInterval = time.Minute
 )
 
 // duties counts what one instance reads and sends.
@@ -47,8 +44,9 @@
 type pace struct {
 	read  time.Duration // between two reads of one engine
 	flush time.Duration // between two digests to one instance
-	// cacheRead and cacheSend are budgets in bytes per second; 0 is unlimited.
-	cacheRead, cacheSend int
+	cache bool          // cache events are read
+	// prefixes bounds the prefixes in the digests of one flush; 0 is unlimited.
+	prefixes int
 }
 
 // paceOf keeps the instance within its budgets.
@@ -57,22 +55,17 @@
 		return pace{
 			read:  max(time.Duration(d.owned)*smallFleetRead, minInterval),
 			flush: minInterval,
+			cache: true,
 		}
 	}
+	read := max(spread(d.owned*readBytes, readBudget), spread(d.records*recordBytes, recordBudget))
+	flush := spread(d.receivers*messageBytes, messageBudget)
 	p := pace{
-		read: max(
-			spread(d.owned*readBytes, readBudget),
-			spread(d.records*recordBytes, recordBudget),
-			minInterval,
-		),
-		flush:     max(spread(d.receivers*messageBytes, messageBudget), minInterval),
-		cacheSend: cacheSendBudget,
+		read:  min(max(read, minInterval), maxInterval),
+		flush: min(max(flush, minInterval), maxInterval),
+		cache: d.members <= cacheFleet,
 	}
-	if d.members > cacheFleet {
-		p.cacheRead = cacheReadBudget
-	}
-	p.read = min(p.read, maxRead)
-	p.flush = min(p.flush, max(maxFlush, p.read))
+	p.prefixes = int(cacheBudget * p.flush.Seconds() / prefixBytes)
 	return p
 }
 
@@ -81,6 +74,32 @@
 	return time.Duration(bytes) * time.Second / time.Duration(perSecond)
 }
 
-// takeover is how long an instance waits for each one before it in the order of
-// readers before it reads an engine itself.
-func (p pace) takeover() time.Duration { return max(p.read, p.flush) + minInterval }
+// every is the time between two records of one engine.
+func (p pace) every() time.Duration { return p.read + p.flush }
+
+// paces returns the pace of every member when all of them work.
+func (p *Plan) paces() []pace {
+	n := len(p.members)
+	all := make([]duties, n)
+	sends := make([]bool, n*n) // by sender and receiver
+	for _, watchers := range p.watchers {
+		if len(watchers) == 0 {
+			continue
+		}
+		d := &all[watchers[0]]
+		d.owned++
+		d.records += len(watchers) - 1
+		for _, to := range watchers[1:] {
+			if at := int(watchers[0])*n + int(to); !sends[at] {
+				sends[at] = true
+				d.receivers++
+			}
+		}
+	}
+	list := make([]pace, n)
+	for i, d := range all {
+		d.members = n
+		list[i] = paceOf(d)
+	}
+	return list
+}
--- a/internal/enginewatch/plan.go
+++ b/internal/enginewatch/plan.go
@@ -13,9 +13,6 @@
 	// zoneCovers is the number of covers in one availability zone, if there are
 	// enough instances in others.
 	zoneCovers = covers / 2
-	// nearCovers is the number of covers taken from the server's availability zone
-	// before any other.
-	nearCovers = covers / 4
 	// poolMinimum is the number of servers of each model that an instance routes
 	// to at least, if the model has that many.
 	poolMinimum = 4
@@ -40,8 +37,8 @@
 }
 
 // NewPlan computes the plan. Each server is routed to by the instances that
-// follow it on a ring of hashes: some of its availability zone first, then those
-// of its region, with no more than half in one availability zone where others have instances. Instances
+// follow it on a ring of hashes, those of its region first, with no more than
+// half of them in one availability zone where others have instances. Instances
 // left with too few servers of a model take those before them on the ring.
 func NewPlan(members []Member, servers []Server) *Plan {
 	b := newPlanner(members, servers)
@@ -81,6 +78,9 @@
 	return slices.Index(p.watchers[i], uint16(member))
 }
 
+// first returns the index of the first reader of a server with readers.
+func (p *Plan) first(server string) uint16 { return p.watchers[p.byName[server]][0] }
+
 // Subset returns the servers that an instance routes to, in order of name.
 func (p *Plan) Subset(self string) []string {
 	m := p.member(self)
@@ -104,11 +104,11 @@
 type planner struct {
 	plan    *Plan
 	all     ring            // members
-	zones   map[string]ring // members by availability zone
 	regions map[string]ring // members by region
 	at      []uint64        // position by member
 	chosen  []uint16        // reused between servers
-	perZone map[string]int  // reused between servers
+	zone    []int           // number of the availability zone by member
+	perZone []int           // chosen by zone; reused between servers
 }
 
 func newPlanner(members []Member, servers []Server) *planner {
@@ -125,28 +125,50 @@
 	p.watchers = make([][]uint16, len(p.servers))
 	b := &planner{
 		plan:    p,
-		all:     newRing(len(p.members), func(i int) string { return p.members[i].Name }),
-		zones:   make(map[string]ring),
 		regions: make(map[string]ring),
 		at:      make([]uint64, len(p.members)),
-		perZone: make(map[string]int),
-	}
-	for _, m := range b.all {
-		zone, region := p.members[m.index].Zone, p.members[m.index].Region
-		b.zones[zone] = append(b.zones[zone], m)
-		b.regions[region] = append(b.regions[region], m)
-		b.at[m.index] = m.at
 	}
+	b.place()
+	b.numberZones()
 	return b
 }
 
+func (b *planner) numberZones() {
+	numbers := make(map[string]int)
+	b.zone = make([]int, len(b.plan.members))
+	for i, m := range b.plan.members {
+		n, ok := numbers[m.Zone]
+		if !ok {
+			n = len(numbers)
+			numbers[m.Zone] = n
+		}
+		b.zone[i] = n
+	}
+	b.perZone = make([]int, len(numbers))
+}
+
+// place puts the members of each region on a ring.
+func (b *planner) place() {
+	indexes := make(map[string][]int)
+	for i, m := range b.plan.members {
+		indexes[m.Region] = append(indexes[m.Region], i)
+	}
+	for region, list := range indexes {
+		b.regions[region] = newRing(b.plan.members, list)
+		b.all = append(b.all, b.regions[region]...)
+	}
+	b.all.sort()
+	for _, p := range b.all {
+		b.at[p.index] = p.at
+	}
+}
+
 // cover chooses the members that route to a server.
 func (b *planner) cover(server int) {
 	s := &b.plan.servers[server]
 	at := position(s.Name)
 	b.chosen = b.chosen[:0]
 	clear(b.perZone)
-	b.take(b.zones[s.Zone], at, nearCovers)
 	b.take(b.regions[s.Region], at, zoneCovers)
 	b.take(b.all, at, zoneCovers)
 	b.take(b.regions[s.Region], at, covers)
@@ -161,7 +183,7 @@
 		return
 	}
 	r.walk(at, func(p place) bool {
-		zone := b.plan.members[p.index].Zone
+		zone := b.zone[p.index]
 		if b.perZone[zone] >= zoneLimit || slices.Contains(b.chosen, uint16(p.index)) {
 			return true
 		}
@@ -171,9 +193,10 @@
 	})
 }
 
-// order sorts the chosen members: those of the server's zone, then those of its
-// region, each by rendezvous hashing. The second one is of another zone than the
-// first, so that the loss of a zone leaves one of them.
+// order sorts the chosen members: those of the server's region first, by
+// rendezvous hashing, which spreads the reading evenly. The second one is of
+// another availability zone than the first, so that the loss of a zone leaves
+// one of them.
 func (b *planner) order(s *Server, at uint64) {
 	slices.SortFunc(b.chosen, func(x, y uint16) int {
 		return cmp.Or(
@@ -187,7 +210,7 @@
 
 func (b *planner) splitZones() {
 	for i, m := range b.chosen {
-		if b.plan.members[m].Zone != b.plan.members[b.chosen[0]].Zone {
+		if b.zone[m] != b.zone[b.chosen[0]] {
 			copy(b.chosen[2:i+1], b.chosen[1:i])
 			b.chosen[1] = m
 			return
@@ -195,14 +218,10 @@
 	}
 }
 
-// distance is 0 in the server's availability zone, 1 in its region, else 2.
+// distance is 0 in the server's region, else 1.
 func (b *planner) distance(s *Server, member uint16) int {
-	m := &b.plan.members[member]
-	switch {
-	case m.Zone == s.Zone:
+	if b.plan.members[member].Region == s.Region {
 		return 0
-	case m.Region == s.Region:
-		return 1
 	}
-	return 2
+	return 1
 }
--- a/internal/enginewatch/ring.go
+++ b/internal/enginewatch/ring.go
@@ -37,10 +37,11 @@
 // ring is a list of places in order of position.
 type ring []place
 
-func newRing(n int, nameOf func(int) string) ring {
-	r := make(ring, n)
-	for i := range r {
-		r[i] = place{at: position(nameOf(i)), index: i}
+// newRing places members by the hash of their names.
+func newRing(members []Member, indexes []int) ring {
+	r := make(ring, len(indexes))
+	for i, index := range indexes {
+		r[i] = place{at: position(members[index].Name), index: index}
 	}
 	r.sort()
 	return r
--- a/internal/enginewatch/sample.go
+++ b/internal/enginewatch/sample.go
@@ -5,7 +5,7 @@
 const (
 	// maxLevel keeps one prefix of 64.
 	maxLevel = 6
-	// cachePause is how long cache events stay off after they passed a budget.
+	// cachePause is how long cache events stay off after they passed their budget.
 	cachePause = time.Minute
 	// calmFlushes is the number of flushes far below the budget before the sample
 	// grows.
@@ -18,38 +18,31 @@
 
 func (s sample) keeps(prefix uint64) bool { return prefix&(1<<s.level-1) == 0 }
 
-// cacheControl keeps cache events within their budgets.
+// cacheControl keeps the passing on of cache events within its budget.
 type cacheControl struct {
 	sample sample
 	calm   int       // flushes in a row far below the budget
 	paused time.Time // no cache events before
-	bytes  int       // read from engines since the last flush
 }
 
 // on reports whether cache events are read.
-func (c *cacheControl) on(now time.Time) bool { return !now.Before(c.paused) }
+func (c *cacheControl) on(now time.Time, p pace) bool { return p.cache && !now.Before(c.paused) }
 
 // fit chooses the sample for a flush. count gives the prefixes that would be
-// sent with a sample. finer is true when the sample keeps less than before.
-func (c *cacheControl) fit(now time.Time, p pace, count func(sample) int) (finer bool) {
-	read := float64(c.bytes) / p.flush.Seconds()
-	c.bytes = 0
-	if p.cacheRead > 0 && read > float64(p.cacheRead) {
-		c.paused = now.Add(cachePause)
-	}
-	if p.cacheSend == 0 {
+// sent with a sample. It returns true when the sample keeps less than before.
+func (c *cacheControl) fit(now time.Time, p pace, count func(sample) int) bool {
+	if p.prefixes == 0 {
 		c.sample = sample{}
 		return false
 	}
-	limit := int(float64(p.cacheSend) * p.flush.Seconds() / prefixBytes)
 	before := c.sample
-	for c.sample.level < maxLevel && count(c.sample) > limit {
+	for c.sample.level < maxLevel && count(c.sample) > p.prefixes {
 		c.sample.level++
 	}
-	if c.sample.level == maxLevel && count(c.sample) > limit {
+	if count(c.sample) > p.prefixes {
 		c.paused = now.Add(cachePause)
 	}
-	c.relax(limit, count)
+	c.relax(p.prefixes, count)
 	return c.sample.level > before.level
 }
 
--- a/internal/enginewatch/track.go
+++ b/internal/enginewatch/track.go
@@ -1,6 +1,7 @@
 package enginewatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
@@ -10,15 +11,16 @@
 type track struct {
 	server  watched
 	id      serverID
-	shared  bool      // its id names no other server, so digests may hold it
-	peers   []string  // other instances that route to it
-	better  []string  // those of them that read it before this instance does
-	heard   time.Time // last digest of it from one of better, or when the wait began
-	next    time.Time // next read
-	reading bool      // a read is under way
-	active  bool      // this instance reads it
-	spread  bool      // its reads were given a phase of their own
-	pending bool      // the newest report was read here and not sent yet
+	shared  bool          // its id names no other server, so digests may hold it
+	peers   []string      // other instances that route to it
+	better  []string      // those of them that read it before this instance does
+	heard   time.Time     // last digest of it from one of better, or when the wait began
+	every   time.Duration // between two records of its first reader
+	next    time.Time     // next read
+	reading bool          // a read is under way
+	active  bool          // this instance reads it
+	spread  bool          // its reads were given a phase of their own
+	pending bool          // the newest report was read here and not sent yet
 
 	known    bool // a report was taken
 	epoch    uint64
@@ -41,7 +43,7 @@
 		return every
 	}
 	t.spread = true
-	phase := time.Duration(uint64(every) * uint64(t.id) >> 32)
+	phase := every * time.Duration(t.id>>16) >> 16
 	return max(phase, every/8)
 }
 
@@ -54,6 +56,13 @@
 	return stamp > t.stamp
 }
 
+// hear notes a sign of life of a reader before this instance in the order.
+func (t *track) hear(now time.Time, from string) {
+	if slices.Contains(t.better, from) {
+		t.heard = now
+	}
+}
+
 // newest reports whether a report is the newest one or newer.
 func (t *track) newest(epoch uint64, stamp int64) bool {
 	return t.newer(epoch, stamp) || epoch == t.epoch && stamp == t.stamp
--- a/internal/enginewatch/watch.go
+++ b/internal/enginewatch/watch.go
@@ -15,6 +15,8 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
+	// planInterval is the time between two plans of a large fleet.
+	planInterval = 5 * time.Second
 	// maxReads bounds the reads under way at once.
 	maxReads = 32
 )
@@ -68,6 +70,8 @@
 	members []Member
 	servers []platform.Server
 	plan    *Plan
+	stale   bool // a list has changed since the plan
+	planned time.Time
 }
 
 // New returns a Watch that knows of no engines and no other instances.
@@ -110,7 +114,8 @@
 		return
 	}
 	w.servers = list
-	w.replan()
+	w.stale = true
+	w.replan(w.options.Now())
 }
 
 // SetMembers replaces the list of instances. Without Peers no other instance
@@ -128,7 +133,8 @@
 		return
 	}
 	w.members = members
-	w.replan()
+	w.stale = true
+	w.replan(w.options.Now())
 }
 
 // Subset returns the names of the model servers that this instance routes to,
@@ -139,8 +145,13 @@
 	return w.plan.Subset(w.options.Instance)
 }
 
-// replan computes the plan. The caller holds the lock.
-func (w *Watch) replan() {
+// replan computes the plan after a change of the lists; in a large fleet not
+// more often than each planInterval. The caller holds the lock.
+func (w *Watch) replan(now time.Time) {
+	if !w.stale || len(w.members) > smallFleet && now.Sub(w.planned) < planInterval {
+		return
+	}
+	w.stale, w.planned = false, now
 	var servers []Server
 	var engines []watched
 	for _, s := range w.servers {
@@ -151,7 +162,7 @@
 		engines = append(engines, watched{name: s.Name, address: s.Address})
 	}
 	w.plan = NewPlan(w.members, servers)
-	w.core.setPlan(w.options.Now(), w.plan, engines)
+	w.core.setPlan(now, w.plan, engines)
 }
 
 // Run reads and sends until ctx ends.
@@ -173,6 +184,7 @@
 func (w *Watch) tick(ctx context.Context) {
 	w.mu.Lock()
 	now := w.options.Now()
+	w.replan(now)
 	reads, digests := w.core.due(now), w.core.flush(now)
 	changes := w.core.takeChanges()
 	w.mu.Unlock()
