--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -1,8 +1,11 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -34,25 +37,50 @@
 		Started:  i.started,
 		Classes:  classStatus(p),
 		Servers:  serverStatus(p),
+		Peers:    i.peerStatus(),
 		Requests: i.callers.Counts(),
 	}
 }
 
+// peerStatus lists the other instances of the newest membership.
+func (i *Instance) peerStatus() []operator.PeerStatus {
+	view := i.members.View()
+	connected := i.peers.Connected()
+	list := make([]operator.PeerStatus, 0, view.Len())
+	for n := range view.Len() {
+		m := view.At(n)
+		if m.Name == i.settings.Instance {
+			continue
+		}
+		list = append(list, operator.PeerStatus{
+			Instance: m.Name, Zone: m.Zone, Up: slices.Contains(connected, m.Name),
+		})
+	}
+	return list
+}
+
+// classStatus sums up the classes over all pools, highest tier first.
 func classStatus(p placement.Status) []operator.ClassStatus {
-	var list []operator.ClassStatus
+	sums := make(map[string]operator.ClassStatus)
 	for _, pool := range p.Pools {
 		for _, c := range pool.Classes {
-			list = append(list, operator.ClassStatus{Name: c.Name, Tier: c.Tier, Queued: c.Waiting})
+			sum := sums[c.Name]
+			sum.Name, sum.Tier = c.Name, c.Tier
+			sum.Queued += c.Waiting
+			sum.Running += c.Running
+			sums[c.Name] = sum
 		}
 	}
-	return list
+	return slices.SortedFunc(maps.Values(sums), func(a, b operator.ClassStatus) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Name, b.Name))
+	})
 }
 
 func serverStatus(p placement.Status) []operator.ServerStatus {
 	list := make([]operator.ServerStatus, 0, len(p.Servers))
 	for _, s := range p.Servers {
 		list = append(list, operator.ServerStatus{
-			Name: s.Name, Zone: s.Zone, State: s.Health, InFlight: s.InFlight, Limit: s.Slots, Cheap: s.Cheap,
+			Name: s.Name, Pool: s.Pool, Zone: s.Zone, State: s.Health, InFlight: s.InFlight, Limit: s.Slots, Cheap: s.Cheap,
 		})
 	}
 	return list
@@ -60,6 +88,7 @@
 
 // writeMetrics writes every component's metrics in the Prometheus text format.
 func (i *Instance) writeMetrics(w io.Writer) {
-	i.callers.Metrics().WritePrometheus(w)
+	i.callers.WriteMetrics(w)
+	writeLoadMetrics(w, i.scheduler.Status())
 	metrics.WriteProcessMetrics(w)
 }
