Keep the configuration current among instances during a store outage

Cause: an instance read the configuration from the table service alone, so an outage of the service made every instance refuse new work after 5 s (the failure test showed it: not ready during an outage of 8 s). Change: the store is given the other instances: changes are pushed over the spread graph, and instances prove to each other that no newer version exists. The failure test runs four processes under a mix of requests: one is killed, one paused past its lease and resumed, the table service is taken away and back. Conclusion: a store outage alone stops nobody.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -3,18 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/demo"
 	"github.com/hawthornwick/hawthornwick/internal/peer/testcert"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
 // binary is the built router; TestMain sets it.
@@ -58,6 +61,8 @@
 	command                   *exec.Cmd
 	log                       *os.File
 	exited                    chan struct{}
+	stopped                   atomic.Bool      // killed or paused by the test
+	last                      []timeline.Event // newest time line that was read
 }
 
 const readyTimeout = 30 * time.Second
@@ -215,3 +220,37 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// events returns one process's time line.
+func (p *process) events() []timeline.Event {
+	answer, err := http.Get("http://" + p.operators + "/timeline")
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = answer.Body.Close() }()
+	events, _ := timeline.ReadJSON(answer.Body)
+	return events
+}
+
+// call sends one request through a process.
+func (c *cluster) call(p *process, method, path, organisation, body string, header ...string) (status int, text string, h http.Header) {
+	r, err := http.NewRequest(method, "http://"+p.callers+path, strings.NewReader(body))
+	if err != nil {
+		c.t.Error(err)
+		return 0, "", nil
+	}
+	r.Header.Set("Authorization", "Bearer "+c.keys[organisation])
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = answer.Body.Close() }()
+	data, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return answer.StatusCode, string(data), answer.Header
+}
--- /dev/null
+++ b/e2e/failures_test.go
@@ -0,0 +1,153 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/demo"
+	"github.com/hawthornwick/hawthornwick/internal/entry"
+	"github.com/hawthornwick/hawthornwick/internal/invariant"
+	"github.com/hawthornwick/hawthornwick/internal/standin/platform"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+// traffic sends a mix of requests through the processes until stopped. Every
+// caller tries the next process when one does not answer, as a balancer does.
+type traffic struct {
+	c        *cluster
+	stopping chan struct{}
+	running  sync.WaitGroup
+	bookings atomic.Int64 // sent, by idempotency key
+	answered atomic.Int64
+	refused  atomic.Int64
+	dropped  atomic.Int64 // no process answered
+}
+
+const (
+	trafficCallers = 6
+	trafficPause   = 40 * time.Millisecond
+)
+
+func startTraffic(c *cluster) *traffic {
+	t := &traffic{c: c, stopping: make(chan struct{})}
+	for n := range trafficCallers {
+		t.running.Go(func() { t.caller(n) })
+	}
+	return t
+}
+
+func (t *traffic) stop() {
+	close(t.stopping)
+	t.running.Wait()
+}
+
+func (t *traffic) caller(n int) {
+	for round := 0; ; round++ {
+		select {
+		case <-t.stopping:
+			return
+		case <-time.After(trafficPause):
+		}
+		switch (n + round) % 3 {
+		case 0:
+			t.send(n+round, http.MethodPost, "/v1/chat/completions", "setubal-depot",
+				`{"model":"label-2b","stream":true,"messages":[{"role":"user","content":"label"}]}`)
+		case 1:
+			t.send(n+round, http.MethodGet, "/services/entries/run", "suva-swimming", "")
+		default:
+			key := fmt.Sprintf("booking-%d", t.bookings.Add(1))
+			t.send(n+round, http.MethodPost, "/services/bookings/lane", "suva-swimming", `{"lane":4}`,
+				entry.IdempotencyHeader, key)
+		}
+	}
+}
+
+func (t *traffic) send(start int, method, path, organisation, body string, header ...string) {
+	for n := range t.c.processes {
+		p := t.c.processes[(start+n)%len(t.c.processes)]
+		if p.stopped.Load() {
+			continue
+		}
+		status, _, _ := t.c.call(p, method, path, organisation, body, header...)
+		switch {
+		case status == 0:
+			continue
+		case status < http.StatusBadRequest:
+			t.answered.Add(1)
+		default:
+			t.refused.Add(1)
+		}
+		return
+	}
+	t.dropped.Add(1)
+}
+
+// collector keeps the events of processes, so that those of a killed one are
+// not lost with it.
+func collect(c *cluster) []timeline.Event {
+	stand, _ := c.backends.Timeline.Snapshot()
+	rings := [][]timeline.Event{stand}
+	for _, p := range c.processes {
+		if events := p.events(); events != nil {
+			p.last = events
+		}
+		rings = append(rings, p.last)
+	}
+	return timeline.Merge(rings...)
+}
+
+func TestKillPauseAndStoreOutage(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 4, demo.Options{})
+	load := startTraffic(c)
+	time.Sleep(2 * time.Second)
+
+	killed := c.processes[3]
+	collect(c)
+	killed.stopped.Store(true)
+	killed.signal(syscall.SIGKILL)
+	<-killed.exited
+	time.Sleep(time.Second)
+
+	paused := c.processes[2]
+	paused.stopped.Store(true)
+	paused.signal(syscall.SIGSTOP)
+	time.Sleep(pauseTime)
+	paused.signal(syscall.SIGCONT)
+	paused.stopped.Store(false)
+	time.Sleep(time.Second)
+
+	c.backends.Platform.SetFault(platform.TableInterface, platform.Fault{Down: true})
+	time.Sleep(outageTime)
+	for _, p := range c.processes[:3] {
+		is.True(p.ready()) // a store outage alone stops nobody
+	}
+	c.backends.Platform.SetFault(platform.TableInterface, platform.Fault{})
+	time.Sleep(2 * time.Second)
+
+	load.stop()
+	t.Logf("answered %d, refused %d, unanswered %d", load.answered.Load(), load.refused.Load(), load.dropped.Load())
+	is.True(load.answered.Load() > 0)
+	checkPromises(t, collect(c))
+}
+
+const (
+	pauseTime  = 12 * time.Second // past the longest lease
+	outageTime = 8 * time.Second
+)
+
+// checkPromises runs the invariant checker and reports each violation. The
+// rings of a killed process end early, so missing causes are no violation.
+func checkPromises(t *testing.T, events []timeline.Event) {
+	t.Helper()
+	for _, v := range invariant.Check(events, invariant.Options{}) {
+		t.Errorf("%v", v)
+	}
+}
--- a/internal/instance/provision.go
+++ b/internal/instance/provision.go
@@ -51,6 +51,8 @@
 		Instance: i.settings.Instance,
 		Zone:     i.settings.Zone,
 		Table:    i.platform.Table(),
+		Network:  i.peers,
+		Members:  i.members,
 		Compile:  compileText,
 		Recorder: i.ring,
 		Logger:   i.logger.Named("configuration"),
