--- a/bench/control_test.go
+++ b/bench/control_test.go
@@ -25,11 +25,11 @@
 
 // storeCost is what the control of a fleet takes of the table service.
 type storeCost struct {
-	Instances  int
-	WriteRows  float64 // per second, all instances
-	ReadRows   float64 // per second, all instances
-	ReadCalls  float64 // per second, all instances
-	BytesEach  float64 // per second and instance
+	Instances int
+	WriteRows float64 // per second, all instances
+	ReadRows  float64 // per second, all instances
+	ReadCalls float64 // per second, all instances
+	BytesEach float64 // per second and instance
 }
 
 // fleetUnderTest runs the parts of instances that use the table service.
