Let the callers' tests run with a settled list of members

Cause: model servers now start cold whatever their limits, and cold servers get no work until the list of members has settled, so requests to the model waited for their whole deadline in these tests.

Change: the scheduler's clock runs from thirty seconds ago until now before the tests begin, with the list renewed each second.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -102,6 +102,7 @@
 	version   uint64
 	config    config.Config
 	onEvent   atomic.Pointer[func(timeline.Event)]
+	ahead     time.Duration // of the scheduler's clock
 }
 
 // Record implements timeline.Recorder for the server.
@@ -196,12 +197,45 @@
 		config.DigestKey(depotKey): {Organisation: "depot"},
 	}
 	e.source = &source{changed: make(chan struct{})}
-	e.scheduler = scheduler.New(scheduler.Options{Instance: "i1", Zone: "a", Recorder: e.ring})
+	e.ahead = -settleTime
+	e.scheduler = scheduler.New(scheduler.Options{Instance: "i1", Zone: "a", Recorder: e.ring, Now: e.now})
 	e.apply(func(*config.Config, map[config.KeyDigest]config.KeyState) {})
-	e.scheduler.SetMembers([]string{"i1"}, time.Now())
 	e.scheduler.SetServers([]api.Server{{
 		Name: "e1", Address: e.engine.Address(), Zone: "a", Model: "m", Epoch: 1, State: api.ServerRunning,
 	}})
+	e.settleMembers()
+}
+
+// now is the scheduler's clock.
+func (e *edge) now() time.Time { return time.Now().Add(e.ahead) }
+
+const (
+	memberListInterval = time.Second
+	settleTime         = 30 * time.Second
+)
+
+// settleMembers lets the scheduler's clock run from settleTime ago until now, so
+// that its list of members counts as settled, and keeps the list fresh.
+func (e *edge) settleMembers() {
+	list := func() { e.scheduler.SetMembers([]string{"i1"}, e.now()) }
+	for ; e.ahead < 0; e.ahead += memberListInterval {
+		list()
+	}
+	list()
+	ticker := time.NewTicker(memberListInterval)
+	stop := make(chan struct{})
+	e.t.Cleanup(func() { close(stop) })
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				list()
+			case <-stop:
+				return
+			}
+		}
+	}()
 }
 
 // apply puts a changed configuration in force.
