Test repeated, late and close crash notices one by one

Cause: with the recognition of a repeated report, the memory of cleared suspects for another reporter, or the rule of one report per instance taken out, no test of quarantine failed. Change: TestRepeatedNoticeCountsOnce; the late report in TestClearedFingerprintStaysClear comes from another instance; TestRestartedServerCrashesAgain crashes within the clocks' tolerance.

--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -74,7 +74,8 @@
 	tr := New(Options{})
 	run(t, tr, 1, "only", 1, start).Crashed(start)
 	onRestarted := run(t, tr, 9, "only", 2, start)
-	run(t, tr, 1, "only", 2, start.Add(time.Second)).Crashed(start.Add(time.Second))
+	again := start.Add(clockTolerance / 4)
+	run(t, tr, 1, "only", 2, again).Crashed(again)
 	is.True(tr.Refused(1, later)) // two crashes, although close together
 	is.True(!tr.Refused(9, later))
 	onRestarted.Ended(true, later)
@@ -97,11 +98,24 @@
 	crash := Notice{Reporter: "b", Server: "s1", SinceMillis: start.UnixMilli(), UnixMillis: start.UnixMilli(), Fingerprints: []uint64{2}}
 	tr.Learn(crash, start)
 	run(t, tr, 2, "s2", 1, later).Ended(true, later)
-	tr.Learn(crash, later) // told again by a third instance
+	tr.Learn(crash, later)
+	crash.Reporter = "c" // its report of the same crash comes late
+	tr.Learn(crash, later)
 	run(t, tr, 2, "s3", 1, later).Crashed(later)
 	is.True(!tr.Refused(2, later.Add(time.Minute)))
 }
 
+// A server dies of something else while one harmless request runs there.
+func TestRepeatedNoticeCountsOnce(t *testing.T) {
+	is := is.New(t)
+	tr := New(Options{})
+	crash := Notice{Reporter: "b", Server: "s1", SinceMillis: start.UnixMilli(), UnixMillis: start.UnixMilli(), Fingerprints: []uint64{2}}
+	tr.Learn(crash, start)
+	tr.Learn(crash, later)
+	is.True(!tr.Refused(2, later.Add(time.Minute)))
+	is.Equal(len(tr.Notices(later)), 1)
+}
+
 func TestOneCrashSeenByTwoInstancesCountsOnce(t *testing.T) {
 	is := is.New(t)
 	a, b := New(Options{Instance: "a"}), New(Options{Instance: "b"})
