--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -19,6 +19,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	"github.com/hawthornwick/hawthornwick/internal/member"
+	"github.com/hawthornwick/hawthornwick/internal/order"
 	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/platform/httpapi"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
@@ -62,9 +63,13 @@
 	operators        *http.Server
 	operatorListener net.Listener
 	fleet            *fleet
+	backends         *backends
+	recent           *order.Recent
+	engineOrders     *order.HTTPEngines
 	engines          *engineWatch
 
 	leaving   atomic.Bool
+	forced    atomic.Bool // operators cut off what still ran
 	drainOnce sync.Once
 }
 
@@ -124,6 +129,7 @@
 	running.Go(func() { i.followConfig(ctx) })
 	running.Go(func() { every(ctx, engineWatchInterval, i.engines.poll) })
 	running.Go(func() { i.syncQuarantine(ctx) })
+	running.Go(func() { every(ctx, drainingInterval, i.pollDraining) })
 	running.Go(func() { every(ctx, freshnessInterval, i.checkFreshness) })
 }
 
@@ -177,7 +183,7 @@
 			i.Drain(false)
 			ctx = context.WithoutCancel(ctx)
 		case err := <-failed:
-			i.Drain(true)
+			i.life.fire(eventForced)
 			return err
 		case <-i.life.closing:
 			return nil
@@ -193,12 +199,13 @@
 	_ = i.listener.Close()
 	i.leave()
 	stopServices()
-	i.ring.Record(timeline.Event{Kind: timeline.InstanceStopped, Count: cut})
+	i.ring.Record(i.stopped(cut))
 	_ = i.operators.Close()
 	running.Wait()
 	i.closeLedger()
 	_ = i.peers.Close()
 	i.dispatcher.Close()
+	i.engineOrders.Close()
 	i.platform.Close()
 	i.logger.Info("instance stopped", "cut_off", cut)
 }
@@ -212,3 +219,11 @@
 
 // Editor returns the instance's access to the operators' configuration.
 func (i *Instance) Editor() config.Editor { return i.store }
+
+// ConfigVersion returns the configuration version in force, 0 before the first.
+func (i *Instance) ConfigVersion() uint64 {
+	if snap := i.store.Current(); snap != nil {
+		return snap.Version
+	}
+	return 0
+}
--- a/internal/placement/start.go
+++ b/internal/placement/start.go
@@ -71,6 +71,8 @@
 		CheapAllowed: j.class.spec.Cheap && r.Idempotent,
 		Prefixes:     r.Prefixes,
 		InputTokens:  r.InputTokens,
+		FirstToken:   time.Duration(j.class.spec.FirstToken),
+		Between:      time.Duration(j.class.spec.BetweenTokens),
 		Tried:        j.tried,
 		Members:      e.store.Members,
 	}
@@ -96,6 +98,7 @@
 	target := e.hold(now, j, j.chosen)
 	if !j.admitted {
 		j.admitted = true
+		j.class.running++
 		j.class.budget.Attempt()
 		j.pool.starts[j.tier()].Add(now)
 		j.pool.running[j.tier()].add(j)
