--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -123,7 +123,7 @@
 	{RequestQuarantined, "request_quarantined", http.StatusUnprocessableEntity, RunDepends, "Backend servers crashed while running this request.", "change the request", "keep the request id and report it to the engine's maker"},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RunMaybe, "A non-idempotent request was sent and its answer was lost.", "ask the service for the state; a resend will not run again", "see `timeline` for the request"},
 
-	{LedgerUnavailable, "ledger_unavailable", http.StatusServiceUnavailable, RunNever, "The idempotency record could not be written.", retryLater, "check the platform's table service"},
+	{LedgerUnavailable, "ledger_unavailable", http.StatusServiceUnavailable, RunNever, "The idempotency record could not be read or written. Nothing is known of an earlier request with the same Idempotency-Key.", "retry after Retry-After with the same Idempotency-Key", "check the platform's table service"},
 	{IdempotencyMismatch, "idempotency_mismatch", http.StatusUnprocessableEntity, RunNever, "The Idempotency-Key was used with another body.", "use a new key for a new request", nothingToDo},
 	{AlreadyRunning, "already_running", http.StatusConflict, RunMaybe, "The same request still runs.", "retry with the same Idempotency-Key to get the answer", nothingToDo},
 	{WillNotRunAgain, "outcome_unknown_will_not_run_again", http.StatusConflict, RunMaybe, "An earlier attempt's outcome is unknown; it will not run again.", "ask the service for the state", "see `timeline` for the request"},
