Do not blame a server for a request's own deadline

Cause: a deadline that passed while tokens flowed reached the scheduler as attempt_timeout, which tells against the backend server. Change: the attempt fails with deadline_hopeless; the caller still gets attempt_timeout, as the request may have run. A test counts what one recorded request costs the table service: two rows written and one read. Conclusion: TestPassedDeadlineDoesNotBlameTheServer fails without the change.

--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -181,5 +181,8 @@
 	if errors.As(err.cause, &silence) {
 		return silence.Error()
 	}
+	if errors.Is(err.cause, errDeadline) {
+		return errDeadline.Error()
+	}
 	return info.Meaning
 }
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -72,8 +72,8 @@
 		return &attemptError{code: result.Preempted, cause: cause}
 	case errors.Is(cause, errHedgeLost):
 		return &attemptError{code: result.AttemptTimeout, cause: cause, final: true}
-	case errors.Is(cause, errDeadline):
-		return &attemptError{code: result.AttemptTimeout, cause: cause, final: true}
+	case errors.Is(cause, errDeadline): // does not tell against the server
+		return &attemptError{code: result.DeadlineHopeless, cause: cause, final: true}
 	case errors.As(cause, &ending):
 		return &attemptError{code: ending.Code, cause: cause, final: true}
 	}
--- a/internal/dispatch/stream_test.go
+++ b/internal/dispatch/stream_test.go
@@ -190,6 +190,20 @@
 	}
 }
 
+// A deadline that passes while tokens flow is no fault of the server's.
+func TestPassedDeadlineDoesNotBlameTheServer(t *testing.T) {
+	is := is.New(t)
+	l := engineTargets(startEngine(t, engine.Options{BetweenTokens: 5 * time.Millisecond, AnswerTokens: 1 << 20}))
+	c := modelCall(streamBody, l)
+	c.Request.Deadline = time.Now().Add(100 * time.Millisecond)
+	out, w := do(t, newDispatcher(t, Options{}), c)
+	is.Equal(out.Err.Code, result.AttemptTimeout)
+	is.True(!out.Err.NotRun())
+	is.True(strings.Contains(w.Body.String(), "deadline passed"))
+	is.Equal(l.observed[0].Failure.Code, result.DeadlineHopeless)
+	is.Equal(len(l.failures), 0) // and no other server is tried
+}
+
 func TestWithdrawnKeyEndsStream(t *testing.T) {
 	is := is.New(t)
 	e := startEngine(t, engine.Options{BetweenTokens: time.Hour})
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -217,6 +217,24 @@
 	})
 }
 
+// What one request costs the table service, which bears several hundred writes
+// a second.
+func TestStoreOperationsOfOneRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStores(Options{})
+		defer s.close()
+		c := claim("1")
+		_, found, refusal := s.a.Find(t.Context(), c)
+		is.True(!found && refusal == nil)
+		d, _ := s.a.Begin(t.Context(), c)
+		d.Owned.Complete(t.Context(), Answer{Status: 200})
+		counts := s.platform.Counts("a", standin.TableInterface)
+		is.Equal(counts.WriteRows, int64(2))
+		is.Equal(counts.ReadRows, int64(1))
+	})
+}
+
 func TestSendWindowStaysBelowRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
