--- a/internal/invariant/answers.go
+++ b/internal/invariant/answers.go
@@ -8,8 +8,8 @@
 // checkWholeAnswer reads request.received, request.answered (Request, Attempt,
 // Record; Count: events delivered), request.refused, request.failed,
 // attempt.answered (Count: events of the whole answer, those before a resume
-// included; 0 if unknown) and attempt.discarded. Each request ends once, with
-// the answer of its own attempt or of its own idempotency record.
+// included; 0 if unknown), attempt.discarded and backend.crossed. Each request
+// ends once, with the answer of its own attempt or of its own idempotency record.
 func checkWholeAnswer(h *history, report reportFunc) {
 	answered := recordsAnswered(h)
 	for _, e := range h.events {
@@ -60,6 +60,10 @@
 		report(e, "request %q got the answer of request %q", e.Request, first.Request)
 		return
 	}
+	if a.crossed {
+		report(e, "request %q was answered by attempt %q, whose answer bore another id", e.Request, e.Attempt)
+		return
+	}
 	if a.discarded {
 		report(e, "request %q was answered by discarded attempt %q", e.Request, e.Attempt)
 		return
--- a/internal/invariant/check_test.go
+++ b/internal/invariant/check_test.go
@@ -247,6 +247,7 @@
 			"another's answer":    append(whole(0, "r"), at(20, "a", event{Kind: timeline.RequestAnswered, Request: "q", Attempt: "att-r"})),
 			"missing events":      edit(whole(0, "r"), timeline.RequestAnswered, func(e *event) { e.Count = 4 }),
 			"discarded answer":    append(whole(0, "r"), at(5, "a", event{Kind: timeline.AttemptDiscarded, Attempt: "att-r"})),
+			"crossed answer":      append(whole(0, "r"), at(5, "s1", event{Kind: timeline.BackendCrossed, Attempt: "att-r"})),
 			"attempt never ended": drop(whole(0, "r"), timeline.AttemptAnswered),
 			"never ended":         {at(0, "a", event{Kind: timeline.RequestReceived, Request: "r"}), at(3600_000, "a", event{Kind: timeline.PeerUp})},
 			"ended twice":         append(whole(0, "r"), at(20, "a", event{Kind: timeline.RequestFailed, Request: "r"})),
@@ -378,7 +379,7 @@
 	timeline.KeyWithdrawn, timeline.ZoneOut, timeline.ZoneIn, timeline.InstanceStarted, timeline.InstanceDrains,
 	timeline.InstanceStopped, timeline.InstanceStale, timeline.LeaseAcquired, timeline.LeaseRenewed, timeline.LeaseLost,
 	timeline.LeaseReleased, timeline.OrderSent, timeline.UsageFrozen, timeline.UsageReported, timeline.ServerState,
-	timeline.ServerLimit, timeline.BackendRan, timeline.BackendReceived, timeline.PlatformOrder, timeline.PlatformUsage,
+	timeline.ServerLimit, timeline.BackendRan, timeline.BackendReceived, timeline.BackendCrossed, timeline.PlatformOrder, timeline.PlatformUsage,
 }
 
 func TestCheckTakesAnyTimeLineInAnyOrder(t *testing.T) {
--- a/internal/invariant/history.go
+++ b/internal/invariant/history.go
@@ -36,6 +36,7 @@
 	answered  *timeline.Event
 	end       *timeline.Event // first of answered, failed and discarded
 	discarded bool
+	crossed   bool
 }
 
 // first returns the event that carries the attempt's fields, nil when unknown.
@@ -103,6 +104,8 @@
 		a.endAt(e)
 	case timeline.AttemptFailed:
 		h.attempt(e.Attempt).endAt(e)
+	case timeline.BackendCrossed:
+		h.attempt(e.Attempt).crossed = true
 	case timeline.AttemptDiscarded:
 		a := h.attempt(e.Attempt)
 		a.discarded = true
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -85,6 +85,9 @@
 	h.Set(engineapi.AttemptHeader, g.attempt)
 	if e.Get().Crossed {
 		h.Set(engineapi.AttemptHeader, "crossed-"+previous)
+		e.options.Recorder.Record(timeline.Event{
+			Kind: timeline.BackendCrossed, Server: e.options.Name, Attempt: g.attempt, Detail: "crossed-" + previous,
+		})
 	}
 	if g.resumed {
 		h.Set(engineapi.ResumedHeader, fmt.Sprint(g.from))
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -180,6 +180,9 @@
 func (s *Service) setHeaders(h http.Header, r *http.Request) {
 	attempt := r.Header.Get(engineapi.AttemptHeader)
 	if s.Get().Crossed {
+		s.options.Recorder.Record(timeline.Event{
+			Kind: timeline.BackendCrossed, Server: s.options.Name, Attempt: attempt, Detail: "crossed-" + attempt,
+		})
 		attempt = "crossed-" + attempt
 	}
 	h.Set(engineapi.AttemptHeader, attempt)
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -67,6 +67,7 @@
 const (
 	BackendRan      Kind = "backend.ran"      // Server, Attempt, Record: an execution took effect
 	BackendReceived Kind = "backend.received" // Server, Attempt, Count: now in flight; KeyDigest if a key was seen
+	BackendCrossed  Kind = "backend.crossed"  // Server, Attempt; Detail: the other attempt's id that its answer bore
 	PlatformOrder   Kind = "platform.order"   // Order, Duty, Token: an order took effect
 	PlatformUsage   Kind = "platform.usage"   // a line as reported, Duty, Token: it took effect
 )
