--- a/internal/faultmatrix/site_test.go
+++ b/internal/faultmatrix/site_test.go
@@ -21,6 +21,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/standin/engine"
 	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
+	"github.com/hawthornwick/hawthornwick/internal/standin/plain"
 	standin "github.com/hawthornwick/hawthornwick/internal/standin/platform"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -147,12 +148,33 @@
 func (s *site) switches() *fault.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if p := s.plain(); p != nil {
+		return p.Server
+	}
+	return s.engine().Server
+}
+
+// plain returns the plain service that runs the probe, nil when none does. The
+// router names it by its service and address.
+func (s *site) plain() *plain.Service {
 	for _, p := range s.demo.Backends.Plain {
-		if p.Name() == s.server {
-			return p.Server
+		if strings.HasSuffix(s.server, "/"+p.Address()) {
+			return p
 		}
 	}
-	return s.engine().Server
+	return nil
+}
+
+// crashServer crashes the server that runs the probe.
+func (s *site) crashServer() {
+	s.mu.Lock()
+	p, e := s.plain(), s.engine()
+	s.mu.Unlock()
+	if p != nil {
+		p.Crash()
+		return
+	}
+	e.Crash()
 }
 
 // engine returns the engine that runs the probe, any of its model before that.
@@ -181,10 +203,7 @@
 			s.switches().Restart()
 		}
 	case ServerCrash, ColdTurn:
-		s.mu.Lock()
-		e := s.engine()
-		s.mu.Unlock()
-		e.Crash()
+		s.crashServer()
 	case Silence:
 		s.switches().SilenceConnections()
 	case Slow:
