--- a/internal/faultmatrix/overload_test.go
+++ b/internal/faultmatrix/overload_test.go
@@ -21,17 +21,18 @@
 )
 
 const (
-	overloadTime    = 40 * time.Second
-	arrivalInterval = 2500 * time.Microsecond // over all instances
+	overloadTime    = 60 * time.Second
+	arrivalInterval = 2 * time.Millisecond // over all instances
 	serviceTime     = 400 * time.Millisecond
 	overloadSeed    = 7
 	overloadServers = 4
+	coldRemaining   = 6 // of the server that restarts
 )
 
 var overloadClasses = []config.Class{
-	{Name: "status", Tier: 1, Floor: 0.1, QueueLimit: config.Duration(50 * time.Second), Deadline: config.Duration(10 * time.Minute)},
-	{Name: "label", Tier: 3, Floor: 0.1, QueueLimit: config.Duration(50 * time.Second), Deadline: config.Duration(10 * time.Minute)},
-	{Name: "draft", Tier: 5, Floor: 0.05, QueueLimit: config.Duration(50 * time.Second), Deadline: config.Duration(10 * time.Minute)},
+	{Name: "status", Tier: 1, Floor: 0.1, QueueLimit: config.Duration(10 * time.Minute), Deadline: config.Duration(10 * time.Minute)},
+	{Name: "label", Tier: 3, Floor: 0.1, QueueLimit: config.Duration(10 * time.Minute), Deadline: config.Duration(10 * time.Minute)},
+	{Name: "draft", Tier: 5, Floor: 0.05, QueueLimit: config.Duration(10 * time.Minute), Deadline: config.Duration(10 * time.Minute)},
 }
 
 // overload drives two schedulers with several times what their servers, which
@@ -73,7 +74,9 @@
 		s.SetMembers([]string{"i0", "i1"}, time.Now())
 		s.SetServers(servers)
 		for _, server := range servers {
-			s.LoadReport(server.Name, engineapi.LoadReport{Epoch: server.Epoch, UnixMillis: time.Now().UnixMilli()})
+			s.LoadReport(server.Name, engineapi.LoadReport{
+				Epoch: server.Epoch, UnixMillis: time.Now().UnixMilli(), ColdRemaining: int(server.Epoch-1) * coldRemaining,
+			})
 		}
 	}
 }
@@ -88,7 +91,7 @@
 func (o *overload) run() {
 	random := rand.New(rand.NewPCG(overloadSeed, overloadSeed))
 	for i := 0; i < int(overloadTime/arrivalInterval); i++ {
-		if i == int(overloadTime/arrivalInterval)/2 {
+		if i == int(overloadTime/arrivalInterval)/8 {
 			o.epoch.Add(1)
 		}
 		if i%500 == 0 {
