--- a/internal/faultmatrix/fleet_test.go
+++ b/internal/faultmatrix/fleet_test.go
@@ -30,7 +30,7 @@
 const fleetSize = 3
 
 var faces = []standin.Interface{
-	standin.TableInterface, standin.ObjectsInterface, standin.ServersInterface, standin.UsageInterface,
+	standin.TableInterface, standin.ObjectsInterface, standin.ServersInterface, standin.UsageInterface, standin.InstancesInterface,
 }
 
 // fleet is a few instances before one platform, with one armed fault.
@@ -252,7 +252,7 @@
 
 // inject brings about one fault at the instance or its store.
 func (n *node) inject(fault Fault) {
-	store := []standin.Interface{standin.TableInterface}
+	store := []standin.Interface{standin.TableInterface, standin.InstancesInterface}
 	switch fault {
 	case InstanceCrash:
 		n.crash()
--- a/internal/faultmatrix/matrix_test.go
+++ b/internal/faultmatrix/matrix_test.go
@@ -18,6 +18,7 @@
 	scenarioLease:  func(t *testing.T, c Cell) { runFleet(t, c, launchOrders) },
 	scenarioConfig: func(t *testing.T, c Cell) { runFleet(t, c, launchConfig) },
 	scenarioUsage:  runUsage,
+	scenarioMember: runMember,
 }
 
 // runUsage strikes a fleet that meters and reports usage, and compares the
--- a/internal/faultmatrix/rules_duties.go
+++ b/internal/faultmatrix/rules_duties.go
@@ -7,6 +7,7 @@
 	scenarioLease  = "lease"  // lease holders contend for a duty and place orders
 	scenarioUsage  = "usage"  // usage is metered, frozen and reported
 	scenarioConfig = "config" // changes are committed and spread
+	scenarioMember = "member" // instances probe each other
 )
 
 var (
@@ -25,7 +26,7 @@
 		sees: "a report is late; its figures never change"},
 	{steps: configSteps, faults: slicesOf(processFaults, storeFaults...), scenario: scenarioConfig,
 		sees: "the change is in force everywhere within seconds, or not accepted; an instance cut off takes no new work"},
-	{steps: []Step{Membership}, faults: slicesOf(processFaults, storeFaults...), missing: "no scenario drives the probes between instances yet",
+	{steps: []Step{Membership}, faults: slicesOf(processFaults, storeFaults...), scenario: scenarioMember,
 		sees: "an instance is noticed or missed a few seconds later"},
 }
 
--- a/internal/faultmatrix/site_test.go
+++ b/internal/faultmatrix/site_test.go
@@ -239,7 +239,7 @@
 // records from then on does not count.
 func (s *site) crash() {
 	s.dead, _ = s.demo.Timeline(0).Snapshot()
-	for _, face := range append(faces, standin.InstancesInterface) {
+	for _, face := range faces {
 		s.demo.Backends.Platform.SetCallerFault("instance-1", face, standin.Fault{Down: true})
 	}
 	go s.demo.Abort(0)
