Let instances read engines in turn instead of all of them all

The thin reader in the instance is replaced: with up to 16 instances all hear of every engine, through one reader and its backups. internal/instance, internal/demo and the race tests of internal/enginewatch pass.

--- a/internal/enginewatch/pace.go
+++ b/internal/enginewatch/pace.go
@@ -21,9 +21,8 @@
 )
 
 const (
-	// smallFleet is the number of instances up to which no budget applies, and
-	// smallFleetRead the time between two reads of an instance there at least.
-	smallFleet     = 16
+	// smallFleetRead is the least time between two reads of one instance in a
+	// small fleet, where no budget applies.
 	smallFleetRead = 2 * time.Millisecond
 	// cacheFleet is the number of instances up to which cache events are read.
 	cacheFleet = 64
--- a/internal/enginewatch/plan.go
+++ b/internal/enginewatch/plan.go
@@ -7,12 +7,13 @@
 )
 
 const (
-	// covers is the number of instances that route to each server. With fewer
-	// instances all do.
+	// covers is the number of instances that route to each server in a large fleet.
 	covers = 8
 	// zoneCovers is the number of covers in one availability zone, if there are
 	// enough instances in others.
 	zoneCovers = covers / 2
+	// smallFleet is the number of instances up to which all route to every server.
+	smallFleet = 16
 	// poolMinimum is the number of servers of each model that an instance routes
 	// to at least, if the model has that many.
 	poolMinimum = 4
@@ -95,7 +96,7 @@
 }
 
 // Subset returns the names of the servers that self routes to, in order. Up to
-// eight members all route to every server.
+// smallFleet members all route to every server.
 func Subset(members []Member, self string, servers []Server) []string {
 	return NewPlan(members, servers).Subset(self)
 }
@@ -103,6 +104,7 @@
 // planner builds a Plan.
 type planner struct {
 	plan    *Plan
+	covers  int             // of each server
 	all     ring            // members
 	regions map[string]ring // members by region
 	at      []uint64        // position by member
@@ -125,9 +127,13 @@
 	p.watchers = make([][]uint16, len(p.servers))
 	b := &planner{
 		plan:    p,
+		covers:  covers,
 		regions: make(map[string]ring),
 		at:      make([]uint64, len(p.members)),
 	}
+	if len(p.members) <= smallFleet {
+		b.covers = len(p.members)
+	}
 	b.place()
 	b.numberZones()
 	return b
@@ -171,15 +177,15 @@
 	clear(b.perZone)
 	b.take(b.regions[s.Region], at, zoneCovers)
 	b.take(b.all, at, zoneCovers)
-	b.take(b.regions[s.Region], at, covers)
-	b.take(b.all, at, covers)
+	b.take(b.regions[s.Region], at, b.covers)
+	b.take(b.all, at, b.covers)
 	b.order(s, at)
 	b.plan.watchers[server] = slices.Clone(b.chosen)
 }
 
 // take adds members from a position on, up to a number per availability zone.
 func (b *planner) take(r ring, at uint64, zoneLimit int) {
-	if len(b.chosen) >= covers {
+	if len(b.chosen) >= b.covers {
 		return
 	}
 	r.walk(at, func(p place) bool {
@@ -189,7 +195,7 @@
 		}
 		b.perZone[zone]++
 		b.chosen = append(b.chosen, uint16(p.index))
-		return len(b.chosen) < covers
+		return len(b.chosen) < b.covers
 	})
 }
 
--- a/internal/enginewatch/watch.go
+++ b/internal/enginewatch/watch.go
@@ -40,10 +40,10 @@
 type Options struct {
 	// Instance is the name of this instance. Required.
 	Instance string
-	// Zone and Region are this instance's. Empty means unknown.
-	Zone, Region string
-	// RegionOf returns the region of an availability zone. Nil means that all
-	// availability zones are in one region.
+	// Zone is this instance's availability zone. Empty means unknown.
+	Zone string
+	// RegionOf returns the region of an availability zone; all instances must get
+	// the same answers. Nil means that all availability zones are in one region.
 	RegionOf func(zone string) string
 	// Peers carries digests. Nil means that there are no other instances.
 	Peers Peers
@@ -86,7 +86,7 @@
 		o.Now = time.Now
 	}
 	if o.RegionOf == nil {
-		o.RegionOf = func(string) string { return o.Region }
+		o.RegionOf = func(string) string { return "" }
 	}
 	w := &Watch{
 		options: o,
@@ -103,7 +103,8 @@
 }
 
 func (w *Watch) self() Member {
-	return Member{Name: w.options.Instance, Zone: w.options.Zone, Region: w.options.Region}
+	o := &w.options
+	return Member{Name: o.Instance, Zone: o.Zone, Region: o.RegionOf(o.Zone)}
 }
 
 // SetServers replaces the platform's list of backend servers.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,6 +16,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/confsync"
 	"github.com/hawthornwick/hawthornwick/internal/demand"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/enginewatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
@@ -65,7 +66,7 @@
 	fleet            *fleet
 	backends         *backends
 	recent           *demand.Recent
-	engines          *engineWatch
+	engines          *enginewatch.Watch
 
 	leaving   atomic.Bool
 	forced    atomic.Bool // operators cut off what still ran
@@ -126,7 +127,8 @@
 	running.Go(func() { i.fleet.run(ctx) })
 	running.Go(func() { i.callers.Run(ctx) })
 	running.Go(func() { i.followConfig(ctx) })
-	running.Go(func() { every(ctx, engineWatchInterval, i.engines.poll) })
+	running.Go(func() { i.engines.Run(ctx) })
+	running.Go(func() { i.followMembers(ctx) })
 	running.Go(func() { i.syncQuarantine(ctx) })
 	running.Go(func() { every(ctx, drainingInterval, i.pollDraining) })
 	running.Go(func() { every(ctx, freshnessInterval, i.checkFreshness) })
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -58,7 +58,7 @@
 
 func (i *Instance) setServers(list []platform.Server) {
 	i.scheduler.SetServers(list)
-	i.engines.setServers(list)
+	i.engines.SetServers(list)
 }
 
 // setInstances tells the scheduler who may share the backend servers: whoever
--- a/internal/instance/provision.go
+++ b/internal/instance/provision.go
@@ -99,7 +99,7 @@
 }
 
 func (i *Instance) provisionFleet() {
-	i.engines = newEngineWatch(i.scheduler)
+	i.provisionEngines()
 	i.backends = &backends{publish: i.setServers}
 	i.fleet = &fleet{
 		servers:     i.platform.Servers(),
