--- a/internal/enginewatch/balance_test.go
+++ b/internal/enginewatch/balance_test.go
@@ -1,7 +1,6 @@
 package enginewatch
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -138,7 +137,7 @@
 				continue
 			}
 			p99, most := newBalance(members, servers, n, every).run(2 * time.Minute)
-			t.Log(fmt.Sprintf("| %d | %s | %.2f | %.2f |", n, every, p99, most))
+			t.Logf("| %d | %s | %.2f | %.2f |", n, every, p99, most)
 			if n == covers && every == 12*time.Second && p99 > 2.2 {
 				t.Errorf("a server in a hundred runs %.2f times the mean", p99)
 			}
