--- a/internal/enginewatch/core_test.go
+++ b/internal/enginewatch/core_test.go
@@ -74,6 +74,23 @@
 	is.True(worst <= 2*time.Second)
 }
 
+func TestListOfServersMayLag(t *testing.T) {
+	is := is.New(t)
+	members, servers := testMembers(8, 4), testServers(20, 4, 3)
+	f := newFleet(t, members, servers)
+	owner := f.owner("engine-00003")
+	owner.core.setPlan(f.now, NewPlan(members, servers[:3]), []watched{{"engine-00000", "engine-00000"}})
+	f.run(5 * time.Second)
+	worst := time.Duration(0)
+	f.each = func() { worst = max(worst, f.stalest()) }
+	f.run(5 * time.Second)
+	is.True(worst <= 2*time.Second) // others read what it does not know
+	f.setPlan(NewPlan(members, servers), owner)
+	f.run(2 * time.Second)
+	is.True(f.stalest() <= time.Second)
+	is.Equal(f.readsOf(func() { f.run(10 * time.Second) }), 20*20)
+}
+
 func TestLostDuplicateAndLateDigests(t *testing.T) {
 	for seed := range uint64(5) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
