--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,13 +14,13 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/confsync"
-	"github.com/hawthornwick/hawthornwick/internal/demand"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/enginewatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	"github.com/hawthornwick/hawthornwick/internal/member"
+	"github.com/hawthornwick/hawthornwick/internal/order"
 	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/platform/httpapi"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
@@ -65,7 +65,8 @@
 	operatorListener net.Listener
 	fleet            *fleet
 	backends         *backends
-	recent           *demand.Recent
+	recent           *order.Recent
+	engineOrders     *order.HTTPEngines
 	engines          *enginewatch.Watch
 
 	leaving   atomic.Bool
@@ -206,6 +207,7 @@
 	i.closeLedger()
 	_ = i.peers.Close()
 	i.dispatcher.Close()
+	i.engineOrders.Close()
 	i.platform.Close()
 	i.logger.Info("instance stopped", "cut_off", cut)
 }
