--- a/internal/confsync/fresh.go
+++ b/internal/confsync/fresh.go
@@ -1,10 +1,6 @@
 package confsync
 
-import (
-	"time"
-
-	"github.com/hawthornwick/hawthornwick/internal/timeline"
-)
+import "time"
 
 // proof states that no change above version had been accepted at a time on
 // this instance's clock. The zero value proves nothing.
@@ -24,6 +20,11 @@
 		s.proof = p
 	}
 	s.meet()
+	if s.unmet.version > s.inForce() {
+		s.fire(eventNewerSeen, false)
+	} else {
+		s.fire(eventConfirmed, false)
+	}
 }
 
 // meet uses the proof that was kept aside once its version is in force. The
@@ -49,14 +50,11 @@
 	return s.options.Now().Sub(s.proof.at) < s.options.FreshLimit
 }
 
-// recordFreshness records the moment at which the instance turned stale.
-func (s *Store) recordFreshness() {
+// noteStaleness tells the chart that the last proof has grown too old.
+func (s *Store) noteStaleness() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stale := !s.fresh()
-	if stale && !s.stale {
-		s.options.Recorder.Record(timeline.Event{Time: s.options.Now(), Kind: timeline.InstanceStale})
-		s.options.Logger.Warn("configuration may be old; no new work is taken")
+	if !s.fresh() {
+		s.fire(eventUnconfirmed, false)
 	}
-	s.stale = stale
 }
--- a/internal/confsync/store.go
+++ b/internal/confsync/store.go
@@ -13,6 +13,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/confsync/quorum"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/statechart"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -106,7 +107,7 @@
 	unmet   proof         // newest one whose version is not in force yet
 	ready   bool          // was proved current once
 	read    readStatus
-	stale   bool // last freshness that was recorded
+	phase   statechart.Machine[facts]
 }
 
 // readStatus tells how reads of the table service went.
@@ -134,8 +135,8 @@
 		newID:   uuid.NewString,
 		wake:    make(chan struct{}, 1),
 		swapped: make(chan struct{}),
-		stale:   true,
 	}
+	s.phase = phaseChart.Machine(o.Instance, s.options.Recorder)
 	if !s.alone() {
 		s.rounds = newRounds(s)
 		s.register()
@@ -195,7 +196,7 @@
 		s.options.Logger.Debug("table service not read", "error", err)
 		s.pullNext(ctx)
 	}
-	s.recordFreshness()
+	s.noteStaleness()
 	if err == nil {
 		s.flushWithdrawals(ctx)
 	}
@@ -280,10 +281,14 @@
 	s.compileText(next)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.inForce()
 	s.state = next
 	s.pending = s.pending.Settle(next)
 	s.publish()
 	s.meet()
+	if s.Current() != nil {
+		s.fire(eventSnapshot, s.inForce() > before)
+	}
 	return true
 }
 
