Pass on changes that were learned by polling

Cause: an instance that had polled a change before its flood arrived did not pass it on; at 410 instances and 20 ms a hop some were reached by no copy and waited for their own poll.

--- a/internal/confsync/push.go
+++ b/internal/confsync/push.go
@@ -8,8 +8,13 @@
 	"github.com/hawthornwick/hawthornwick/internal/peer"
 )
 
-// recentChanges is how many changes an instance keeps to answer pulls.
-const recentChanges = 512
+const (
+	// recentChanges is how many changes an instance keeps to answer pulls.
+	recentChanges = 512
+	// maxPushed is how many changes are passed on at once; whoever is further
+	// behind polls or pulls.
+	maxPushed = 16
+)
 
 // delta is the body of peer.KindConfigDelta: changes in ascending order.
 type delta struct {
@@ -22,10 +27,12 @@
 }
 
 // push puts changes in force here and passes those that were news on to the
-// neighbours. It returns *GapError when changes before them are missing.
+// neighbours, however they were learned: a flood ends at an instance that knows
+// the change already, so whoever polled it must carry it on. It returns
+// *GapError when changes before them are missing.
 func (s *Store) push(changes []Change, from string) error {
 	news, err := s.applyChanges(changes)
-	if len(news) > 0 {
+	if len(news) > 0 && len(news) <= maxPushed {
 		s.broadcast(peer.KindConfigDelta, delta{Changes: news}, from)
 	}
 	return err
--- a/internal/confsync/store.go
+++ b/internal/confsync/store.go
@@ -237,7 +237,7 @@
 		if err != nil {
 			return err
 		}
-		_, err = s.applyChanges(changes)
+		err = s.push(changes, "")
 		if err != nil || s.State().Version == before.Version {
 			err = s.loadAll(ctx)
 		}
