Let no instance that knows of no other take itself for a majority

Cause: before the platform's list was read, the roster held the own name only, and one instance cut off from its start would have proved itself current. Change: the roster is empty until the list was read; an empty roster accepts and proves nothing. Conclusion: tests in member and quorum cover both.

--- a/internal/confsync/quorum/quorum_test.go
+++ b/internal/confsync/quorum/quorum_test.go
@@ -154,6 +154,13 @@
 	is.Equal(f.stale(), 0)
 }
 
+func TestEmptyRosterAcceptsAndProvesNothing(t *testing.T) {
+	is := is.New(t)
+	empty := NewRoster(nil)
+	is.True(empty.Acceptance() > 0)
+	is.True(empty.Currency() > 0)
+}
+
 // TestProofIsAsOldAsTheRoundBefore drives one agent by hand: the answers of
 // round 2 came after the start of round 2, which came after the agent had
 // entered round 1.
--- a/internal/confsync/quorum/roster.go
+++ b/internal/confsync/quorum/roster.go
@@ -27,8 +27,8 @@
 func (r Roster) Index(name string) (int, bool) { return slices.BinarySearch(r.Names, name) }
 
 // Acceptance returns how many instances must hold a change before it counts as
-// accepted: half, rounded up.
-func (r Roster) Acceptance() int { return (len(r.Names) + 1) / 2 }
+// accepted: half, rounded up, and at least one.
+func (r Roster) Acceptance() int { return max(1, (len(r.Names)+1)/2) }
 
 // Currency returns how many instances must answer to prove that no accepted
 // change is missing: more than half, and the slack.
--- a/internal/member/service_test.go
+++ b/internal/member/service_test.go
@@ -122,6 +122,14 @@
 	is.Equal(len(a.Expire(now.Add(time.Hour))), 0)
 }
 
+func TestRosterIsEmptyBeforeTheListWasRead(t *testing.T) {
+	is := is.NewRelaxed(t)
+	tracker := NewTracker(Member{Name: "a", Incarnation: 1})
+	is.Equal(len(tracker.Roster()), 0)
+	tracker.SetListed([]platform.Instance{{Name: "a"}, {Name: "b"}}, time.Unix(0, 0))
+	is.Equal(tracker.Roster(), []string{"a", "b"})
+}
+
 func TestPartitionHeals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.NewRelaxed(t)
--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -43,6 +43,7 @@
 	entries   map[string]*entry
 	recent    []string // names whose state changed last, newest first
 	view      spread.View
+	listRead  bool   // the platform's list was read once
 	revision  uint64 // rises when members, states or addresses change
 	retryDown time.Time
 	retried   string // the instance that was down and was probed last
@@ -68,7 +69,8 @@
 
 // SetListed takes the platform's list. Members that are new start as alive.
 func (t *Tracker) SetListed(instances []platform.Instance, now time.Time) {
-	changed := false
+	changed := !t.listRead
+	t.listRead = true
 	listed := make(map[string]bool, len(instances))
 	for _, i := range instances {
 		if i.Name != t.self.Name {
@@ -267,8 +269,13 @@
 }
 
 // Roster returns the names of all instances that count for a quorum: those on
-// the platform's list and this one, and those that are known to be up.
+// the platform's list and this one, and those that are known to be up. It is
+// empty before the list was read, because one instance that knows of no other
+// must not take itself for a majority.
 func (t *Tracker) Roster() []string {
+	if !t.listRead {
+		return nil
+	}
 	names := []string{t.self.Name}
 	for name, e := range t.entries {
 		if e.listed || e.State != Down {
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"slices"
@@ -20,6 +21,19 @@
 // PinOf returns the pin of a certificate.
 func PinOf(c *x509.Certificate) Pin { return sha256.Sum256(c.RawSubjectPublicKeyInfo) }
 
+// ParsePin reads a pin in hexadecimal.
+func ParsePin(text string) (Pin, error) {
+	var p Pin
+	data, err := hex.DecodeString(text)
+	if err != nil {
+		return p, fmt.Errorf("pinned key %q: %w", text, err)
+	}
+	if len(data) != len(p) {
+		return p, fmt.Errorf("pinned key %q has %d bytes, not %d", text, len(data), len(p))
+	}
+	return Pin(data), nil
+}
+
 // Identity authenticates this instance and its peers. A certificate names its
 // instance in its first DNS name.
 type Identity struct {
