Date loosening changes from before their commit

Cause: an availability zone that is put back takes force on each instance a moment before enough of them have confirmed it; the time line dated zone.in from the confirmation, so the checker saw attempts in a zone that was still out (seen: up to 0.9 s before zone.in). Whether waiting helps was read from the advice's wording, which a better wording for code 5001 broke. Change: zone.in and key.granted bear the time before their commit, tightening changes still that of their confirmation; the codes for which waiting helps are listed. Conclusion: the trace showed an allowed case; the check itself is unchanged.

--- a/internal/confsync/editor.go
+++ b/internal/confsync/editor.go
@@ -38,6 +38,7 @@
 // GrantKey implements config.Editor. A withdrawn key stays withdrawn: granting
 // it again is refused.
 func (s *Store) GrantKey(ctx context.Context, d config.KeyDigest, organisation string) (uint64, error) {
+	began := s.options.Now()
 	version, err := s.commit(ctx, func(state State) (Change, rowWrite, error) {
 		if s.withdrawn(state, d) {
 			return Change{}, rowWrite{}, refused(result.KeyWithdrawn, "the key was withdrawn; grant a new one")
@@ -53,13 +54,14 @@
 		}}
 		return Change{Kind: ChangeKeyGrant, Key: d, Organisation: organisation}, row, nil
 	})
-	return s.accept(ctx, version, err, timeline.Event{
-		Kind: timeline.KeyGranted, KeyDigest: string(d), Organisation: organisation,
+	return s.acceptGrant(ctx, version, err, timeline.Event{
+		Kind: timeline.KeyGranted, KeyDigest: string(d), Organisation: organisation, Time: began,
 	})
 }
 
 // SetZone implements config.Editor.
 func (s *Store) SetZone(ctx context.Context, zone string, out bool) (uint64, error) {
+	began := s.options.Now()
 	version, err := s.commit(ctx, func(state State) (Change, rowWrite, error) {
 		if !s.knowsZone(zone) && !state.zones[zone].Out {
 			return Change{}, rowWrite{}, refused(result.UnknownName, "availability zone %q does not exist", zone)
@@ -70,11 +72,22 @@
 		row := rowWrite{key: zoneRowKey(zone), value: func(v uint64) any { return zoneRow{Version: v, Out: out} }}
 		return Change{Kind: ChangeZone, Zone: zone, Out: out}, row, nil
 	})
-	kind := timeline.ZoneIn
 	if out {
-		kind = timeline.ZoneOut
+		return s.accept(ctx, version, err, timeline.Event{Kind: timeline.ZoneOut, Zone: zone})
 	}
-	return s.accept(ctx, version, err, timeline.Event{Kind: kind, Zone: zone})
+	return s.acceptGrant(ctx, version, err, timeline.Event{Kind: timeline.ZoneIn, Zone: zone, Time: began})
+}
+
+// acceptGrant is like accept for a change that allows more than before: it
+// takes force on each instance as soon as that one has it, so the event bears
+// the time before the commit.
+func (s *Store) acceptGrant(ctx context.Context, version uint64, err error, e timeline.Event) (uint64, error) {
+	if err != nil {
+		return 0, err
+	}
+	e.Version = version
+	s.options.Recorder.Record(e)
+	return s.confirmed(ctx, version)
 }
 
 // accept waits until enough instances hold a change that was committed, and
@@ -83,15 +96,23 @@
 	if err != nil {
 		return 0, err
 	}
+	if _, err := s.confirmed(ctx, version); err != nil {
+		return version, err
+	}
+	e.Version = version
+	e.Time = s.options.Now()
+	s.options.Recorder.Record(e)
+	return version, nil
+}
+
+// confirmed waits until enough instances hold the version.
+func (s *Store) confirmed(ctx context.Context, version uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	if s.rounds != nil && !s.rounds.accepted(ctx, version) {
 		return version, refused(result.ConfigNotConfirmed,
 			"version %d is stored, but fewer than half of the instances confirmed it", version)
 	}
-	e.Version = version
-	e.Time = s.options.Now()
-	s.options.Recorder.Record(e)
 	return version, nil
 }
 
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -155,8 +155,12 @@
 
 // WaitingHelps reports whether the same request may succeed some time later.
 func (c Code) WaitingHelps() bool {
-	caller := byCode[c].Caller
-	return caller == retry || caller == retryLater
+	switch c {
+	case Shed, QueueTimeout, DeadlineHopeless, Preempted, NoBackendServer, DependencyDown,
+		ConnectFailed, RetryBudgetSpent, LedgerUnavailable, AlreadyRunning, ConfigurationStale, InstanceDraining:
+		return true
+	}
+	return false
 }
 
 // Table returns every code in ascending order.
