--- a/internal/instance/provision.go
+++ b/internal/instance/provision.go
@@ -51,6 +51,8 @@
 		Instance: i.settings.Instance,
 		Zone:     i.settings.Zone,
 		Table:    i.platform.Table(),
+		Network:  i.peers,
+		Members:  i.members,
 		Compile:  compileText,
 		Recorder: i.ring,
 		Logger:   i.logger.Named("configuration"),
@@ -99,7 +101,7 @@
 }
 
 func (i *Instance) provisionFleet() {
-	i.engines = newEngineWatch(i.scheduler)
+	i.provisionEngines()
 	i.backends = &backends{publish: i.setServers}
 	i.fleet = &fleet{
 		servers:     i.platform.Servers(),
