Name the last backend server of a failed request in its log line

Cause: only answered requests named their backend server. Whether waiting helps was read off a column of prose, which a change of wording broke. A refusal by quarantine at the callers' side did not bear the fingerprint.

Change: the outcome names the last attempt; WaitingHelps lists its codes.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -58,6 +58,7 @@
 	a.watch.extend = a.mayStillAnswer
 	a.permit = &permit{decide: a.maySend}
 	x.outcome.Attempts++
+	x.outcome.Server, x.outcome.Attempt = a.target.Server, a.id
 	x.watchPreemption(a)
 	a.record(timeline.AttemptStarted, 0, "")
 	return a
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -72,7 +72,7 @@
 	// Events is the number of stream events given to the caller; 1 for a whole
 	// answer without a stream.
 	Events int64
-	// Server and Attempt name the attempt that answered.
+	// Server and Attempt name the attempt that answered, or the last one.
 	Server  string
 	Attempt string
 	// Attempts is the number of attempts made, hedges included.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -26,6 +26,8 @@
 	req     *traffic.Request // nil until authenticated and classified
 	counted bool             // its reception is in the time line
 	lasting context.Context  // of run: ends by the router's decision alone
+	// lastServer is the backend server of the last attempt; empty without one.
+	lastServer string
 }
 
 // identify authenticates the caller and fills in the parts of the request that
@@ -149,7 +151,7 @@
 	x.received()
 	x.record(timeline.Event{Kind: kind, Code: e.Code, NotRun: e.NotRun(), Detail: e.Message})
 	x.server.metrics.failed(x.className(), e.Code)
-	x.log("request failed", "result", int(e.Code), "not_run", e.NotRun(), "message", e.Message)
+	x.log("request failed", "backend_server", x.lastServer, "result", int(e.Code), "not_run", e.NotRun(), "message", e.Message)
 	if x.w.begun {
 		return
 	}
--- a/internal/entry/keys_test.go
+++ b/internal/entry/keys_test.go
@@ -212,6 +212,9 @@
 		"organisation removed": {func(c *config.Config, _ map[config.KeyDigest]config.KeyState) {
 			c.Organisations = c.Organisations[1:]
 		}, result.NotPermitted},
+		"model removed": {func(c *config.Config, _ map[config.KeyDigest]config.KeyState) {
+			c.Models = nil
+		}, result.NoBackendServer},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -125,7 +126,7 @@
 	is := is.New(t)
 	for _, code := range []result.Code{
 		result.Shed, result.QueueTimeout, result.DeadlineHopeless, result.Preempted, result.ConfigurationStale, result.LedgerUnavailable,
-		result.NoBackendServer, result.DependencyDown, result.RetryBudgetSpent, result.InstanceDraining, result.ConnectFailed,
+		result.NoBackendServer, result.DependencyDown, result.RetryBudgetSpent, result.InstanceDraining, result.ConnectFailed, result.AlreadyRunning,
 	} {
 		is.True(code.WaitingHelps())
 	}
@@ -143,3 +144,15 @@
 	is.True(got.refusal(t).NotRun)
 	is.Equal(e.server.Active(), int64(0))
 }
+
+func TestFailureIsLoggedWithItsBackendServer(t *testing.T) {
+	is := is.New(t)
+	e := startEdge(t, edgeOptions{})
+	e.bookings.Set(fault.Settings{BreakAfter: 3})
+	got := e.call(http.MethodPost, "/services/bookings/x", clubKey, "{}", IdempotencyHeader, "k")
+	is.Equal(got.refusal(t).Code, result.OutcomeUnknown)
+	is.True(!got.refusal(t).NotRun)
+	line := logLine(t, e, got.Header.Get(RequestHeader))
+	is.True(strings.Contains(line, `"backend_server":"`+events(e.ring, timeline.AttemptSent)[0].Server+`"`))
+	is.True(strings.Contains(line, `"result":4010`))
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
@@ -35,12 +36,16 @@
 	x.runRecorded(ctx, body)
 }
 
+const fingerprintBase = 16
+
 // quarantined refuses a request that crashed backend servers before.
 func (x *exchange) quarantined() *result.Error {
 	if x.req.Fingerprint == 0 || !x.server.o.Quarantine.Refused(x.req.Fingerprint, time.Now()) {
 		return nil
 	}
-	x.record(timeline.Event{Kind: timeline.QuarantineRefused})
+	x.server.o.Recorder.Record(timeline.Event{
+		Kind: timeline.QuarantineRefused, Request: x.id, Record: strconv.FormatUint(x.req.Fingerprint, fingerprintBase),
+	})
 	return x.gate.Refuse(result.RequestQuarantined, "backend servers crashed while running this request")
 }
 
@@ -104,6 +109,7 @@
 func (x *exchange) finish(out dispatch.Outcome) {
 	x.bill(out)
 	x.server.metrics.retried(x.req.Class.Name, out.Attempts)
+	x.lastServer = out.Server
 	if out.Err != nil {
 		x.refuse(out.Err)
 		x.cut(out)
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -153,10 +153,16 @@
 	return i, ok
 }
 
-// WaitingHelps reports whether the same request may succeed some time later.
+// WaitingHelps reports whether the same request may succeed some time later, so
+// that its answer tells when to come back.
 func (c Code) WaitingHelps() bool {
-	caller := byCode[c].Caller
-	return caller == retry || caller == retryLater
+	switch c {
+	case Shed, DeadlineHopeless, QueueTimeout, Preempted,
+		NoBackendServer, DependencyDown, ConnectFailed, RetryBudgetSpent,
+		LedgerUnavailable, AlreadyRunning, ConfigurationStale, InstanceDraining:
+		return true
+	}
+	return false
 }
 
 // Table returns every code in ascending order.
