--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -153,11 +153,13 @@
 	return i, ok
 }
 
-// WaitingHelps reports whether the same request may succeed some time later.
+// WaitingHelps reports whether the same request may succeed some time later, so
+// that its answer tells when to come back.
 func (c Code) WaitingHelps() bool {
 	switch c {
-	case Shed, QueueTimeout, DeadlineHopeless, Preempted, NoBackendServer, DependencyDown,
-		ConnectFailed, RetryBudgetSpent, LedgerUnavailable, AlreadyRunning, ConfigurationStale, InstanceDraining:
+	case Shed, DeadlineHopeless, QueueTimeout, Preempted,
+		NoBackendServer, DependencyDown, ConnectFailed, RetryBudgetSpent,
+		LedgerUnavailable, AlreadyRunning, ConfigurationStale, InstanceDraining:
 		return true
 	}
 	return false
