--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -142,6 +142,9 @@
 	}
 	e.Message = x.secret.redact(e.Message)
 	e.RetryAfter = x.server.retryAfter(e)
+	if x.req != nil {
+		x.missed(e.Code)
+	}
 	x.server.count(e)
 	x.received()
 	x.record(timeline.Event{Kind: kind, Code: e.Code, NotRun: e.NotRun(), Detail: e.Message})
@@ -150,19 +153,11 @@
 	if x.w.begun {
 		return
 	}
-	if x.body.unread() {
-		x.answerEarly()
-	}
-	writeResult(x.w, x.id, e)
-}
-
-// answerEarly lets an answer go out before the body has arrived. The HTTP/1.1
-// server would wait for the body first; the connection is closed instead.
-func (x *exchange) answerEarly() {
-	if x.r.ProtoMajor == 1 {
-		_ = x.w.control.EnableFullDuplex()
+	if x.body.unread() && x.r.ProtoMajor == 1 {
+		// Else the HTTP server would wait for the body before it answers.
 		x.w.Header().Set("Connection", "close")
 	}
+	writeResult(x.w, x.id, e)
 }
 
 func (x *exchange) className() string {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -15,10 +15,12 @@
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/confsync"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/enginewatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	"github.com/hawthornwick/hawthornwick/internal/member"
+	"github.com/hawthornwick/hawthornwick/internal/order"
 	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/platform/httpapi"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
@@ -62,7 +64,10 @@
 	operators        *http.Server
 	operatorListener net.Listener
 	fleet            *fleet
-	engines          *engineWatch
+	backends         *backends
+	recent           *order.Recent
+	engineOrders     *order.HTTPEngines
+	engines          *enginewatch.Watch
 
 	leaving   atomic.Bool
 	forced    atomic.Bool // operators cut off what still ran
@@ -123,8 +128,10 @@
 	running.Go(func() { i.fleet.run(ctx) })
 	running.Go(func() { i.callers.Run(ctx) })
 	running.Go(func() { i.followConfig(ctx) })
-	running.Go(func() { every(ctx, engineWatchInterval, i.engines.poll) })
+	running.Go(func() { i.engines.Run(ctx) })
+	running.Go(func() { i.followMembers(ctx) })
 	running.Go(func() { i.syncQuarantine(ctx) })
+	running.Go(func() { every(ctx, drainingInterval, i.pollDraining) })
 	running.Go(func() { every(ctx, freshnessInterval, i.checkFreshness) })
 }
 
@@ -200,6 +207,7 @@
 	i.closeLedger()
 	_ = i.peers.Close()
 	i.dispatcher.Close()
+	i.engineOrders.Close()
 	i.platform.Close()
 	i.logger.Info("instance stopped", "cut_off", cut)
 }
@@ -213,3 +221,11 @@
 
 // Editor returns the instance's access to the operators' configuration.
 func (i *Instance) Editor() config.Editor { return i.store }
+
+// ConfigVersion returns the configuration version in force, 0 before the first.
+func (i *Instance) ConfigVersion() uint64 {
+	if snap := i.store.Current(); snap != nil {
+		return snap.Version
+	}
+	return 0
+}
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -6,6 +6,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/member"
+	"github.com/hawthornwick/hawthornwick/internal/order"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/usage"
 )
@@ -27,7 +28,7 @@
 	i.leases = lease.NewManager(lease.Options{
 		Instance: i.settings.Instance,
 		Table:    i.platform.Table(),
-		Duties:   []string{usage.Duty},
+		Duties:   []string{usage.Duty, order.Duty},
 		Members:  i.candidateNames,
 		Recorder: i.ring,
 		Logger:   i.logger.Named("lease"),
@@ -57,7 +58,7 @@
 
 func (i *Instance) setServers(list []platform.Server) {
 	i.scheduler.SetServers(list)
-	i.engines.setServers(list)
+	i.engines.SetServers(list)
 }
 
 // setInstances tells the scheduler who may share the backend servers: whoever
--- a/internal/instance/provision.go
+++ b/internal/instance/provision.go
@@ -26,6 +26,7 @@
 	i.provisionMembers()
 	i.provisionStore()
 	i.provisionUsage()
+	i.provisionOrders()
 	i.provisionQuarantine()
 	i.provisionRequestPath()
 	i.provisionFleet()
@@ -50,6 +51,8 @@
 		Instance: i.settings.Instance,
 		Zone:     i.settings.Zone,
 		Table:    i.platform.Table(),
+		Network:  i.peers,
+		Members:  i.members,
 		Compile:  compileText,
 		Recorder: i.ring,
 		Logger:   i.logger.Named("configuration"),
@@ -84,6 +87,7 @@
 		Ledger:     i.ledger,
 		Quarantine: i.quarantine,
 		Meter:      i.meter,
+		Outcomes:   i.recent,
 		Recorder:   i.ring,
 		Logger:     i.logger.Named("entry"),
 		Seed:       uint64(i.started.UnixNano()),
@@ -97,7 +101,8 @@
 }
 
 func (i *Instance) provisionFleet() {
-	i.engines = newEngineWatch(i.scheduler)
+	i.provisionEngines()
+	i.backends = &backends{publish: i.setServers}
 	i.fleet = &fleet{
 		servers:     i.platform.Servers(),
 		instances:   i.platform.Instances(),
@@ -105,7 +110,7 @@
 		logger:      i.logger.Named("fleet"),
 		timeout:     time.Duration(i.settings.Platform.Timeout),
 		self:        i.self,
-		onServers:   i.setServers,
+		onServers:   i.backends.setListed,
 		onInstances: i.setInstances,
 	}
 }
