--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -109,17 +109,25 @@
 		free := max(slots-c.Live.Outstanding(), 0)
 		p.slots += slots
 		p.free += free
+		p.use.addSlots(c, slots)
 		p.use.addFree(c, free)
 	}
 }
 
-// tiersAbove counts the tiers above one that recently had requests here.
-func (p *pool) tiersAbove(now time.Time, tier int) int {
-	n := 0
-	for t := 1; t < tier; t++ {
-		if p.active(now, t) {
-			n++
+// tiersAbove counts the tiers above one that recently had requests here; cheap
+// counts only those with a class that may use cheap servers.
+func (p *pool) tiersAbove(now time.Time, tier int, cheap bool) int {
+	n, last := 0, 0
+	for _, c := range p.byTier {
+		t := c.spec.Tier
+		if t >= tier {
+			break
+		}
+		if t == last || !p.active(now, t) || cheap && !c.spec.Cheap {
+			continue
 		}
+		n++
+		last = t
 	}
 	return n
 }
--- a/internal/placement/retry.go
+++ b/internal/placement/retry.go
@@ -64,10 +64,11 @@
 		return traffic.Target{}, false
 	}
 	p.refresh(now, e.store.Members)
-	if p.free <= 0 || !e.beyondReserve(now, j) {
+	if p.free <= 0 {
 		return traffic.Target{}, false
 	}
 	q := e.query(now, j)
+	e.keepReserve(now, j, &q)
 	q.Tried = append([]string{running.Server}, j.tried...)
 	c := e.router.Pick(&q, p.servers, p.prefixes)
 	if c == nil || !j.class.budget.Take(now) {
--- a/internal/placement/start.go
+++ b/internal/placement/start.go
@@ -30,35 +30,43 @@
 		return true
 	}
 	j.floor = due
-	if !due && !e.beyondReserve(now, j) {
-		return false
+	q := e.query(now, j)
+	if !due {
+		e.keepReserve(now, j, &q)
 	}
-	j.chosen = e.pick(now, j)
+	j.chosen = e.pick(j, &q)
 	return j.chosen != nil
 }
 
-// beyondReserve reports whether the pool has more free slots than it keeps for
-// higher tiers.
-func (e *Engine) beyondReserve(now time.Time, j *Job) bool {
+// keepReserve bars an attempt from the last free slots, which the pool keeps for
+// higher tiers. Slots of cheap servers are kept only for those that may use them.
+func (e *Engine) keepReserve(now time.Time, j *Job, q *routing.Query) {
 	if e.options.Queue.FIFO {
-		return true
+		return
+	}
+	p, u := j.pool, &j.pool.use
+	q.SteadyKept = u.steadyFree <= admission.Reserve(u.steadySlots, p.tiersAbove(now, j.tier(), false))
+	if q.CheapAllowed && p.cheapCount > 0 {
+		kept := admission.Reserve(u.cheapSlots, p.tiersAbove(now, j.tier(), true))
+		q.CheapAllowed = u.allCheapFree() > kept
 	}
-	p := j.pool
-	return p.free > admission.Reserve(p.slots, p.tiersAbove(now, j.tier()))
 }
 
 // pick chooses a server for the job's next attempt, nil when none is free. A
 // retry goes to a server already used only when no other can take it at all.
-func (e *Engine) pick(now time.Time, j *Job) *routing.Candidate {
-	q := e.query(now, j)
-	if c := e.router.Pick(&q, j.pool.servers, j.pool.prefixes); c != nil || len(q.Tried) == 0 {
+func (e *Engine) pick(j *Job, q *routing.Query) *routing.Candidate {
+	p := j.pool
+	if q.SteadyKept && !(q.CheapAllowed && p.cheapCount > 0) {
+		return nil
+	}
+	if c := e.router.Pick(q, p.servers, p.prefixes); c != nil || len(q.Tried) == 0 {
 		return c
 	}
-	if e.router.Any(&q, j.pool.servers) {
+	if e.router.Any(q, p.servers) {
 		return nil
 	}
 	q.Tried = nil
-	return e.router.Pick(&q, j.pool.servers, j.pool.prefixes)
+	return e.router.Pick(q, p.servers, p.prefixes)
 }
 
 func (e *Engine) query(now time.Time, j *Job) routing.Query {
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -28,10 +28,12 @@
 
 // usage counts this instance's requests in flight on steady and cheap servers.
 type usage struct {
-	steady     byTier
-	steadyFree int
-	cheap      []byTier // by zone index
-	cheapFree  []int    // by zone index
+	steady      byTier
+	steadySlots int
+	steadyFree  int
+	cheap       []byTier // by zone index
+	cheapSlots  int
+	cheapFree   []int // by zone index
 }
 
 func (u *usage) resize(zones int) {
@@ -42,10 +44,28 @@
 }
 
 func (u *usage) clearFree() {
-	u.steadyFree = 0
+	u.steadyFree, u.steadySlots, u.cheapSlots = 0, 0, 0
 	clear(u.cheapFree)
 }
 
+// addSlots counts a server's slots.
+func (u *usage) addSlots(c *routing.Candidate, slots int) {
+	if c.Cheap {
+		u.cheapSlots += slots
+	} else {
+		u.steadySlots += slots
+	}
+}
+
+// allCheapFree sums the free slots of cheap servers.
+func (u *usage) allCheapFree() int {
+	n := 0
+	for _, free := range u.cheapFree {
+		n += free
+	}
+	return n
+}
+
 func (u *usage) addFree(c *routing.Candidate, free int) {
 	if c.Cheap {
 		u.cheapFree[c.ZoneIndex] += free
@@ -66,14 +86,14 @@
 
 // fillCheapFull marks the zones whose cheap servers must get no more work of the
 // tier. What a zone runs for this tier and higher ones must find room elsewhere
-// when the zone is lost: in free slots, or in steady ones that lower tiers use.
+// when the zone is lost: in free slots, or in those that lower tiers use.
 func (u *usage) fillCheapFull(tier int, full []bool) {
 	spare := u.steadyFree + u.steady.below(tier)
-	for _, free := range u.cheapFree {
-		spare += max(free, 0)
+	for z := range u.cheap {
+		spare += max(u.cheapFree[z], 0) + u.cheap[z].below(tier)
 	}
 	for z := range u.cheap {
-		elsewhere := spare - max(u.cheapFree[z], 0)
+		elsewhere := spare - max(u.cheapFree[z], 0) - u.cheap[z].below(tier)
 		full[z] = u.cheap[z].upTo(tier)+1 > elsewhere
 	}
 }
--- a/internal/routing/coldramp.go
+++ b/internal/routing/coldramp.go
@@ -100,7 +100,7 @@
 		r.stepped = now
 	}
 	if r.remaining == 0 && r.established {
-		r.total = r.warm
+		r.total, r.proven = r.warm, true
 	}
 	r.established = false
 	if report.Running+report.Waiting <= own {
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -30,13 +30,14 @@
 func (running) Keep(_ *Query, c *Candidate) bool { return c.State == platform.ServerRunning }
 
 // cheapAllowed drops cheap servers for requests that may not use them, and in
-// zones whose loss could not be borne.
+// zones whose loss could not be borne. It drops the others while their last slots
+// are kept for higher tiers.
 type cheapAllowed struct{}
 
 // Keep implements Filter.
 func (cheapAllowed) Keep(q *Query, c *Candidate) bool {
 	if !c.Cheap {
-		return true
+		return !q.SteadyKept
 	}
 	if !q.CheapAllowed {
 		return false
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -9,6 +9,9 @@
 	Zone, Region string
 	// Tier is the request's; 1 is the highest.
 	Tier int
+	// SteadyKept bars the attempt from servers that are not cheap, whose last free
+	// slots are kept for higher tiers.
+	SteadyKept bool
 	// CheapAllowed lets the attempt use cheap servers.
 	CheapAllowed bool
 	// CheapFull marks, by ZoneIndex, the zones whose cheap servers must get no
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -82,7 +82,7 @@
 // is free.
 func (r *Router) Any(q *Query, p *Pool) bool {
 	wanted := *q
-	wanted.IgnoreSlots = true
+	wanted.IgnoreSlots, wanted.SteadyKept = true, false
 	for _, c := range p.Candidates {
 		if r.keep(&wanted, c) {
 			return true
