--- a/internal/enginewatch/watch.go
+++ b/internal/enginewatch/watch.go
@@ -15,6 +15,8 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
+	// planInterval is the time between two plans of a large fleet.
+	planInterval = 5 * time.Second
 	// maxReads bounds the reads under way at once.
 	maxReads = 32
 )
@@ -38,10 +40,10 @@
 type Options struct {
 	// Instance is the name of this instance. Required.
 	Instance string
-	// Zone and Region are this instance's. Empty means unknown.
-	Zone, Region string
-	// RegionOf returns the region of an availability zone. Nil means that all
-	// availability zones are in one region.
+	// Zone is this instance's availability zone. Empty means unknown.
+	Zone string
+	// RegionOf returns the region of an availability zone; all instances must get
+	// the same answers. Nil means that all availability zones are in one region.
 	RegionOf func(zone string) string
 	// Peers carries digests. Nil means that there are no other instances.
 	Peers Peers
@@ -68,6 +70,8 @@
 	members []Member
 	servers []platform.Server
 	plan    *Plan
+	stale   bool // a list has changed since the plan
+	planned time.Time
 }
 
 // New returns a Watch that knows of no engines and no other instances.
@@ -82,7 +86,7 @@
 		o.Now = time.Now
 	}
 	if o.RegionOf == nil {
-		o.RegionOf = func(string) string { return o.Region }
+		o.RegionOf = func(string) string { return "" }
 	}
 	w := &Watch{
 		options: o,
@@ -99,7 +103,8 @@
 }
 
 func (w *Watch) self() Member {
-	return Member{Name: w.options.Instance, Zone: w.options.Zone, Region: w.options.Region}
+	o := &w.options
+	return Member{Name: o.Instance, Zone: o.Zone, Region: o.RegionOf(o.Zone)}
 }
 
 // SetServers replaces the platform's list of backend servers.
@@ -110,7 +115,8 @@
 		return
 	}
 	w.servers = list
-	w.replan()
+	w.stale = true
+	w.replan(w.options.Now())
 }
 
 // SetMembers replaces the list of instances. Without Peers no other instance
@@ -128,7 +134,8 @@
 		return
 	}
 	w.members = members
-	w.replan()
+	w.stale = true
+	w.replan(w.options.Now())
 }
 
 // Subset returns the names of the model servers that this instance routes to,
@@ -139,8 +146,13 @@
 	return w.plan.Subset(w.options.Instance)
 }
 
-// replan computes the plan. The caller holds the lock.
-func (w *Watch) replan() {
+// replan computes the plan after a change of the lists; in a large fleet not
+// more often than each planInterval. The caller holds the lock.
+func (w *Watch) replan(now time.Time) {
+	if !w.stale || len(w.members) > smallFleet && now.Sub(w.planned) < planInterval {
+		return
+	}
+	w.stale, w.planned = false, now
 	var servers []Server
 	var engines []watched
 	for _, s := range w.servers {
@@ -151,7 +163,7 @@
 		engines = append(engines, watched{name: s.Name, address: s.Address})
 	}
 	w.plan = NewPlan(w.members, servers)
-	w.core.setPlan(w.options.Now(), w.plan, engines)
+	w.core.setPlan(now, w.plan, engines)
 }
 
 // Run reads and sends until ctx ends.
@@ -173,6 +185,7 @@
 func (w *Watch) tick(ctx context.Context) {
 	w.mu.Lock()
 	now := w.options.Now()
+	w.replan(now)
 	reads, digests := w.core.due(now), w.core.flush(now)
 	changes := w.core.takeChanges()
 	w.mu.Unlock()
--- a/internal/faultmatrix/fleet_test.go
+++ b/internal/faultmatrix/fleet_test.go
@@ -30,7 +30,7 @@
 const fleetSize = 3
 
 var faces = []standin.Interface{
-	standin.TableInterface, standin.ObjectsInterface, standin.ServersInterface, standin.UsageInterface,
+	standin.TableInterface, standin.ObjectsInterface, standin.ServersInterface, standin.UsageInterface, standin.InstancesInterface,
 }
 
 // fleet is a few instances before one platform, with one armed fault.
@@ -65,10 +65,15 @@
 	strikes     map[Fault]strike
 }
 
-// newFleet starts the instances; launch runs one of them until ctx ends.
-func newFleet(t *testing.T, launch func(ctx context.Context, n *node)) *fleet {
+// newFleet starts the instances; launch runs one of them until ctx ends. The
+// platform ignores fencing numbers unless the cell holds calls back on their
+// way: then the last check of a tenure comes too early, and only a receiver that
+// refuses old numbers is safe.
+func newFleet(t *testing.T, c Cell, launch func(ctx context.Context, n *node)) *fleet {
 	f := &fleet{t: t, launch: launch, ring: timeline.NewRing("platform", 0, nil)}
-	f.platform = standin.New(standin.Options{Recorder: f.ring, StartTime: time.Second, WeightBytes: 1})
+	f.platform = standin.New(standin.Options{
+		Recorder: f.ring, StartTime: time.Second, WeightBytes: 1, IgnoreTokens: !c.has(Silence) && !c.has(Slow),
+	})
 	for i := range fleetSize {
 		name := fmt.Sprintf("i%d", i)
 		f.nodes = append(f.nodes, &node{f: f, name: name, ring: timeline.NewRing(name, 0, nil), stop: func() {}, strikes: make(map[Fault]strike)})
@@ -247,7 +252,7 @@
 
 // inject brings about one fault at the instance or its store.
 func (n *node) inject(fault Fault) {
-	store := []standin.Interface{standin.TableInterface}
+	store := []standin.Interface{standin.TableInterface, standin.InstancesInterface}
 	switch fault {
 	case InstanceCrash:
 		n.crash()
@@ -403,7 +408,7 @@
 func stepOf(txn platform.Txn) Step {
 	i := slices.IndexFunc(txn.Writes, func(w platform.Write) bool { return !w.Delete })
 	if i < 0 {
-		return ""
+		return stepOfDelete(txn)
 	}
 	w := txn.Writes[i]
 	for _, s := range stepsOfRows {
@@ -413,3 +418,11 @@
 	}
 	return ""
 }
+
+// stepOfDelete tells the step of a transaction that only deletes rows.
+func stepOfDelete(txn platform.Txn) Step {
+	if len(txn.Writes) > 0 && strings.HasPrefix(txn.Writes[0].Key, "order/intent/") {
+		return OrderOutcome
+	}
+	return ""
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,12 +14,13 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/confsync"
-	"github.com/hawthornwick/hawthornwick/internal/demand"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/enginewatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	"github.com/hawthornwick/hawthornwick/internal/member"
+	"github.com/hawthornwick/hawthornwick/internal/order"
 	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/platform/httpapi"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
@@ -64,8 +65,9 @@
 	operatorListener net.Listener
 	fleet            *fleet
 	backends         *backends
-	recent           *demand.Recent
-	engines          *engineWatch
+	recent           *order.Recent
+	engineOrders     *order.HTTPEngines
+	engines          *enginewatch.Watch
 
 	leaving   atomic.Bool
 	forced    atomic.Bool // operators cut off what still ran
@@ -126,7 +128,8 @@
 	running.Go(func() { i.fleet.run(ctx) })
 	running.Go(func() { i.callers.Run(ctx) })
 	running.Go(func() { i.followConfig(ctx) })
-	running.Go(func() { every(ctx, engineWatchInterval, i.engines.poll) })
+	running.Go(func() { i.engines.Run(ctx) })
+	running.Go(func() { i.followMembers(ctx) })
 	running.Go(func() { i.syncQuarantine(ctx) })
 	running.Go(func() { every(ctx, drainingInterval, i.pollDraining) })
 	running.Go(func() { every(ctx, freshnessInterval, i.checkFreshness) })
@@ -204,6 +207,7 @@
 	i.closeLedger()
 	_ = i.peers.Close()
 	i.dispatcher.Close()
+	i.engineOrders.Close()
 	i.platform.Close()
 	i.logger.Info("instance stopped", "cut_off", cut)
 }
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -54,6 +54,8 @@
 	ConfigConflict   Code = 7002
 	StoreUnavailable Code = 7003
 	UnknownName      Code = 7004
+
+	ConfigNotConfirmed Code = 7005
 )
 
 // Run says what an outcome tells about execution on a backend server.
@@ -121,7 +123,7 @@
 	{RequestQuarantined, "request_quarantined", http.StatusUnprocessableEntity, RunDepends, "Backend servers crashed while running this request.", "change the request", "keep the request id and report it to the engine's maker"},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RunMaybe, "A non-idempotent request was sent and its answer was lost.", "ask the service for the state; a resend will not run again", "see `timeline` for the request"},
 
-	{LedgerUnavailable, "ledger_unavailable", http.StatusServiceUnavailable, RunNever, "The idempotency record could not be written.", retryLater, "check the platform's table service"},
+	{LedgerUnavailable, "ledger_unavailable", http.StatusServiceUnavailable, RunNever, "The idempotency record could not be read or written. Nothing is known of an earlier request with the same Idempotency-Key.", "retry after Retry-After with the same Idempotency-Key", "check the platform's table service"},
 	{IdempotencyMismatch, "idempotency_mismatch", http.StatusUnprocessableEntity, RunNever, "The Idempotency-Key was used with another body.", "use a new key for a new request", nothingToDo},
 	{AlreadyRunning, "already_running", http.StatusConflict, RunMaybe, "The same request still runs.", "retry with the same Idempotency-Key to get the answer", nothingToDo},
 	{WillNotRunAgain, "outcome_unknown_will_not_run_again", http.StatusConflict, RunMaybe, "An earlier attempt's outcome is unknown; it will not run again.", "ask the service for the state", "see `timeline` for the request"},
@@ -134,6 +136,7 @@
 	{ConfigConflict, "config_conflict", http.StatusConflict, RunNever, "Another change came first; nothing changed.", nothingToDo, "read the current version and apply again"},
 	{StoreUnavailable, "store_unavailable", http.StatusServiceUnavailable, RunNever, "The table service did not confirm the change.", nothingToDo, "run the command again; it is idempotent"},
 	{UnknownName, "unknown_name", http.StatusNotFound, RunNever, "No such organisation, zone or key.", nothingToDo, "correct the name"},
+	{ConfigNotConfirmed, "config_not_confirmed", http.StatusServiceUnavailable, RunNever, "The change is stored, but fewer than half of the instances confirmed it in time.", nothingToDo, "restore the links between the instances; the change takes force as they are reached"},
 }
 
 var byCode = func() map[Code]Info {
