Drive requests by their state chart

Cause: the request chart was documentation only. Change: every request is a machine of the chart; the dispatcher reports what is sent, streamed and failed; slots are freed and usage is metered by the chart's actions. A claim of not run that the chart rejects, because something was sent, is taken back and logged. The guard on retries left the chart: the decision is the dispatcher's.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -93,6 +93,7 @@
 		return false
 	}
 	a.record(timeline.AttemptSent, 0, "")
+	a.x.call.Progress.Sent()
 	return true
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -34,6 +34,8 @@
 	// Attempt is the id of the first attempt, as the idempotency record bears
 	// it. Empty: a new one.
 	Attempt string
+	// Progress hears how the request gets on. Nil: nobody does.
+	Progress Progress
 	// SendBefore is the latest time at which the first byte may be sent.
 	// Zero: no limit beside the deadline.
 	SendBefore time.Time
@@ -43,6 +45,25 @@
 // a caller that sends no more keeps an attempt from ending.
 type Interrupter interface{ Interrupt() }
 
+// Progress hears how a request gets on. Its methods are safe for concurrent use
+// and do not block.
+type Progress interface {
+	// Sent says that the first byte of an attempt is about to be written.
+	Sent()
+	// Streaming says that the first part of the answer goes to the caller.
+	Streaming()
+	// AttemptFailed says that an attempt ended without the whole answer.
+	AttemptFailed()
+}
+
+type noProgress struct{}
+
+func (noProgress) Sent() {}
+
+func (noProgress) Streaming() {}
+
+func (noProgress) AttemptFailed() {}
+
 // Timeouts bound how long an attempt may make no progress. Zero fields take
 // the values of DefaultTimeouts.
 type Timeouts struct {
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -41,6 +41,9 @@
 
 func newExchange(ctx context.Context, d *Dispatcher, c Call, w http.ResponseWriter) *exchange {
 	c.Timeouts = c.Timeouts.withDefaults()
+	if c.Progress == nil {
+		c.Progress = noProgress{}
+	}
 	x := &exchange{
 		d: d, call: c, w: w, control: http.NewResponseController(w),
 		header: forwardHeader(c.Header), query: stripQuery(c.RawQuery), body: c.Body,
@@ -81,6 +84,7 @@
 		if err == nil {
 			return
 		}
+		x.call.Progress.AttemptFailed()
 		if ended := x.mustEnd(err, failed, number); ended != nil {
 			x.end(ended)
 			return
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -40,6 +40,7 @@
 	x.w.WriteHeader(a.response.StatusCode)
 	x.answering.Store(true)
 	x.outcome.Started = true
+	x.call.Progress.Streaming()
 	x.outcome.Status = a.response.StatusCode
 	x.outcome.FirstByte = time.Since(x.call.Request.Arrived)
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/traffic"
@@ -28,6 +29,10 @@
 	lasting context.Context  // of run: ends by the router's decision alone
 	// lastServer is the backend server of the last attempt; empty without one.
 	lastServer string
+
+	life   life
+	ticket traffic.Ticket   // nil until admitted
+	out    dispatch.Outcome // of the dispatch
 }
 
 // identify authenticates the caller and fills in the parts of the request that
@@ -138,6 +143,7 @@
 // refuse ends the request with an error. When the answer has begun, dispatch
 // has already told the caller within the stream.
 func (x *exchange) refuse(e *result.Error) {
+	e = x.end(e)
 	kind := timeline.RequestFailed
 	if e.NotRun() {
 		kind = timeline.RequestRefused
--- a/internal/entry/recorded.go
+++ b/internal/entry/recorded.go
@@ -10,7 +10,6 @@
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
-	"github.com/hawthornwick/hawthornwick/internal/traffic"
 )
 
 // maxIdempotencyKeyBytes bounds the Idempotency-Key header.
@@ -65,19 +64,17 @@
 		x.refuse(refusal)
 		return
 	}
-	ticket, refusal := x.admit(ctx)
-	if refusal != nil {
+	if refusal := x.admit(ctx); refusal != nil {
 		x.refuseUnlessRun(ctx, claim, refusal)
 		return
 	}
-	defer ticket.Done()
+	defer x.ticket.Done()
 	d, refusal = x.server.o.Ledger.Begin(ctx, claim)
 	if d.Owned == nil {
-		ticket.Done()
 		x.settleDuplicate(ctx, d, refusal)
 		return
 	}
-	x.runOwned(ticket, body, claim.Attempt, d.Owned)
+	x.runOwned(body, claim.Attempt, d.Owned)
 }
 
 // refuseUnlessRun refuses a request that was not admitted, unless a duplicate
@@ -105,6 +102,8 @@
 		x.refuse(refusal)
 		return
 	}
+	x.fire(eventDuplicate)
+	x.fire(eventAnswered)
 	x.server.answered.Add(1)
 	x.record(timeline.Event{Kind: timeline.RequestAnswered, Count: 1, Detail: "stored answer"})
 	x.log("request answered from its idempotency record", "status", d.Answer.Status)
@@ -113,18 +112,18 @@
 
 // runOwned dispatches the only attempt that the record allows. The caller's
 // departure does not stop it, because its answer can still be had again.
-func (x *exchange) runOwned(ticket traffic.Ticket, body payload, attempt string, owned *ledger.Owned) {
+func (x *exchange) runOwned(body payload, attempt string, owned *ledger.Owned) {
 	ctx := x.lasting
 	if x.req.Stream {
 		capture := x.server.o.Ledger.NewCapture(x.w)
-		out := x.dispatchOwned(ctx, ticket, body, attempt, owned, capture)
+		out := x.dispatchOwned(ctx, body, attempt, owned, capture)
 		answer, whole := capture.Answer()
 		x.settleOwned(ctx, owned, out, answer, whole)
 		x.finish(out)
 		return
 	}
 	held := newHeldAnswer(x.w, heldAnswerBytes)
-	out := x.dispatchOwned(ctx, ticket, body, attempt, owned, held)
+	out := x.dispatchOwned(ctx, body, attempt, owned, held)
 	answer, whole := held.answer()
 	x.settleOwned(ctx, owned, out, answer, whole)
 	if out.Err == nil {
@@ -135,8 +134,8 @@
 	x.finish(out)
 }
 
-func (x *exchange) dispatchOwned(ctx context.Context, ticket traffic.Ticket, body payload, attempt string, owned *ledger.Owned, w http.ResponseWriter) dispatch.Outcome {
-	call := x.call(ticket, body)
+func (x *exchange) dispatchOwned(ctx context.Context, body payload, attempt string, owned *ledger.Owned, w http.ResponseWriter) dispatch.Outcome {
+	call := x.call(body)
 	call.Attempt = attempt
 	call.SendBefore = owned.SendBefore
 	return x.server.o.Dispatcher.Do(ctx, call, w)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -11,7 +11,6 @@
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
-	"github.com/hawthornwick/hawthornwick/internal/traffic"
 )
 
 // payload is the body of a request: bytes, or a stream that is sent as it arrives.
@@ -55,35 +54,38 @@
 		x.refuse(refusal)
 		return
 	}
-	ticket, refusal := x.admit(ctx)
-	if refusal != nil {
+	if refusal := x.admit(ctx); refusal != nil {
 		x.refuse(refusal)
 		return
 	}
-	defer ticket.Done()
-	x.finish(x.server.o.Dispatcher.Do(ctx, x.call(ticket, body), x.w))
+	defer x.ticket.Done()
+	x.finish(x.server.o.Dispatcher.Do(ctx, x.call(body), x.w))
 }
 
 // admit waits for a slot. What ended the wait from the router's side replaces
 // the scheduler's refusal.
-func (x *exchange) admit(ctx context.Context) (traffic.Ticket, *result.Error) {
+func (x *exchange) admit(ctx context.Context) *result.Error {
+	x.fire(eventQueued)
 	ticket, refusal := x.server.o.Scheduler.Admit(ctx, x.req)
 	if refusal == nil {
-		return ticket, nil
+		x.ticket = ticket
+		x.fire(eventAdmitted)
+		return nil
 	}
 	if cause := interruption(ctx); cause != nil {
-		return nil, cause
+		return cause
 	}
-	return nil, refusal
+	return refusal
 }
 
 // call describes the request to the dispatcher.
-func (x *exchange) call(ticket traffic.Ticket, body payload) dispatch.Call {
+func (x *exchange) call(body payload) dispatch.Call {
 	timeouts := dispatch.TimeoutsFor(x.req.Class)
 	timeouts.Body = x.server.o.Limits.BodyTimeout
 	return dispatch.Call{
 		Request:       x.req,
-		Targets:       ticket,
+		Targets:       x.ticket,
+		Progress:      progress{x},
 		Method:        x.r.Method,
 		Path:          x.backendPath(),
 		RawQuery:      x.secret.query(x.r.URL.RawQuery),
@@ -107,7 +109,7 @@
 
 // finish records how the request ended and bills it.
 func (x *exchange) finish(out dispatch.Outcome) {
-	x.bill(out)
+	x.out = out
 	x.server.metrics.retried(x.req.Class.Name, out.Attempts)
 	x.lastServer = out.Server
 	if out.Err != nil {
@@ -127,6 +129,7 @@
 }
 
 func (x *exchange) answered(out dispatch.Outcome) {
+	x.fire(eventAnswered)
 	took := time.Since(x.arrived)
 	x.server.answered.Add(1)
 	x.ended(inTime(x.req.Class, out.FirstByte))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -194,6 +194,7 @@
 		r:       r,
 		id:      id,
 		arrived: time.Now(),
+		life:    newLife(id),
 		secret:  newSecret(r.Header),
 		body:    newRequestBody(r, control),
 		snap:    s.o.Source.Current(),
