--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -15,6 +15,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/confsync"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/enginewatch"
 	"github.com/hawthornwick/hawthornwick/internal/entry"
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
@@ -66,7 +67,7 @@
 	backends         *backends
 	recent           *order.Recent
 	engineOrders     *order.HTTPEngines
-	engines          *engineWatch
+	engines          *enginewatch.Watch
 
 	leaving   atomic.Bool
 	forced    atomic.Bool // operators cut off what still ran
@@ -127,7 +128,8 @@
 	running.Go(func() { i.fleet.run(ctx) })
 	running.Go(func() { i.callers.Run(ctx) })
 	running.Go(func() { i.followConfig(ctx) })
-	running.Go(func() { every(ctx, engineWatchInterval, i.engines.poll) })
+	running.Go(func() { i.engines.Run(ctx) })
+	running.Go(func() { i.followMembers(ctx) })
 	running.Go(func() { i.syncQuarantine(ctx) })
 	running.Go(func() { every(ctx, drainingInterval, i.pollDraining) })
 	running.Go(func() { every(ctx, freshnessInterval, i.checkFreshness) })
