--- a/internal/enginewatch/sample_test.go
+++ b/internal/enginewatch/sample_test.go
@@ -71,6 +71,15 @@
 	is.Equal(c.sample.level, 1)
 }
 
+func TestEachBudgetSlowsALargeFleet(t *testing.T) {
+	is := is.New(t)
+	const members = smallFleet + 1
+	is.Equal(paceOf(duties{members: members, owned: 10 * readBudget / readBytes}).read.Round(time.Second), 10*time.Second)
+	is.Equal(paceOf(duties{members: members, records: 10 * recordBudget / recordBytes}).read.Round(time.Second), 10*time.Second)
+	is.Equal(paceOf(duties{members: members, receivers: 10 * messageBudget / messageBytes}).flush.Round(time.Second), 10*time.Second)
+	is.Equal(paceOf(duties{members: smallFleet, owned: 20, records: 300, receivers: 15}).every(), 2*minInterval)
+}
+
 func TestLargeFleetIsPlannedAtMostOncePerInterval(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
