Do not hand cheap slots down while no steady server is free

The cap on cheap work kept a tier from a free cheap slot while every steady server was busy, and a lower tier then took the slot. The cap now holds only while the request could run on a steady server.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -30,7 +30,6 @@
 	running    [config.Tiers + 1]runs
 	seen       [config.Tiers + 1]time.Time // last request of the tier
 	starts     [config.Tiers + 1]admission.Rate
-	lowest     int // lowest tier configured
 	holding    time.Duration
 	refreshed  time.Time
 	slots      int // requests that this instance may have in flight
@@ -53,12 +52,10 @@
 func (p *pool) update(now time.Time, servers *routing.Pool, c *config.Snapshot) {
 	p.servers = servers
 	specs := make([]admission.Class, 0, len(c.Config.Classes))
-	p.lowest = 1
 	p.byTier = p.byTier[:0]
 	for i := range c.Config.Classes {
 		spec := &c.Config.Classes[i]
 		p.byTier = append(p.byTier, p.setClass(now, spec))
-		p.lowest = max(p.lowest, spec.Tier)
 		specs = append(specs, admission.Class{Name: spec.Name, Tier: spec.Tier, Floor: floorOf(spec)})
 	}
 	slices.SortStableFunc(p.byTier, func(a, b *class) int { return a.spec.Tier - b.spec.Tier })
--- a/internal/placement/start.go
+++ b/internal/placement/start.go
@@ -34,10 +34,23 @@
 	if !due {
 		e.keepReserve(now, j, &q)
 	}
+	p := j.pool
+	if q.CheapAllowed && p.cheapCount > 0 && !q.SteadyKept && p.use.steadyFree > 0 {
+		p.capCheap(j.tier(), &q)
+	}
 	j.chosen = e.pick(j, &q)
 	return j.chosen != nil
 }
 
+// capCheap bars an attempt that could run on a steady server from zones whose
+// cheap work would find no room elsewhere. While no steady server is free the
+// other choice is to wait, and a lower tier would take the cheap slot.
+func (p *pool) capCheap(tier int, q *routing.Query) {
+	p.cheapFull = append(p.cheapFull[:0], make([]bool, len(p.use.cheap))...)
+	p.use.fillCheapFull(tier, p.cheapFull)
+	q.CheapFull = p.cheapFull
+}
+
 // keepReserve bars an attempt from the last free slots, which the pool keeps for
 // higher tiers. Slots of cheap servers are kept only for those that may use them.
 func (e *Engine) keepReserve(now time.Time, j *Job, q *routing.Query) {
@@ -70,7 +83,7 @@
 }
 
 func (e *Engine) query(now time.Time, j *Job) routing.Query {
-	r, p := j.request, j.pool
+	r := j.request
 	q := routing.Query{
 		Now:          now,
 		Zone:         e.options.Zone,
@@ -84,11 +97,6 @@
 		Tried:        j.tried,
 		Members:      e.store.Members,
 	}
-	if q.CheapAllowed && p.cheapCount > 0 && j.tier() < p.lowest {
-		p.cheapFull = append(p.cheapFull[:0], make([]bool, len(p.use.cheap))...)
-		p.use.fillCheapFull(j.tier(), p.cheapFull)
-		q.CheapFull = p.cheapFull
-	}
 	return q
 }
 
