Use a new backend server at once when the members are settled

Cause: a server that was listed for the first time got no work for the settling time of 20 s, although that time bounds differing views of the members and not of the servers. A silent kept connection blamed its server. Expired idempotency records were deleted by nobody. Figures: first slot of a new server after 0 s with settled members, 20 s before; with members that changed it still waits.

--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -28,7 +28,7 @@
 	i.leases = lease.NewManager(lease.Options{
 		Instance: i.settings.Instance,
 		Table:    i.platform.Table(),
-		Duties:   []string{usage.Duty, order.Duty},
+		Duties:   []string{usage.Duty, order.Duty, sweepDuty},
 		Members:  i.candidateNames,
 		Recorder: i.ring,
 		Logger:   i.logger.Named("lease"),
--- a/internal/instance/provision.go
+++ b/internal/instance/provision.go
@@ -74,12 +74,13 @@
 	i.dispatcher = dispatch.New(dispatch.Options{
 		Recorder: i.ring,
 		Logger:   i.logger.Named("dispatch"),
-		Suspects: suspects{i.quarantine},
+		Suspects: dispatch.Quarantine(i.quarantine),
 	})
 	i.ledger = ledger.New(i.platform.Table(), i.platform.Objects(), ledger.Options{
 		Recorder: i.ring,
 		Logger:   i.logger.Named("ledger"),
 	})
+	i.leases.Do(sweepDuty, i.sweepRecords)
 	i.callers = entry.New(entry.Options{
 		Source:     i.store,
 		Scheduler:  i.scheduler,
--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -7,7 +7,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 )
@@ -92,11 +91,3 @@
 		i.quarantine.Learn(n, time.Now())
 	}
 }
-
-// suspects lets the dispatcher use the tracker.
-type suspects struct{ *quarantine.Tracker }
-
-// Start implements dispatch.Suspects.
-func (s suspects) Start(fingerprint uint64, server string, epoch uint64, now time.Time) (dispatch.Run, bool) {
-	return s.Tracker.Start(fingerprint, server, epoch, now)
-}
--- /dev/null
+++ b/internal/placement/fault_test.go
@@ -0,0 +1,18 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
+)
+
+func TestSilentKeptConnectionDoesNotBlameItsServer(t *testing.T) {
+	is := is.New(t)
+	is.True(!serverFault(&traffic.Failure{Code: result.AttemptTimeout, Reused: true}))
+	is.True(serverFault(&traffic.Failure{Code: result.AttemptTimeout}))
+	is.True(serverFault(&traffic.Failure{Code: result.BackendServerError, Reused: true}))
+	is.True(!serverFault(&traffic.Failure{Code: result.CallerGone}))
+}
--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -60,7 +60,7 @@
 		SlowStream: beyond(o.BetweenMean, p.strictestBetween(now)),
 	}
 	if o.Failure != nil {
-		s.Failed = serverFault(o.Failure.Code)
+		s.Failed = serverFault(o.Failure)
 		s.Crashed = o.Failure.Crashed
 		s.Dead = o.Failure.Code == result.ConnectFailed
 	}
@@ -88,9 +88,13 @@
 	return strictest
 }
 
-// serverFault reports whether a failure tells against the backend server.
-func serverFault(code result.Code) bool {
-	switch code {
+// serverFault reports whether a failure tells against the backend server. A
+// connection that went silent after earlier use tells against itself alone.
+func serverFault(f *traffic.Failure) bool {
+	if f.Reused && f.Code == result.AttemptTimeout {
+		return false
+	}
+	switch f.Code {
 	case result.ConnectFailed, result.AttemptTimeout, result.StreamBroken,
 		result.AnswerCrossed, result.BackendServerError:
 		return true
--- a/internal/routing/established_test.go
+++ b/internal/routing/established_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 )
 
 func TestEstablishedServerIsWarmAtItsFirstReport(t *testing.T) {
@@ -38,3 +40,38 @@
 	r.Report(now, engineapi.LoadReport{Epoch: 1}, 0)
 	is.True(!r.Warm()) // a server that was cold is stepped
 }
+
+func TestNewServerIsUsedAtOnceBySettledMembers(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	s := NewStore("a", Timing{})
+	s.SetConfig(start, coldConfig(4))
+	s.SetServers(start, nil)
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
+		s.SetMembers(now, []string{"a"}, now)
+	}
+	later := start.Add(time.Minute)
+	s.SetServers(later, []platform.Server{{Name: "new", Model: "m", State: platform.ServerRunning, Epoch: 1}})
+	is.Equal(s.Live("new").Slots(later, s.Members), 4)
+}
+
+func TestNewServerWaitsForMembersToSettle(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	s := NewStore("a", Timing{})
+	s.SetConfig(start, coldConfig(4))
+	s.SetServers(start, nil)
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
+		s.SetMembers(now, []string{"a", "b"}, now)
+	}
+	later := start.Add(time.Minute)
+	s.SetMembers(later, []string{"a"}, later) // b may still hold part of the slots
+	s.SetServers(later, []platform.Server{{Name: "new", Model: "m", State: platform.ServerRunning, Epoch: 1}})
+	is.Equal(s.Live("new").Slots(later, s.Members), 0)
+}
+
+func coldConfig(limit int) *config.Snapshot {
+	return config.NewSnapshot(1, "", config.Config{
+		Models: []config.Model{{Name: "m", ColdLimit: limit, WarmLimit: 32}},
+	}, nil, nil)
+}
--- a/internal/routing/ownership.go
+++ b/internal/routing/ownership.go
@@ -22,11 +22,12 @@
 	coldSince time.Time
 }
 
-// newOwnership computes the part for a server that was not known before.
-func newOwnership(now time.Time, m *Membership, server string, coldLimit int) Ownership {
+// newOwnership computes the part for a server that was not known before. The
+// members are the same since a time, so its owners are, too.
+func newOwnership(since time.Time, m *Membership, server string, coldLimit int) Ownership {
 	o := Ownership{rank: m.rank(server), members: m.Size()}
 	if o.Current(coldLimit) > 0 {
-		o.coldSince = now
+		o.coldSince = since
 	}
 	return o
 }
--- a/internal/routing/store.go
+++ b/internal/routing/store.go
@@ -19,7 +19,9 @@
 	servers  []platform.Server
 	lives    map[string]*Live
 	longest  time.Duration
-	listed   bool // a list of servers was read
+	// membersSince is when the members last changed; zero before the first list.
+	membersSince time.Time
+	listed       bool // a list of servers was read
 	// first is true while the first list of servers is taken in.
 	first bool
 }
@@ -67,6 +69,7 @@
 	if change.Empty() {
 		return
 	}
+	s.membersSince = now
 	for _, l := range s.lives {
 		l.owner.apply(now, s.Members, change, l.name, l.ramp.cold)
 		l.setCeiling()
@@ -109,7 +112,7 @@
 		if s.first {
 			l.ramp.SetEstablished()
 		}
-		l.owner = newOwnership(now, s.Members, server.Name, p.ColdLimit)
+		l.owner = newOwnership(s.membersSince, s.Members, server.Name, p.ColdLimit)
 		l.limit = admission.NewLimit(max(l.owner.Current(p.WarmLimit), 1))
 		s.lives[server.Name] = l
 	}
