--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -30,7 +30,6 @@
 	running    [config.Tiers + 1]runs
 	seen       [config.Tiers + 1]time.Time // last request of the tier
 	starts     [config.Tiers + 1]admission.Rate
-	lowest     int // lowest tier configured
 	holding    time.Duration
 	refreshed  time.Time
 	slots      int // requests that this instance may have in flight
@@ -53,12 +52,10 @@
 func (p *pool) update(now time.Time, servers *routing.Pool, c *config.Snapshot) {
 	p.servers = servers
 	specs := make([]admission.Class, 0, len(c.Config.Classes))
-	p.lowest = 1
 	p.byTier = p.byTier[:0]
 	for i := range c.Config.Classes {
 		spec := &c.Config.Classes[i]
 		p.byTier = append(p.byTier, p.setClass(now, spec))
-		p.lowest = max(p.lowest, spec.Tier)
 		specs = append(specs, admission.Class{Name: spec.Name, Tier: spec.Tier, Floor: floorOf(spec)})
 	}
 	slices.SortStableFunc(p.byTier, func(a, b *class) int { return a.spec.Tier - b.spec.Tier })
@@ -109,17 +106,25 @@
 		free := max(slots-c.Live.Outstanding(), 0)
 		p.slots += slots
 		p.free += free
+		p.use.addSlots(c, slots)
 		p.use.addFree(c, free)
 	}
 }
 
-// tiersAbove counts the tiers above one that recently had requests here.
-func (p *pool) tiersAbove(now time.Time, tier int) int {
-	n := 0
-	for t := 1; t < tier; t++ {
-		if p.active(now, t) {
-			n++
+// tiersAbove counts the tiers above one that recently had requests here; cheap
+// counts only those with a class that may use cheap servers.
+func (p *pool) tiersAbove(now time.Time, tier int, cheap bool) int {
+	n, last := 0, 0
+	for _, c := range p.byTier {
+		t := c.spec.Tier
+		if t >= tier {
+			break
+		}
+		if t == last || !p.active(now, t) || cheap && !c.spec.Cheap {
+			continue
 		}
+		n++
+		last = t
 	}
 	return n
 }
