Send stamps relative to the digest and leave room in the budget

With 22-byte records assumed and messages of 58 bytes the busiest of 410 instances spent 1,513 bytes per second after a shorter start, more than its 1,500.

--- a/internal/enginewatch/core_test.go
+++ b/internal/enginewatch/core_test.go
@@ -19,6 +19,16 @@
 	is.True(f.stalest() <= time.Second)
 }
 
+func TestReportsThatLagLetNoBackupRead(t *testing.T) {
+	is := is.New(t)
+	f := smallFleetOf(t, 8, 20)
+	for _, e := range f.engines {
+		e.lag = 5 * time.Second
+	}
+	f.run(6 * time.Second)
+	is.Equal(f.readsOf(func() { f.run(10 * time.Second) }), 20*20)
+}
+
 func TestBackupReadsWhenTheOwnerDies(t *testing.T) {
 	is := is.New(t)
 	f := smallFleetOf(t, 8, 20)
@@ -200,6 +210,20 @@
 	}
 }
 
+func TestEventsSentByAnotherAreNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	var c cacheTrack
+	event := func(n uint64) engineapi.CacheEvents {
+		return engineapi.CacheEvents{Epoch: 1, Events: []engineapi.CacheEvent{{Sequence: n, Prefix: n, Stored: true}}}
+	}
+	c.read(event(1))
+	c.merge(&cacheRecord{Epoch: 1, From: 1, To: 4, Evicted: []uint64{1}})
+	c.read(event(5))
+	r, ok := c.record(7, sample{})
+	is.True(ok)
+	is.Equal(r, cacheRecord{ID: 7, Epoch: 1, From: 4, To: 5, Stored: []uint64{5}}) // 1 is evicted by now
+}
+
 func TestRestartVoidsHintsAndReadsFromTheStart(t *testing.T) {
 	is := is.New(t)
 	f := smallFleetOf(t, 8, 1)
--- a/internal/enginewatch/digest.go
+++ b/internal/enginewatch/digest.go
@@ -48,17 +48,16 @@
 // kept by column; a column of zeros is left out.
 type digest struct {
 	Sent    int64         `cbor:"1,keyasint"`            // sender's clock, Unix milliseconds
-	Base    int64         `cbor:"2,keyasint,omitempty"`  // subtracted from each stamp
-	IDs     []serverID    `cbor:"3,keyasint,omitempty"`  // one for each load record
-	Epochs  []uint64      `cbor:"4,keyasint,omitempty"`  //
-	Stamps  []int64       `cbor:"5,keyasint,omitempty"`  // milliseconds after Base
-	Ages    []uint32      `cbor:"6,keyasint,omitempty"`  // milliseconds
-	Running []uint32      `cbor:"7,keyasint,omitempty"`  //
-	Waiting []uint32      `cbor:"8,keyasint,omitempty"`  //
-	Use     []byte        `cbor:"9,keyasint,omitempty"`  // 255 is all of the KV cache
-	Tokens  []uint32      `cbor:"10,keyasint,omitempty"` // per second
-	Cold    []uint32      `cbor:"11,keyasint,omitempty"` //
-	Cache   []cacheRecord `cbor:"12,keyasint,omitempty"`
+	IDs     []serverID    `cbor:"2,keyasint,omitempty"`  // one for each load record
+	Epochs  []uint64      `cbor:"3,keyasint,omitempty"`  //
+	Stamps  []int64       `cbor:"4,keyasint,omitempty"`  // milliseconds after Sent, mostly negative
+	Ages    []uint32      `cbor:"5,keyasint,omitempty"`  // milliseconds
+	Running []uint32      `cbor:"6,keyasint,omitempty"`  //
+	Waiting []uint32      `cbor:"7,keyasint,omitempty"`  //
+	Use     []byte        `cbor:"8,keyasint,omitempty"`  // 255 is all of the KV cache
+	Tokens  []uint32      `cbor:"9,keyasint,omitempty"`  // per second
+	Cold    []uint32      `cbor:"10,keyasint,omitempty"` //
+	Cache   []cacheRecord `cbor:"11,keyasint,omitempty"`
 }
 
 const fullUse = 255
@@ -66,13 +65,10 @@
 // newDigest packs the records.
 func newDigest(sent time.Time, load []loadRecord, cache []cacheRecord) digest {
 	d := digest{Sent: sent.UnixMilli(), Cache: cache}
-	if len(load) > 0 {
-		d.Base = load[0].Stamp
-	}
 	for _, r := range load {
 		d.IDs = append(d.IDs, r.ID)
 		d.Epochs = append(d.Epochs, r.Epoch)
-		d.Stamps = append(d.Stamps, r.Stamp-d.Base)
+		d.Stamps = append(d.Stamps, r.Stamp-d.Sent)
 		d.Ages = append(d.Ages, uint32(r.Age.Milliseconds()))
 		d.Running = append(d.Running, uint32(r.Running))
 		d.Waiting = append(d.Waiting, uint32(r.Waiting))
@@ -100,7 +96,7 @@
 		list[i] = loadRecord{
 			ID:      d.IDs[i],
 			Epoch:   at(d.Epochs, i),
-			Stamp:   d.Base + at(d.Stamps, i),
+			Stamp:   d.Sent + at(d.Stamps, i),
 			Age:     time.Duration(at(d.Ages, i)) * time.Millisecond,
 			Running: int(at(d.Running, i)),
 			Waiting: int(at(d.Waiting, i)),
--- a/internal/enginewatch/digest_test.go
+++ b/internal/enginewatch/digest_test.go
@@ -28,11 +28,11 @@
 
 func TestDigestOfANewerReleaseIsRead(t *testing.T) {
 	is := is.New(t)
-	body, err := cbor.Marshal(map[int]any{1: 5, 3: []int{8}, 99: "new"})
+	body, err := cbor.Marshal(map[int]any{1: 5, 2: []int{8}, 99: "new"})
 	is.NoErr(err)
 	d, err := decodeDigest(body)
 	is.NoErr(err)
-	is.Equal(d.loads(), []loadRecord{{ID: 8}})
+	is.Equal(d.loads(), []loadRecord{{ID: 8, Stamp: 5}})
 }
 
 func TestDigestWithColumnsOfDifferentLengthsIsRefused(t *testing.T) {
--- a/internal/enginewatch/fleet_test.go
+++ b/internal/enginewatch/fleet_test.go
@@ -9,7 +9,10 @@
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 )
 
-const testTick = 50 * time.Millisecond
+const (
+	testTick  = 50 * time.Millisecond
+	testStart = 1_700_000_000 // Unix seconds
+)
 
 // testEngine answers reads as an engine does.
 type testEngine struct {
@@ -17,7 +20,7 @@
 	epoch  uint64
 	events []engineapi.CacheEvent
 	clock  time.Duration // ahead of the instances' clocks
-	down   bool
+	lag    time.Duration // between two reports
 	reads  int
 }
 
@@ -41,11 +44,9 @@
 
 func (e *testEngine) answer(now time.Time, r read) readResult {
 	e.reads++
-	if e.down {
-		return readResult{failed: true}
-	}
+	measured := now.Add(e.clock).Truncate(max(e.lag, time.Millisecond))
 	result := readResult{
-		load:     engineapi.LoadReport{Epoch: e.epoch, Running: e.reads, UnixMillis: now.Add(e.clock).UnixMilli()},
+		load:     engineapi.LoadReport{Epoch: e.epoch, Running: int(measured.Unix() - testStart), UnixMillis: measured.UnixMilli()},
 		hasCache: r.cache,
 		cache:    engineapi.CacheEvents{Epoch: e.epoch},
 	}
@@ -106,7 +107,7 @@
 
 func newFleet(t *testing.T, members []Member, servers []Server) *testFleet {
 	f := &testFleet{
-		t: t, now: time.Unix(1_700_000_000, 0), tick: testTick,
+		t: t, now: time.Unix(testStart, 0), tick: testTick,
 		byName: make(map[string]*testInstance), byEngine: make(map[string]*testEngine),
 		fate: func(testMessage) []time.Duration { return []time.Duration{time.Millisecond} },
 	}
--- a/internal/enginewatch/pace.go
+++ b/internal/enginewatch/pace.go
@@ -16,7 +16,7 @@
 const (
 	readBytes    = 280 // reading one load report
 	recordBytes  = 22  // one load record in a digest
-	messageBytes = 58  // one digest without its records
+	messageBytes = 64  // one digest without its records
 	prefixBytes  = 9   // one prefix in a digest
 )
 
