--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/traffic"
@@ -26,6 +27,12 @@
 	req     *traffic.Request // nil until authenticated and classified
 	counted bool             // its reception is in the time line
 	lasting context.Context  // of run: ends by the router's decision alone
+	// lastServer is the backend server of the last attempt; empty without one.
+	lastServer string
+
+	life   life
+	ticket traffic.Ticket   // nil until admitted
+	out    dispatch.Outcome // of the dispatch
 }
 
 // identify authenticates the caller and fills in the parts of the request that
@@ -136,6 +143,7 @@
 // refuse ends the request with an error. When the answer has begun, dispatch
 // has already told the caller within the stream.
 func (x *exchange) refuse(e *result.Error) {
+	e = x.end(e)
 	kind := timeline.RequestFailed
 	if e.NotRun() {
 		kind = timeline.RequestRefused
@@ -149,7 +157,7 @@
 	x.received()
 	x.record(timeline.Event{Kind: kind, Code: e.Code, NotRun: e.NotRun(), Detail: e.Message})
 	x.server.metrics.failed(x.className(), e.Code)
-	x.log("request failed", "result", int(e.Code), "not_run", e.NotRun(), "message", e.Message)
+	x.log("request failed", "backend_server", x.lastServer, "result", int(e.Code), "not_run", e.NotRun(), "message", e.Message)
 	if x.w.begun {
 		return
 	}
--- a/internal/invariant/check_test.go
+++ b/internal/invariant/check_test.go
@@ -232,9 +232,15 @@
 		sound: map[string][]event{
 			"in again": {at(0, "a", event{Kind: timeline.ZoneOut, Zone: "z1", Version: 1}), at(9000, "a", event{Kind: timeline.ZoneIn, Zone: "z1", Version: 2}),
 				at(9001, "b", event{Kind: timeline.ZoneOut, Zone: "z1", Version: 1}), sentTo(20000, "x", "s1", "z1")},
+			"in again, seen first": {at(0, "a", event{Kind: timeline.ZoneOut, Zone: "z1", Version: 1}), version(9000, "a", timeline.ConfigApplied, 2),
+				sentTo(9001, "x", "s1", "z1"), at(9002, "b", event{Kind: timeline.ZoneIn, Zone: "z1", Version: 2})},
 			"other zone": {at(0, "a", event{Kind: timeline.ZoneOut, Zone: "z1"}), sentTo(20000, "x", "s1", "z2")},
 		},
-		doctored: map[string][]event{"still used": {at(0, "a", event{Kind: timeline.ZoneOut, Zone: "z1"}), sentTo(6000, "x", "s1", "z1")}},
+		doctored: map[string][]event{
+			"still used": {at(0, "a", event{Kind: timeline.ZoneOut, Zone: "z1"}), sentTo(6000, "x", "s1", "z1")},
+			"used before its return is in force": {at(0, "a", event{Kind: timeline.ZoneOut, Zone: "z1", Version: 1}), version(0, "a", timeline.ConfigApplied, 1),
+				sentTo(9001, "x", "s1", "z1"), at(9002, "b", event{Kind: timeline.ZoneIn, Zone: "z1", Version: 2})},
+		},
 	},
 	"whole_answer": {
 		sound: map[string][]event{
@@ -247,6 +253,7 @@
 			"another's answer":    append(whole(0, "r"), at(20, "a", event{Kind: timeline.RequestAnswered, Request: "q", Attempt: "att-r"})),
 			"missing events":      edit(whole(0, "r"), timeline.RequestAnswered, func(e *event) { e.Count = 4 }),
 			"discarded answer":    append(whole(0, "r"), at(5, "a", event{Kind: timeline.AttemptDiscarded, Attempt: "att-r"})),
+			"crossed answer":      append(whole(0, "r"), at(5, "s1", event{Kind: timeline.BackendCrossed, Attempt: "att-r"})),
 			"attempt never ended": drop(whole(0, "r"), timeline.AttemptAnswered),
 			"never ended":         {at(0, "a", event{Kind: timeline.RequestReceived, Request: "r"}), at(3600_000, "a", event{Kind: timeline.PeerUp})},
 			"ended twice":         append(whole(0, "r"), at(20, "a", event{Kind: timeline.RequestFailed, Request: "r"})),
@@ -378,7 +385,7 @@
 	timeline.KeyWithdrawn, timeline.ZoneOut, timeline.ZoneIn, timeline.InstanceStarted, timeline.InstanceDrains,
 	timeline.InstanceStopped, timeline.InstanceStale, timeline.LeaseAcquired, timeline.LeaseRenewed, timeline.LeaseLost,
 	timeline.LeaseReleased, timeline.OrderSent, timeline.UsageFrozen, timeline.UsageReported, timeline.ServerState,
-	timeline.ServerLimit, timeline.BackendRan, timeline.BackendReceived, timeline.PlatformOrder, timeline.PlatformUsage,
+	timeline.ServerLimit, timeline.BackendRan, timeline.BackendReceived, timeline.BackendCrossed, timeline.PlatformOrder, timeline.PlatformUsage,
 }
 
 func TestCheckTakesAnyTimeLineInAnyOrder(t *testing.T) {
