Record an order as sent only after the last check of the tenure

Cause: TestMatrix/order_intent/store_slow+race and instance_pause+store_slow showed order.sent after the lease had run out, though the last check refused the call and no order left.

Change: the event is recorded by the check that runs right before the write. TestFormerHolderPlacesNothing demands that a refused order leaves no event.

Conclusion: the time line tells what was sent.

--- a/internal/order/executor.go
+++ b/internal/order/executor.go
@@ -175,7 +175,6 @@
 			return out, err
 		}
 	}
-	e.record(timeline.OrderSent, intent{Platform: &o}, e.token)
 	out, err := e.send(ctx, o)
 	if errors.Is(err, platform.ErrUnavailable) && !sent {
 		return e.place(ctx, o, true)
@@ -188,11 +187,24 @@
 
 // send checks the tenure once more right before the order is written.
 func (e *Executor) send(ctx context.Context, o platform.Order) (platform.OrderOutcome, error) {
-	ctx, cancel := context.WithTimeout(platform.WithCheck(ctx, e.guard.Check), callTimeout)
+	checked := platform.WithCheck(ctx, e.leaving(intent{Platform: &o}))
+	ctx, cancel := context.WithTimeout(checked, callTimeout)
 	defer cancel()
 	return e.options.Servers.Place(ctx, o)
 }
 
+// leaving returns the last check of the tenure, after which the order counts
+// as sent.
+func (e *Executor) leaving(i intent) func() error {
+	return func() error {
+		if err := e.guard.Check(); err != nil {
+			return err
+		}
+		e.record(timeline.OrderSent, i, e.token)
+		return nil
+	}
+}
+
 func (e *Executor) lookup(ctx context.Context, id string) (platform.OrderOutcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -203,8 +215,8 @@
 	if e.options.Engines == nil {
 		return engineapi.OrderResult{}, fmt.Errorf("order %q: no way to engines is set up", o.Order.ID)
 	}
-	e.record(timeline.OrderSent, intent{Engine: &o}, e.token)
-	answer, cancel := context.WithTimeout(platform.WithCheck(ctx, e.guard.Check), engineBudget)
+	checked := platform.WithCheck(ctx, e.leaving(intent{Engine: &o}))
+	answer, cancel := context.WithTimeout(checked, engineBudget)
 	defer cancel()
 	result, err := e.options.Engines.Order(answer, o.Address, o.Order)
 	if err != nil {
--- a/internal/order/executor_test.go
+++ b/internal/order/executor_test.go
@@ -204,7 +204,8 @@
 			is.NoErr(err)
 			lost := false
 			g := &tenure{version: versions[0], current: func() bool { return !lost }}
-			e := NewExecutor(Options{Table: direct, Servers: c.Servers()}, g, Duty, 1)
+			ring := timeline.NewRing("a", 0, nil)
+			e := NewExecutor(Options{Table: direct, Servers: c.Servers(), Recorder: ring}, g, Duty, 1)
 			_, err = direct.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: testDutyRow}}})
 			is.NoErr(err)
 			_, err = e.Place(t.Context(), platform.Order{Kind: platform.OrderStart}) // still believes
@@ -215,6 +216,10 @@
 			var gone *lease.LostError
 			is.True(errors.As(err, &gone)) // paused between the intent and the order
 			is.Equal(p.Orders(), 0)
+			events, _ := ring.Snapshot()
+			for _, event := range events {
+				is.True(event.Kind != timeline.OrderSent)
+			}
 		})
 	}
 }
