--- a/internal/instance/drain_test.go
+++ b/internal/instance/drain_test.go
@@ -304,11 +304,7 @@
 	is := is.New(t)
 	r := start(t, demo.Options{BetweenTokens: 20 * time.Millisecond, AnswerTokens: 60})
 	stream := r.openStream(newClient(t, false))
-	response, err := http.Get(r.Description.Operators[0] + operator.StatusPath)
-	is.NoErr(err)
-	defer func() { _ = response.Body.Close() }()
-	var s operator.Status
-	is.NoErr(json.NewDecoder(response.Body).Decode(&s))
+	s := r.status()
 	is.Equal(s.Classes, []operator.ClassStatus{{Name: "draft", Tier: 5, Running: 1}})
 	pools := make(map[string]int)
 	for _, b := range s.Servers {
@@ -322,6 +318,21 @@
 	is.True(strings.Contains(text, `hawthornwick_requests_open 1`))
 	is.True(strings.Contains(text, `hawthornwick_server_in_flight{server="engine-4",pool="label-2b",zone="zone-a"} 0`))
 	<-stream
+	r.await("nothing runs", func() bool { return len(r.status().Classes) == 0 })
+}
+
+func (r router) status() operator.Status {
+	r.t.Helper()
+	response, err := http.Get(r.Description.Operators[0] + operator.StatusPath)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var s operator.Status
+	if err := json.NewDecoder(response.Body).Decode(&s); err != nil {
+		r.t.Fatal(err)
+	}
+	return s
 }
 
 func must(q *http.Request, err error) *http.Request {
