Test that a waiting duplicate never hears not run

Cause: taking the conversion out of settleDuplicate failed no test. Conclusion: its removal now fails the test; twenty runs with -race pass.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -103,6 +103,7 @@
 	config    config.Config
 	onEvent   atomic.Pointer[func(timeline.Event)]
 	ahead     time.Duration // of the scheduler's clock
+	stores    *platform.Platform
 }
 
 // Record implements timeline.Recorder for the server.
@@ -270,6 +271,7 @@
 	}
 	stores := platform.New(platform.Options{})
 	e.t.Cleanup(stores.Close)
+	e.stores = stores
 	caller := stores.Caller("i1")
 	logger := hclog.New(&hclog.LoggerOptions{Output: e.logs, JSONFormat: true, Level: hclog.Trace})
 	dispatcher := dispatch.New(dispatch.Options{Recorder: e.ring, Logger: logger})
--- a/internal/entry/keys_test.go
+++ b/internal/entry/keys_test.go
@@ -13,6 +13,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/standin/engine"
 	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
+	"github.com/hawthornwick/hawthornwick/internal/standin/platform"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -297,3 +298,22 @@
 	is.Equal(len(failed), 1)
 	is.Equal(failed[0].Code, result.StreamKeyLapsed)
 }
+
+func TestDuplicateThatWaitsHearsNoNotRunWhenItsKeyIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	e := startEdge(t, edgeOptions{})
+	e.bookings.Set(fault.Settings{Paused: true})
+	first := e.begin(http.MethodPost, "/services/bookings/x", clubKey, "{}", IdempotencyHeader, "k")
+	e.await("the run is sent", func() bool { return len(events(e.backends, timeline.BackendReceived)) == 1 })
+	reads := func() int64 { return e.stores.Counts("i1", platform.TableInterface).ReadCalls }
+	before := reads()
+	second := e.begin(http.MethodPost, "/services/bookings/x", clubKey, "{}", IdempotencyHeader, "k")
+	e.await("the duplicate waits", func() bool { return reads() >= before+2 })
+	e.withdraw(clubKey)
+	for _, done := range []<-chan reply{first, second} {
+		got := <-done
+		is.Equal(got.StatusCode, http.StatusUnauthorized)
+		is.True(!got.refusal(t).NotRun)
+	}
+	e.bookings.Set(fault.Settings{})
+}
