--- a/internal/confsync/commit.go
+++ b/internal/confsync/commit.go
@@ -8,6 +8,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 const (
@@ -46,7 +47,7 @@
 		if err == nil || !retryable(err) {
 			return version, err
 		}
-		if !sleep(ctx, rand.N(delay)) {
+		if wait.For(ctx, rand.N(delay)) != nil {
 			return 0, refused(result.StoreUnavailable, "the table service did not confirm the change").WithCause(err)
 		}
 		delay = min(2*delay, maxRetryDelay)
@@ -132,7 +133,7 @@
 		if errors.As(err, &conflict) && readErr == nil {
 			return errLostRace
 		}
-		if !sleep(ctx, rand.N(delay)) {
+		if wait.For(ctx, rand.N(delay)) != nil {
 			return errors.Join(err, ctx.Err())
 		}
 		delay = min(2*delay, maxRetryDelay)
@@ -184,18 +185,6 @@
 	}
 }
 
-// sleep waits for d and reports false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // refused builds the error of an operator's act.
 func refused(code result.Code, format string, args ...any) *result.Error {
 	var gate result.Gate
--- a/internal/instance/fleet.go
+++ b/internal/instance/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 const (
@@ -45,26 +46,12 @@
 // slow one does not delay the others.
 func (f *fleet) run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { every(ctx, registerInterval, f.register) })
-	loops.Go(func() { every(ctx, instanceListInterval, f.pollInstances) })
-	loops.Go(func() { every(ctx, serverListInterval, f.pollServers) })
+	loops.Go(func() { wait.Every(ctx, registerInterval, f.register) })
+	loops.Go(func() { wait.Every(ctx, instanceListInterval, f.pollInstances) })
+	loops.Go(func() { wait.Every(ctx, serverListInterval, f.pollServers) })
 	loops.Wait()
 }
 
-// every calls f at once and then at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 func (f *fleet) pollServers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.timeout)
 	defer cancel()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -29,6 +29,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/settings"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/usage"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // freshnessInterval is the time between checks whether the configuration is
@@ -131,8 +132,8 @@
 	running.Go(func() { i.engines.Run(ctx) })
 	running.Go(func() { i.followMembers(ctx) })
 	running.Go(func() { i.syncQuarantine(ctx) })
-	running.Go(func() { every(ctx, drainingInterval, i.pollDraining) })
-	running.Go(func() { every(ctx, freshnessInterval, i.checkFreshness) })
+	running.Go(func() { wait.Every(ctx, drainingInterval, i.pollDraining) })
+	running.Go(func() { wait.Every(ctx, freshnessInterval, i.checkFreshness) })
 }
 
 // followConfig hands each newer snapshot to the scheduler.
--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -9,6 +9,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/peer"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // provisionQuarantine builds the tracker of requests that crash backend servers
@@ -57,7 +58,7 @@
 func (i *Instance) syncQuarantine(ctx context.Context) {
 	var synced time.Time
 	members := 1
-	every(ctx, quarantineCheckInterval, func(ctx context.Context) {
+	wait.Every(ctx, quarantineCheckInterval, func(ctx context.Context) {
 		now := i.members.View().Len()
 		grown := now > members
 		members = now
--- a/internal/lease/loops.go
+++ b/internal/lease/loops.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // Pace of the rarer steps of the watch loop, in watch intervals.
@@ -28,10 +29,10 @@
 		versions, err := m.commit(ctx, r.Txn)
 		var step next
 		m.update(func(c *core, now Reading) { step = c.renewed(now, r, versions, err) })
-		wait := m.options.Timing.Heartbeat - (m.reading().Mono - start)
+		delay := m.options.Timing.Heartbeat - (m.reading().Mono - start)
 		if err != nil {
 			m.options.Logger.Debug("heartbeat was not confirmed", "error", err)
-			wait = m.options.Timing.Retry
+			delay = m.options.Timing.Retry
 		}
 		if step == nextReadBack {
 			step = m.readBack(ctx)
@@ -40,7 +41,7 @@
 			m.options.Logger.Warn("continuing under a new incarnation")
 			m.update(func(c *core, _ Reading) { c.reborn(m.newHolder()) })
 		}
-		if !sleep(ctx, wait) {
+		if wait.For(ctx, delay) != nil {
 			return
 		}
 	}
@@ -72,7 +73,7 @@
 		if left <= 0 {
 			left = m.options.Timing.Retry
 		}
-		if !sleep(ctx, left) {
+		if wait.For(ctx, left) != nil {
 			return
 		}
 	}
@@ -80,7 +81,7 @@
 
 // watchLoop reads the watched rows and claims what is free.
 func (m *Manager) watchLoop(ctx context.Context) {
-	if !sleep(ctx, jitter(m.options.Timing.Watch)) {
+	if wait.For(ctx, jitter(m.options.Timing.Watch)) != nil {
 		return
 	}
 	nextRead := m.reading().Mono
@@ -97,7 +98,7 @@
 			nextRead = m.reading().Mono
 		}
 		again = min(again, nextRead-m.reading().Mono)
-		if !sleep(ctx, max(again, time.Millisecond)) {
+		if wait.For(ctx, max(again, time.Millisecond)) != nil {
 			return
 		}
 	}
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -190,15 +190,3 @@
 
 // jitter spreads the instances' first calls over an interval.
 func jitter(d time.Duration) time.Duration { return rand.N(d) }
-
-// sleep returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lease/sweep.go
+++ b/internal/lease/sweep.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // sweepDuty deletes the heartbeat rows of incarnations that ended without it.
@@ -19,7 +20,7 @@
 // sweep deletes heartbeat rows that did not change between two scans.
 func (m *Manager) sweep(ctx context.Context, g Guard) error {
 	before := make(map[string]uint64)
-	for sleep(ctx, sweepInterval) {
+	for wait.For(ctx, sweepInterval) == nil {
 		after, err := m.scanAlive(ctx)
 		if err != nil {
 			return err
--- a/internal/lease/work.go
+++ b/internal/lease/work.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // restartDelay is the wait before work that returned is called again.
@@ -22,7 +24,7 @@
 		}
 		m.runTenure(ctx, w, g)
 		if ctx.Err() == nil && g.valid() {
-			sleep(ctx, restartDelay)
+			_ = wait.For(ctx, restartDelay)
 		}
 	}
 }
--- a/internal/ledger/begin.go
+++ b/internal/ledger/begin.go
@@ -8,6 +8,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // Claim is a request that asks to run at most once.
@@ -123,7 +124,7 @@
 // resolve goes on after a call that was not answered, until ctx ends. Inserting
 // again is safe: of all inserts of one record only one can take effect.
 func (o *Owned) resolve(ctx context.Context, last error) error {
-	if err := pause(ctx, resolveInterval); err != nil {
+	if err := wait.For(ctx, resolveInterval); err != nil {
 		o.fire(eventUnavailable)
 		return last
 	}
@@ -136,17 +137,6 @@
 
 const resolveInterval = 20 * time.Millisecond
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // read returns a row and its record, nil when absent.
 func (l *Ledger) read(ctx context.Context, key string) (platform.Row, *record, error) {
 	rows, err := l.table.Get(ctx, key)
--- a/internal/ledger/find.go
+++ b/internal/ledger/find.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // Find looks for the record of a claim before the claim is admitted, so that a
@@ -38,7 +39,7 @@
 		if err == nil {
 			return r, nil
 		}
-		if pause(limited, resolveInterval) != nil {
+		if wait.For(limited, resolveInterval) != nil {
 			return nil, err
 		}
 	}
--- a/internal/ledger/forget.go
+++ b/internal/ledger/forget.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 const (
@@ -22,7 +24,7 @@
 	l.forgetting.Go(func() {
 		ctx, cancel := context.WithTimeout(l.ctx, forgetLimit)
 		defer cancel()
-		for interval := firstForgetInterval; pause(ctx, interval) == nil; interval *= 2 {
+		for interval := firstForgetInterval; wait.For(ctx, interval) == nil; interval *= 2 {
 			if err := o.remove(ctx); err != nil {
 				l.options.Logger.Debug("idempotency record not removed yet", "record", o.record, "error", err)
 			}
--- a/internal/ledger/wait.go
+++ b/internal/ledger/wait.go
@@ -9,6 +9,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 const (
@@ -31,7 +32,7 @@
 				return d, again, refusal
 			}
 		}
-		if time.Now().After(until) || pause(ctx, interval.NextBackOff()) != nil {
+		if time.Now().After(until) || wait.For(ctx, interval.NextBackOff()) != nil {
 			running := result.MayHaveRun(result.AlreadyRunning, "the first request with this Idempotency-Key still runs")
 			return Decision{}, false, running.WithRetryAfter(maxPollInterval)
 		}
--- a/internal/order/orderer.go
+++ b/internal/order/orderer.go
@@ -11,6 +11,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 const (
@@ -57,7 +58,7 @@
 		if err != nil {
 			o.options.Logger.Debug("orders are behind", "error", err)
 		}
-		if !sleep(ctx, decideInterval) {
+		if wait.For(ctx, decideInterval) != nil {
 			return ctx.Err()
 		}
 	}
@@ -184,15 +185,3 @@
 		}
 	}
 }
-
-// sleep returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/usage/closer.go
+++ b/internal/usage/closer.go
@@ -8,6 +8,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // Duty is the name of the duty that closes and reports windows.
@@ -54,7 +55,7 @@
 				c.options.Logger.Debug("old cursors were not deleted", "error", err)
 			}
 		}
-		if !sleep(ctx, closeInterval) {
+		if wait.For(ctx, closeInterval) != nil {
 			return ctx.Err()
 		}
 	}
--- a/internal/usage/meter.go
+++ b/internal/usage/meter.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // Intervals of a Meter.
@@ -233,7 +234,7 @@
 		if err == nil {
 			return nil
 		}
-		if !sleep(ctx, cutInterval) {
+		if wait.For(ctx, cutInterval) != nil {
 			m.replicate(context.WithoutCancel(ctx))
 			return err
 		}
@@ -246,15 +247,3 @@
 	defer m.mu.Unlock()
 	return m.held
 }
-
-// sleep returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
