faultmatrix: fill the engines of the larger sample configuration

The sample configuration's warm limit grew to 64, so 80 requests no longer made the probe wait and 11 cells of admission and queue never reached their step (full run with -race: 240 s). With 200 requests they pass (14.7 s).

--- a/internal/faultmatrix/path_test.go
+++ b/internal/faultmatrix/path_test.go
@@ -41,7 +41,7 @@
 	// probeEvents is the number of content events of the whole answer to chatProbe.
 	probeEvents = 17
 	// crowd is the number of requests that fill the engines so that the probe waits.
-	crowd = 80
+	crowd = 200
 	// settleRounds bounds how often a non-idempotent request is sent again.
 	settleRounds = 6
 	settlePause  = 500 * time.Millisecond
