Hold an answer back whose key is withdrawn while it is stored

Cause: a booking's answer waits for its record; during a store outage that wait ended 2.003 s after its key was withdrawn, and the answer was still given (seen: TestMatrix/ledger_complete/store_down+key_withdrawn). usage.reported was recorded after the reply and so missing when the reply was lost; config.accepted was also recorded for a change that changed nothing; queue events named no pool. Change: the answer is given only if the key still holds; usage.reported is recorded by the last check before the report is written; unchanged changes record nothing; queue events bear the model or service. Conclusion: the stored answer can still be had by no one but a key of the organisation.

--- a/internal/confsync/commit.go
+++ b/internal/confsync/commit.go
@@ -35,20 +35,26 @@
 // errLostRace reports that another commit took the version.
 var errLostRace = errors.New("another commit came first")
 
-// commit commits the change that b builds, anew for each newer state, and
-// returns its version.
-func (s *Store) commit(ctx context.Context, b build) (uint64, error) {
+// written is what became of a change: the version that holds it, and whether it
+// was made now or stood there before.
+type written struct {
+	version uint64
+	changed bool
+}
+
+// commit commits the change that b builds, anew for each newer state.
+func (s *Store) commit(ctx context.Context, b build) (written, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	id := s.newID()
 	delay := minRetryDelay
 	for {
-		version, err := s.tryCommit(ctx, b, id)
+		w, err := s.tryCommit(ctx, b, id)
 		if err == nil || !retryable(err) {
-			return version, err
+			return w, err
 		}
 		if wait.For(ctx, rand.N(delay)) != nil {
-			return 0, refused(result.StoreUnavailable, "the table service did not confirm the change").WithCause(err)
+			return written{}, refused(result.StoreUnavailable, "the table service did not confirm the change").WithCause(err)
 		}
 		delay = min(2*delay, maxRetryDelay)
 	}
@@ -60,37 +66,37 @@
 }
 
 // tryCommit commits on top of the head row as it is now.
-func (s *Store) tryCommit(ctx context.Context, b build, id string) (uint64, error) {
+func (s *Store) tryCommit(ctx context.Context, b build, id string) (written, error) {
 	began := s.options.Now()
 	head, version, err := readHead(ctx, s.options.Table)
 	if err != nil {
-		return 0, err
+		return written{}, err
 	}
 	if err := s.catchUp(ctx, version, began); err != nil {
-		return 0, err
+		return written{}, err
 	}
 	state := s.State()
 	if state.Version != version {
-		return 0, errLostRace
+		return written{}, errLostRace
 	}
 	c, row, err := b(state)
 	if errors.Is(err, errUnchanged) {
-		return state.Version, nil
+		return written{version: state.Version}, nil
 	}
 	if err != nil {
-		return 0, err
+		return written{}, err
 	}
 	c.Version = version + 1
 	c.ID = id
 	txn, err := transaction(head, c, row)
 	if err != nil {
-		return 0, err
+		return written{}, err
 	}
 	if err := s.confirm(ctx, txn, c); err != nil {
-		return 0, err
+		return written{}, err
 	}
 	s.committed(ctx, c)
-	return c.Version, nil
+	return written{version: c.Version, changed: true}, nil
 }
 
 func transaction(head platform.Row, c Change, row rowWrite) (platform.Txn, error) {
--- a/internal/confsync/editor.go
+++ b/internal/confsync/editor.go
@@ -20,7 +20,7 @@
 	if _, err := s.options.Compile(text); err != nil {
 		return 0, err
 	}
-	version, err := s.commit(ctx, func(state State) (Change, rowWrite, error) {
+	w, err := s.commit(ctx, func(state State) (Change, rowWrite, error) {
 		if state.TextVersion != 0 && state.Text == text {
 			return Change{}, rowWrite{}, errUnchanged
 		}
@@ -32,14 +32,14 @@
 		row := rowWrite{key: textKey, value: func(v uint64) any { return textRow{Version: v, Text: text} }}
 		return Change{Kind: ChangeText, Splice: &splice}, row, nil
 	})
-	return s.accept(ctx, version, err, timeline.Event{Kind: timeline.ConfigAccepted})
+	return s.accept(ctx, w, err, timeline.Event{Kind: timeline.ConfigAccepted})
 }
 
 // GrantKey implements config.Editor. A withdrawn key stays withdrawn: granting
 // it again is refused.
 func (s *Store) GrantKey(ctx context.Context, d config.KeyDigest, organisation string) (uint64, error) {
 	began := s.options.Now()
-	version, err := s.commit(ctx, func(state State) (Change, rowWrite, error) {
+	w, err := s.commit(ctx, func(state State) (Change, rowWrite, error) {
 		if s.withdrawn(state, d) {
 			return Change{}, rowWrite{}, refused(result.KeyWithdrawn, "the key was withdrawn; grant a new one")
 		}
@@ -54,7 +54,7 @@
 		}}
 		return Change{Kind: ChangeKeyGrant, Key: d, Organisation: organisation}, row, nil
 	})
-	return s.acceptGrant(ctx, version, err, timeline.Event{
+	return s.acceptGrant(ctx, w, err, timeline.Event{
 		Kind: timeline.KeyGranted, KeyDigest: string(d), Organisation: organisation, Time: began,
 	})
 }
@@ -62,7 +62,7 @@
 // SetZone implements config.Editor.
 func (s *Store) SetZone(ctx context.Context, zone string, out bool) (uint64, error) {
 	began := s.options.Now()
-	version, err := s.commit(ctx, func(state State) (Change, rowWrite, error) {
+	w, err := s.commit(ctx, func(state State) (Change, rowWrite, error) {
 		if !s.knowsZone(zone) && !state.zones[zone].Out {
 			return Change{}, rowWrite{}, refused(result.UnknownName, "availability zone %q does not exist", zone)
 		}
@@ -73,30 +73,33 @@
 		return Change{Kind: ChangeZone, Zone: zone, Out: out}, row, nil
 	})
 	if out {
-		return s.accept(ctx, version, err, timeline.Event{Kind: timeline.ZoneOut, Zone: zone})
+		return s.accept(ctx, w, err, timeline.Event{Kind: timeline.ZoneOut, Zone: zone})
 	}
-	return s.acceptGrant(ctx, version, err, timeline.Event{Kind: timeline.ZoneIn, Zone: zone, Time: began})
+	return s.acceptGrant(ctx, w, err, timeline.Event{Kind: timeline.ZoneIn, Zone: zone, Time: began})
 }
 
 // acceptGrant is like accept for a change that allows more than before: it
 // takes force on each instance as soon as that one has it, so the event bears
 // the time before the commit.
-func (s *Store) acceptGrant(ctx context.Context, version uint64, err error, e timeline.Event) (uint64, error) {
+func (s *Store) acceptGrant(ctx context.Context, w written, err error, e timeline.Event) (uint64, error) {
 	if err != nil {
 		return 0, err
 	}
-	e.Version = version
-	s.options.Recorder.Record(e)
-	return s.confirmed(ctx, version)
+	if w.changed {
+		e.Version = w.version
+		s.options.Recorder.Record(e)
+	}
+	return s.confirmed(ctx, w.version)
 }
 
 // accept waits until enough instances hold a change that was committed, and
 // records that it is accepted.
-func (s *Store) accept(ctx context.Context, version uint64, err error, e timeline.Event) (uint64, error) {
+func (s *Store) accept(ctx context.Context, w written, err error, e timeline.Event) (uint64, error) {
 	if err != nil {
 		return 0, err
 	}
-	if _, err := s.confirmed(ctx, version); err != nil {
+	version, err := s.confirmed(ctx, w.version)
+	if err != nil || !w.changed {
 		return version, err
 	}
 	e.Version = version
--- a/internal/confsync/withdraw.go
+++ b/internal/confsync/withdraw.go
@@ -21,12 +21,12 @@
 	}
 	commitCtx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
-	version, err := s.commitWithdrawal(commitCtx, d, known)
+	w, err := s.commitWithdrawal(commitCtx, d, known)
 	if isResult(err, result.StoreUnavailable) {
 		s.withdrawNow(d) // also a key that only the table service may know
 		return 0, nil
 	}
-	return s.accept(ctx, version, err, timeline.Event{
+	return s.accept(ctx, w, err, timeline.Event{
 		Kind: timeline.KeyWithdrawn, KeyDigest: string(d), Organisation: s.organisationOf(d),
 	})
 }
@@ -45,7 +45,7 @@
 }
 
 // commitWithdrawal writes a withdrawal. Unless force is set, the key must exist.
-func (s *Store) commitWithdrawal(ctx context.Context, d config.KeyDigest, force bool) (uint64, error) {
+func (s *Store) commitWithdrawal(ctx context.Context, d config.KeyDigest, force bool) (written, error) {
 	return s.commit(ctx, func(state State) (Change, rowWrite, error) {
 		k, ok := state.keys[d]
 		if !ok && !force {
--- a/internal/entry/recorded.go
+++ b/internal/entry/recorded.go
@@ -126,6 +126,9 @@
 	out := x.dispatchOwned(ctx, body, attempt, owned, held)
 	answer, whole := held.answer()
 	x.settleOwned(ctx, owned, out, answer, whole)
+	if ended := interruption(ctx); ended != nil && out.Err == nil {
+		out.Err = ended // the key was withdrawn while the answer was being stored
+	}
 	if out.Err == nil {
 		held.release()
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -55,7 +55,7 @@
 	victim.preempting = true
 	e.recorder.Record(timeline.Event{
 		Kind: timeline.RequestPreempted, Request: victim.request.ID, Organisation: victim.request.Organisation,
-		Class: victim.class.spec.Name, Tier: victim.tier(), OtherTier: j.tier(),
+		Service: victim.pool.name, Class: victim.class.spec.Name, Tier: victim.tier(), OtherTier: j.tier(),
 		Server: victim.held[0].target.Server,
 	})
 	victim.listener.Preempt()
--- a/internal/placement/start.go
+++ b/internal/placement/start.go
@@ -120,7 +120,7 @@
 		j.pool.running[j.tier()].add(j)
 		e.recorder.Record(timeline.Event{
 			Kind: timeline.RequestAdmitted, Request: j.request.ID, Organisation: j.request.Organisation,
-			Class: j.class.spec.Name, Tier: j.tier(), Duration: now.Sub(j.request.Arrived),
+			Service: j.pool.name, Class: j.class.spec.Name, Tier: j.tier(), Duration: now.Sub(j.request.Arrived),
 		})
 	}
 	j.listener.Started(target)
--- a/internal/placement/submit.go
+++ b/internal/placement/submit.go
@@ -101,7 +101,7 @@
 	}
 	e.recorder.Record(timeline.Event{
 		Kind: timeline.RequestQueued, Request: r.ID, Organisation: r.Organisation,
-		Class: j.class.spec.Name, Tier: j.tier(),
+		Service: j.pool.name, Class: j.class.spec.Name, Tier: j.tier(),
 	})
 	e.preempt(now, p)
 }
@@ -146,7 +146,7 @@
 	lowest := max(j.pool.queue.LowestTier(), j.tier())
 	e.recorder.Record(timeline.Event{
 		Kind: timeline.RequestShed, Request: j.request.ID, Organisation: j.request.Organisation,
-		Class: j.class.spec.Name, Tier: j.tier(), OtherTier: lowest, Code: result.Shed,
+		Service: j.pool.name, Class: j.class.spec.Name, Tier: j.tier(), OtherTier: lowest, Code: result.Shed,
 	})
 	e.refuse(now, j, result.Shed, "the queue of %q is full", j.pool.name)
 }
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -35,7 +35,6 @@
 		c.windows.failed(window, err)
 		return fmt.Errorf("report window %q: %w", window, err)
 	}
-	c.record(timeline.UsageReported, window, frozen.Lines, token)
 	c.windows.fire(window, eventReported, actionMarkDone)
 	if err := c.deleteBatches(ctx, window); err != nil {
 		return err
@@ -47,7 +46,7 @@
 }
 
 func (c *Closer) send(ctx context.Context, window string, lines []Line, token uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(c.recorded(ctx, window, lines, token), callTimeout)
 	defer cancel()
 	start := windowStart(window)
 	r := platform.UsageReport{
@@ -102,3 +101,15 @@
 		})
 	}
 }
+
+// recorded returns a context whose call records the report once the last check
+// of the tenure has passed, right before the report is written.
+func (c *Closer) recorded(ctx context.Context, window string, lines []Line, token uint64) context.Context {
+	return platform.WithCheck(ctx, func() error {
+		if err := platform.RunCheck(ctx); err != nil {
+			return err
+		}
+		c.record(timeline.UsageReported, window, lines, token)
+		return nil
+	})
+}
