Drive the ramp of backend servers by its state chart

Cause: the server chart was documentation that disagreed with the code: it sent a recovered suspect back to cold. Change: the chart tells what the ramp does (cold, ramping, warm, gone) and the ramp is driven by it; suspicion stays beside it.

--- a/internal/routing/coldramp.go
+++ b/internal/routing/coldramp.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/statechart"
 )
 
 const (
@@ -24,8 +25,8 @@
 	epoch     uint64
 	cold      int
 	warm      int
-	total     int       // borne at the present step
-	proven    bool      // has shown that it bears more than its cold limit
+	total     int // borne at the present step
+	state     statechart.State
 	since     time.Time // first sight of the epoch, or the turn back to the start
 	stepped   time.Time
 	successes int // whole, timely answers in a row
@@ -45,7 +46,7 @@
 
 // Restart goes back to the start of the ramp.
 func (r *Ramp) Restart(now time.Time) {
-	r.total, r.proven = r.cold, false
+	r.fire(eventRestarted)
 	r.since, r.stepped = now, now
 	r.successes = 0
 	r.remaining = reportUnknown
@@ -59,11 +60,13 @@
 
 // SetLimits changes the configured limits. A warm server stays warm.
 func (r *Ramp) SetLimits(cold, warm int) {
-	wasWarm := r.Warm()
 	r.cold, r.warm = min(cold, warm), warm
 	r.total = min(max(r.total, r.cold), r.warm)
-	if wasWarm {
+	switch {
+	case r.Warm():
 		r.total = r.warm
+	case !r.First() && r.total == r.warm:
+		r.fire(eventStepPassed)
 	}
 }
 
@@ -81,12 +84,15 @@
 	return known
 }
 
+// Gone ends the ramp of a server that is no longer listed.
+func (r *Ramp) Gone() { r.fire(eventGone) }
+
 // Warm reports whether the server bears its warm limit.
-func (r *Ramp) Warm() bool { return r.proven && r.total >= r.warm }
+func (r *Ramp) Warm() bool { return r.state == stateWarm }
 
 // First reports whether the server is on the first step, where it bears no more
 // than its cold limit.
-func (r *Ramp) First() bool { return !r.proven }
+func (r *Ramp) First() bool { return r.state == stateCold }
 
 // Total returns the requests in flight that the server bears.
 func (r *Ramp) Total() int { return r.total }
@@ -96,11 +102,11 @@
 func (r *Ramp) Report(now time.Time, report engineapi.LoadReport, own int) {
 	r.remaining = report.ColdRemaining
 	if r.remaining > 0 {
-		r.total, r.proven = r.cold, false
+		r.fire(eventReportedCold)
 		r.stepped = now
 	}
 	if r.remaining == 0 && r.established {
-		r.total, r.proven = r.warm, true
+		r.fire(eventReportedWarm)
 	}
 	r.established = false
 	if report.Running+report.Waiting <= own {
@@ -118,8 +124,7 @@
 	}
 	r.successes = 0
 	if !r.Warm() {
-		r.total = max(r.total/2, r.cold)
-		r.proven = r.total > r.cold
+		r.fire(eventFailed)
 		r.stepped = now
 	}
 }
@@ -129,8 +134,7 @@
 	if r.Warm() || !r.mayStep(now) {
 		return
 	}
-	r.total = min(r.total*2, r.warm)
-	r.proven = true
+	r.fire(eventStepPassed)
 	r.stepped = now
 	if r.remaining == reportUnknown {
 		r.successes = 0
--- a/internal/routing/store.go
+++ b/internal/routing/store.go
@@ -99,6 +99,7 @@
 func (s *Store) forget(used map[string]*Live) {
 	for name, l := range s.lives {
 		if used[name] == nil && l.outstanding == 0 {
+			l.ramp.Gone()
 			delete(s.lives, name)
 		}
 	}
