Show duties and the versions of other instances in the status

Cause: both fields of the status were always empty. Change: the status lists the duties held with their fencing tokens and the version that each instance told in the newest round; the field for a lease's end is gone, because the holder's deadline is on its own monotonic clock. Conclusion: operators see who holds what.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -71,7 +71,7 @@
 	fmt.Fprintf(w, "  requests: %d open, %d answered, %d refused, %d failed\n",
 		s.Requests.Open, s.Requests.Answered, s.Requests.Refused, s.Requests.Failed)
 	for _, d := range s.Duties {
-		fmt.Fprintf(w, "  duty %s, fencing number %d, until %s\n", d.Duty, d.Token, d.Until.Format("15:04:05.000"))
+		fmt.Fprintf(w, "  duty %s, fencing token %d\n", d.Duty, d.Token)
 	}
 	table(w, func(row func(string, ...any)) { writeLoad(row, s) })
 }
--- a/internal/instance/members.go
+++ b/internal/instance/members.go
@@ -14,6 +14,9 @@
 // leaveTimeout bounds the news that this instance stops.
 const leaveTimeout = time.Second
 
+// duties are the control duties that instances hold by lease.
+var duties = []string{usage.Duty, order.Duty, sweepDuty}
+
 // provisionMembers builds the membership and the leases of duties.
 func (i *Instance) provisionMembers() {
 	i.members = member.New(member.Options{
@@ -28,7 +31,7 @@
 	i.leases = lease.NewManager(lease.Options{
 		Instance: i.settings.Instance,
 		Table:    i.platform.Table(),
-		Duties:   []string{usage.Duty, order.Duty, sweepDuty},
+		Duties:   duties,
 		Members:  i.candidateNames,
 		Recorder: i.ring,
 		Logger:   i.logger.Named("lease"),
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -23,7 +23,7 @@
 }
 
 // Status implements operator.StatusProvider.
-func (i *Instance) Status(context.Context) operator.Status {
+func (i *Instance) Status(ctx context.Context) operator.Status {
 	state, _ := i.life.state()
 	ready, reason := i.Ready()
 	p := i.scheduler.Status()
@@ -37,14 +37,16 @@
 		Started:  i.started,
 		Classes:  classStatus(p),
 		Servers:  serverStatus(p),
-		Peers:    i.peerStatus(),
+		Peers:    i.peerStatus(ctx),
+		Duties:   i.dutyStatus(),
 		Requests: i.callers.Counts(),
 	}
 }
 
 // peerStatus lists the other instances of the newest membership.
-func (i *Instance) peerStatus() []operator.PeerStatus {
+func (i *Instance) peerStatus(ctx context.Context) []operator.PeerStatus {
 	view := i.members.View()
+	versions := i.versions(ctx)
 	connected := i.peers.Connected()
 	list := make([]operator.PeerStatus, 0, view.Len())
 	for n := range view.Len() {
@@ -53,12 +55,36 @@
 			continue
 		}
 		list = append(list, operator.PeerStatus{
-			Instance: m.Name, Zone: m.Zone, Up: slices.Contains(connected, m.Name),
+			Instance: m.Name, Zone: m.Zone, Up: slices.Contains(connected, m.Name), Version: versions[m.Name],
 		})
 	}
 	return list
 }
 
+// versions are the configuration versions that other instances last told.
+func (i *Instance) versions(ctx context.Context) map[string]uint64 {
+	heard, err := i.store.InForce(ctx)
+	if err != nil {
+		i.logger.Debug("versions in force not known", "error", err)
+	}
+	versions := make(map[string]uint64, len(heard))
+	for _, v := range heard {
+		versions[v.Instance] = v.Version
+	}
+	return versions
+}
+
+// dutyStatus lists the control duties that this instance holds.
+func (i *Instance) dutyStatus() []operator.DutyStatus {
+	var held []operator.DutyStatus
+	for _, duty := range duties {
+		if token, ok := i.leases.Held(duty); ok {
+			held = append(held, operator.DutyStatus{Duty: duty, Token: uint64(token)})
+		}
+	}
+	return held
+}
+
 // classStatus sums up the classes over all pools, highest tier first.
 func classStatus(p placement.Status) []operator.ClassStatus {
 	sums := make(map[string]operator.ClassStatus)
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -160,7 +160,6 @@
 
 // DutyStatus is a control duty that the instance holds.
 type DutyStatus struct {
-	Duty  string    `json:"duty"`
-	Token uint64    `json:"token"` // fencing number
-	Until time.Time `json:"until"`
+	Duty  string `json:"duty"`
+	Token uint64 `json:"token"` // fencing token of the tenure
 }
