--- a/internal/loadexp/loadexp_test.go
+++ b/internal/loadexp/loadexp_test.go
@@ -16,7 +16,7 @@
 	testSeed = 1
 	// measuredLength lets small organisations of low tiers get enough answers to
 	// compare them.
-	measuredLength = 150 * time.Second
+	measuredLength = 200 * time.Second
 	// poolSeeds is the number of further runs whose organisations are counted too.
 	poolSeeds = 4
 )
