Read tables page by page, and keep what was read when a page fails

Cause: a read of all servers' entries was one step of many calls. When the store turned one of them away for its rate, the whole read began anew, so hundreds of instances that start at once could keep each other from ever finishing. Change: the follower owns the pages; a page that fails is asked for again with the usual back-off. The proof is now the first page's instant, it was the last one's. Ruled out: a longer patience for whole reads (it only hides the repeats). Tests: TestPageThatFailedIsReadAgainAndThoseBeforeItAreKept, TestReadOfManyPagesProvesTheInstantOfTheFirst, TestOutageBeforeAReadOfManyPagesIsTold.

--- a/internal/edge/storeview.go
+++ b/internal/edge/storeview.go
@@ -22,8 +22,8 @@
 const (
 	// feedPatience is the time beyond a call's wait after which it is given up.
 	feedPatience = 700 * time.Millisecond
-	// readPatience is the time for reading a whole table, page by page.
-	readPatience = 10 * time.Second
+	// readPatience is the time after which the read of one page of a table is given up.
+	readPatience = 1500 * time.Millisecond
 	// revocationMargin is the time that a permitted request may take to reach a server.
 	revocationMargin = 300 * time.Millisecond
 	// expireInterval is how often entries that lapsed in an outage are looked at.
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -108,13 +108,16 @@
 }
 
 // Read implements tablefeed.Feed.
-func (f *feed) Read(ctx context.Context) (tablefeed.Page, error) {
+func (f *feed) Read(ctx context.Context, after string) (tablefeed.Page, error) {
 	if err := f.store.enter(ctx); err != nil {
 		return tablefeed.Page{}, err
 	}
 	f.store.mu.Lock()
 	defer f.store.mu.Unlock()
-	return f.store.page(f.table, 0, false), nil
+	page := f.store.page(f.table, 0, false)
+	page.Rows = slices.DeleteFunc(page.Rows, func(r tablefeed.Row) bool { return r.Key <= after && after != "" })
+	slices.SortFunc(page.Rows, func(a, b tablefeed.Row) int { return strings.Compare(a.Key, b.Key) })
+	return page, nil
 }
 
 // Changes implements tablefeed.Feed.
--- a/internal/tablefeed/follower.go
+++ b/internal/tablefeed/follower.go
@@ -32,12 +32,15 @@
 	Rows    []Row
 	Version uint64        // newest version of the store
 	Clock   time.Duration // the store's steady clock when it answered
+	// More is true when a read has rows after the last one of the page.
+	More bool
 }
 
 // Feed reads one table.
 type Feed interface {
-	// Read returns all rows as of one version.
-	Read(ctx context.Context) (Page, error)
+	// Read returns the rows after a key, as many as one call gives, with keys in
+	// ascending order. An empty key starts at the first row.
+	Read(ctx context.Context, after string) (Page, error)
 	// Changes returns the rows changed after a version, as soon as there is one or
 	// after the wait. It returns ErrHistoryGone when they are no longer known.
 	Changes(ctx context.Context, since uint64, wait time.Duration) (Page, error)
@@ -66,8 +69,8 @@
 	Pause func() time.Duration
 	// Patience is the time beyond Wait after which a call is given up.
 	Patience time.Duration
-	// ReadPatience is the time after which a read of all rows is given up. It takes
-	// as many calls as there are pages. Zero: Patience.
+	// ReadPatience is the time after which the read of one page of all rows is given
+	// up. Zero: Patience.
 	ReadPatience time.Duration
 	// Apply takes what was learnt; calls do not overlap. Required.
 	Apply func(Update)
@@ -88,11 +91,39 @@
 	mu     sync.Mutex
 	proved boottime.Instant // the rows were current then; zero: never
 
-	known   bool   // all rows were read once
-	version uint64 // of the rows; belongs to the goroutine of Run
+	known   bool     // all rows were read once
+	reading *reading // pages of all rows read so far; nil: none
+	version uint64   // of the rows; belongs to the goroutine of Run
 	failing bool
 }
 
+// reading is a read of all rows that has not reached the last page. A page that
+// fails is asked for again; those before it are kept, so that many instances which
+// read at once come to an end although the store turns some of their calls away.
+type reading struct {
+	rows    []Row
+	version uint64           // of the first page; changes after it follow from the feed
+	proved  boottime.Instant // when the first page was made
+	failed  bool             // calls had failed before or between the pages
+}
+
+// after is the key from which the next page starts.
+func (r *reading) after() string {
+	if r == nil || len(r.rows) == 0 {
+		return ""
+	}
+	return r.rows[len(r.rows)-1].Key
+}
+
+// add takes the next page.
+func (r *reading) add(p Page, proved boottime.Instant) *reading {
+	if r == nil {
+		r = &reading{version: p.Version, proved: proved}
+	}
+	r.rows = append(r.rows, p.Rows...)
+	return r
+}
+
 // New returns a follower that knows nothing until Run.
 func New(o Options) *Follower {
 	if o.Pause == nil {
@@ -127,7 +158,7 @@
 		err := f.step(ctx)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
-			f.known = false
+			f.known, f.reading = false, nil
 			f.options.Recorder.Record(timeline.Event{Kind: timeline.TableReread, Subject: f.options.Name})
 			continue
 		case err != nil && ctx.Err() != nil:
@@ -139,7 +170,9 @@
 		default:
 			retry = retryLeast
 			f.regained()
-			_ = wait.For(ctx, f.options.Pause()-boottime.Now().Sub(started))
+			if f.reading == nil {
+				_ = wait.For(ctx, f.options.Pause()-boottime.Now().Sub(started))
+			}
 		}
 	}
 }
@@ -171,7 +204,7 @@
 
 func (f *Follower) call(ctx context.Context, hold time.Duration) (Page, error) {
 	if !f.known {
-		return f.options.Feed.Read(ctx)
+		return f.options.Feed.Read(ctx, f.reading.after())
 	}
 	return f.options.Feed.Changes(ctx, f.version, hold)
 }
@@ -179,11 +212,20 @@
 // take applies an answer.
 func (f *Follower) take(page Page, sent boottime.Instant, hold time.Duration) {
 	proof := f.proof(page, sent, boottime.Now(), hold)
-	whole := !f.known
+	whole, failed := !f.known, f.failing
+	if whole {
+		f.reading = f.reading.add(page, proof)
+		f.reading.failed = f.reading.failed || f.failing
+		if page.More && len(page.Rows) > 0 {
+			return
+		}
+		page.Rows, page.Version, proof = f.reading.rows, f.reading.version, f.reading.proved
+		failed, f.reading = f.reading.failed, nil
+	}
 	f.known = true
 	f.version = max(f.version, page.Version)
 	gap := time.Duration(0)
-	if before := f.Proved(); f.failing && !before.IsZero() {
+	if before := f.Proved(); failed && !before.IsZero() {
 		gap = proof.Sub(before)
 	}
 	if whole || len(page.Rows) > 0 || gap > 0 {
--- a/internal/tablefeed/follower_test.go
+++ b/internal/tablefeed/follower_test.go
@@ -16,6 +16,7 @@
 // call is one call of a scripted feed.
 type call struct {
 	read  bool
+	after string
 	since uint64
 	hold  time.Duration
 }
@@ -50,7 +51,9 @@
 	return a.page, a.err
 }
 
-func (s *script) Read(context.Context) (Page, error) { return s.next(call{read: true}) }
+func (s *script) Read(_ context.Context, after string) (Page, error) {
+	return s.next(call{read: true, after: after})
+}
 
 func (s *script) Changes(_ context.Context, since uint64, hold time.Duration) (Page, error) {
 	return s.next(call{since: since, hold: hold})
@@ -153,6 +156,51 @@
 	is.Equal(updates[3].Gap, time.Duration(0))
 }
 
+func TestPageThatFailedIsReadAgainAndThoseBeforeItAreKept(t *testing.T) {
+	is := is.New(t)
+	s := newScript(
+		answer{page: Page{Rows: []Row{{Key: "a"}, {Key: "b"}}, Version: 5, More: true}},
+		answer{err: errors.New("over the rate")},
+		answer{page: Page{Rows: []Row{{Key: "c"}}, Version: 8, More: true}},
+		answer{err: errors.New("over the rate")},
+		answer{page: Page{Rows: []Row{{Key: "d"}}, Version: 9}},
+		answer{page: Page{Version: 9}, delay: hold},
+	)
+	f, updates := follow(t, s)
+	after := []string{"", "b", "b", "c", "c"}
+	for i, key := range after {
+		is.Equal(s.calls[i], call{read: true, after: key})
+	}
+	is.Equal(s.calls[5].since, uint64(5)) // rows of later pages may have changed since the first
+	is.Equal(len(updates[0].Rows), 4)
+	is.True(updates[0].Whole)
+	is.True(!f.Proved().IsZero())
+}
+
+func TestOutageBeforeAReadOfManyPagesIsTold(t *testing.T) {
+	is := is.New(t)
+	var updates []Update
+	f := New(Options{Recorder: timeline.Discard, Apply: func(u Update) { updates = append(updates, u) }})
+	start := boottime.Now()
+	f.take(Page{}, start, 0)
+	f.known = false // the history is gone
+	f.lost(errors.New("silent"))
+	f.take(Page{Rows: []Row{{Key: "a"}}, More: true}, start.Add(4*time.Second), 0)
+	f.regained()
+	f.take(Page{Rows: []Row{{Key: "b"}}}, start.Add(5*time.Second), 0)
+	is.Equal(updates[len(updates)-1].Gap, 4*time.Second)
+}
+
+func TestReadOfManyPagesProvesTheInstantOfTheFirst(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Recorder: timeline.Discard, Apply: func(Update) {}})
+	first := boottime.Now()
+	f.take(Page{Rows: []Row{{Key: "a"}}, More: true}, first, 0)
+	is.True(f.Proved().IsZero()) // nothing is known yet
+	f.take(Page{Rows: []Row{{Key: "b"}}}, first.Add(time.Second), 0)
+	is.Equal(f.Proved(), first)
+}
+
 func TestReadOfAllRowsHasItsOwnPatience(t *testing.T) {
 	is := is.New(t)
 	f := New(Options{Patience: time.Second, ReadPatience: time.Minute, Wait: func() time.Duration { return hold }})
