Let instances of a zone follow the store's tables through a few sources

Cause: what instances ask of the store grew with their number. Change: package fanout. In a zone of six instances or more the two with most processor (more in larger zones) read the store and answer the others from their copy, with the age of their proof, so that promises rest on proofs as before. A source that fails, stands still, or whose proof is older than 1.6 s sends the call to the store at once; one that has lost the store counts as a failed call. Calls need a token that only the store's readers know. Ruled out: fewer calls by longer waits (the proof of keys and of the configuration grows old), QUIC (one long call at a time to one peer gains nothing by it). Tests: package fanout, TestInstancesOfAZoneFollowItsSources.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -53,6 +53,7 @@
 	events   timeline.Recorder
 	view     *storeView
 	members  *members
+	sharing  *sharing
 	duties   *duties
 	balancer *balance.Balancer
 	gateway  *gateway.Gateway
@@ -80,8 +81,9 @@
 		Recorder: e.events,
 	})
 	clock := truetime.New(truetime.Options{})
-	e.view = newStoreView(p, s.Bounds, e.balancer, clock, e.events)
-	e.members = newMembers(s, p, e.balancer, clock, e.events, logger.Named("members"))
+	e.sharing = newSharing(s, clock, e.events, logger.Named("sharing"))
+	e.view = newStoreView(p, s.Bounds, e.balancer, e.sharing, clock, e.events)
+	e.members = newMembers(s, p, e.balancer, e.sharing, clock, e.events, logger.Named("members"))
 	e.duties = newDuties(s, p, e.view, e.members, e.balancer, clock, e.events, logger.Named("duties"))
 	e.gateway = gateway.New(gateway.Options{
 		Source: e.view, Balancer: e.balancer, Protocol: p.Protocol, Meter: e.duties.meter,
@@ -148,6 +150,11 @@
 			failed <- fmt.Errorf("serve readiness checks: %w", err)
 		}
 	})
+	running.Go(func() {
+		if err := e.sharing.serve(); err != nil {
+			e.logger.Error("other instances are not served", "address", e.settings.Peers, "error", err)
+		}
+	})
 	if e.metrics != nil {
 		running.Go(func() {
 			if err := e.metrics.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
@@ -168,6 +175,7 @@
 	stopServices()
 	_ = e.listener.Close()
 	_ = e.ready.Close()
+	e.sharing.close()
 	if e.metrics != nil {
 		_ = e.metrics.Close()
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -181,7 +181,7 @@
 func (w *world) start(name string) *running {
 	w.t.Helper()
 	s := Settings{
-		Instance: name, Zone: "z", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0",
+		Instance: name, Zone: "z", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0",
 		Bounds: Bounds{
 			Grace: 8 * time.Second, Propagation: 2 * time.Second, Revocation: 3 * time.Second,
 			RetrySpan: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 20, Lease: 900 * time.Millisecond,
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -30,6 +30,7 @@
 	recorder timeline.Recorder
 	logger   hclog.Logger
 	board    *presence.Board
+	sharing  *sharing
 	follower *tablefeed.Follower
 	leaving  atomic.Bool
 	sequence uint64
@@ -38,14 +39,15 @@
 	names []string
 }
 
-func newMembers(s Settings, p Platform, b *balance.Balancer, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *members {
+func newMembers(s Settings, p Platform, b *balance.Balancer, h *sharing, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *members {
 	m := &members{
 		settings: s, rows: p.InstanceRows, balancer: b, clock: clock, recorder: recorder, logger: logger, board: presence.NewBoard(),
+		sharing: h,
 	}
-	m.follower = tablefeed.New(tablefeed.Options{
-		Name: "instances", Feed: p.Instances, Pause: m.interval, Patience: feedPatience, ReadPatience: readPatience,
+	m.follower = tablefeed.New(h.follow(tablefeed.Options{
+		Feed: p.Instances, Pause: m.readInterval, Patience: feedPatience, ReadPatience: readPatience,
 		Apply: m.apply, Heard: clock.Heard, Recorder: recorder,
-	})
+	}, instancesTable, instancesAge))
 	return m
 }
 
@@ -54,6 +56,14 @@
 	running.Go(func() { m.tellAgain(ctx) })
 }
 
+// readInterval is the time between two reads of the others' rows.
+func (m *members) readInterval() time.Duration {
+	if m.sharing.part() == source {
+		return sourceReadInterval
+	}
+	return m.interval()
+}
+
 // interval is the time between two writes of the own row.
 func (m *members) interval() time.Duration { return presenceInterval(m.balancer.Instances()) }
 
@@ -85,6 +95,7 @@
 	row := presence.Row{
 		Zone: m.settings.Zone, Leaving: m.leaving.Load(), Demand: m.balancer.Demand(), Sequence: m.sequence,
 	}
+	m.sharing.introduce(&row)
 	if offset, ok := m.clock.Own(); ok {
 		row.Offset = &offset
 	}
@@ -104,6 +115,7 @@
 // learn hands the live rows on to the balancer and the clock.
 func (m *members) learn(live map[string]presence.Row) {
 	m.clock.Agree(presence.Offsets(live))
+	m.sharing.learn(live)
 	names := presence.Names(live)
 	if !slices.Contains(names, m.settings.Instance) {
 		names = append(names, m.settings.Instance)
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/fanout"
+)
 
 // What all instances together ask of the store must grow less than their number.
 // The more of them share it, the rarer each one speaks; what each one adds to a
@@ -13,13 +17,23 @@
 	// proof may reach while all is well.
 	operatorsWaitShare = 0.6
 
-	serversWait       = 3 * time.Second
+	serversWaitAlone  = 3 * time.Second
 	serversPauseEach  = 20 * time.Millisecond
 	serversPauseLeast = 400 * time.Millisecond
 	// serversPauseShare is the part of the time within which a leaving server must
 	// get nothing new that may pass before its entry is read.
 	serversPauseShare = 0.6
 
+	// sourceWait is short, since others rely on a source to notice that it has lost
+	// the store.
+	sourceWait = 800 * time.Millisecond
+	// followPause joins changes that a source passes on.
+	followPause = 200 * time.Millisecond
+
+	// sourceReadInterval is the time between two reads of the instances' rows by a
+	// source.
+	sourceReadInterval = 2 * time.Second
+
 	presenceEach  = 70 * time.Millisecond
 	presenceLeast = 3 * time.Second
 	presenceMost  = 6 * time.Second
@@ -31,7 +45,13 @@
 // operatorsWait is how long the store holds a call for the configuration back. It
 // bounds the age of the proof that a key is in force, so that in an outage of the
 // store requests are refused the sooner the longer it is.
-func operatorsWait(instances int, revocation time.Duration) time.Duration {
+func operatorsWait(p part, instances int, revocation time.Duration) time.Duration {
+	switch p {
+	case source:
+		return sourceWait
+	case follows:
+		return fanout.FollowWait
+	}
 	wait := clamp(time.Duration(instances)*operatorsWaitEach, operatorsWaitLeast, operatorsWaitMost)
 	if revocation <= 0 {
 		return wait
@@ -39,9 +59,23 @@
 	return min(wait, time.Duration(operatorsWaitShare*float64(revocation-revocationMargin)))
 }
 
+// serversWait is how long a call for the servers' entries is held back.
+func serversWait(p part) time.Duration {
+	switch p {
+	case source:
+		return sourceWait
+	case follows:
+		return fanout.FollowWait
+	}
+	return serversWaitAlone
+}
+
 // serversPause is the time between two reads of the backend servers' entries; it
 // joins the changes of several servers.
-func serversPause(instances int, leaving time.Duration) time.Duration {
+func serversPause(p part, instances int, leaving time.Duration) time.Duration {
+	if p == follows {
+		return followPause
+	}
 	most := time.Duration(serversPauseShare * float64(leaving))
 	return clamp(time.Duration(instances)*serversPauseEach, serversPauseLeast, max(most, serversPauseLeast))
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -16,6 +16,11 @@
 	Callers, Readiness string
 	// Metrics is the IP and port of the metrics listener. Empty: none.
 	Metrics string
+	// Peers is the IP and port of the listener for other instances. Empty: none, and
+	// every instance reads the store itself.
+	Peers string
+	// Cores is the share of processors that the process may use. Zero: unknown.
+	Cores float64
 	// Bounds are the promises that the instances keep together.
 	Bounds Bounds
 	// Usage says when usage is reported.
--- /dev/null
+++ b/internal/edge/sharing.go
@@ -0,0 +1,141 @@
+package edge
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/fanout"
+	"github.com/hawthornwick/hawthornwick/internal/presence"
+	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/truetime"
+)
+
+// Names of the tables among instances.
+const (
+	operatorsTable = "operators"
+	serversTable   = "servers"
+	instancesTable = "instances"
+)
+
+const (
+	// promisedAge bounds the age of a source's proof for tables on which promises
+	// rest, and instancesAge that for the instances' rows.
+	promisedAge  = 1600 * time.Millisecond
+	instancesAge = 10 * time.Second
+)
+
+// sharing is how this instance and the others of its zone follow the tables
+// together.
+type sharing struct {
+	address string
+	token   string
+	cores   float64
+	group   *fanout.Group
+	client  *fanout.Client
+	caches  map[string]*fanout.Cache
+	server  *http.Server // nil: other instances cannot call this one
+	on      net.Listener
+}
+
+func newSharing(s Settings, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *sharing {
+	h := &sharing{
+		cores:  s.Cores,
+		token:  rand.Text(),
+		client: fanout.NewClient(),
+		group: fanout.NewGroup(fanout.GroupOptions{
+			Instance: s.Instance, Zone: s.Zone, Recorder: recorder, Now: boottime.Now,
+		}),
+		caches: map[string]*fanout.Cache{},
+	}
+	for _, table := range []string{operatorsTable, serversTable, instancesTable} {
+		h.caches[table] = fanout.NewCache(boottime.Now)
+	}
+	if s.Peers == "" {
+		return h
+	}
+	on, err := net.Listen("tcp", s.Peers)
+	if err != nil {
+		logger.Error("other instances cannot follow this one", "address", s.Peers, "error", err)
+		return h
+	}
+	h.on, h.address = on, on.Addr().String()
+	mux := http.NewServeMux()
+	mux.Handle("GET /tables/{table}", &fanout.Server{
+		Token: h.token, Serves: h.group.Serves, StoreClock: clock.Store, Tables: h.caches,
+	})
+	h.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return h
+}
+
+// serve answers other instances until close.
+func (h *sharing) serve() error {
+	if h.server == nil {
+		return nil
+	}
+	if err := h.server.Serve(h.on); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve instances: %w", err)
+	}
+	return nil
+}
+
+func (h *sharing) close() {
+	if h.server != nil {
+		_ = h.server.Close()
+	}
+	h.client.Close()
+}
+
+// follow adds to the options of a follower that its table is shared.
+func (h *sharing) follow(o tablefeed.Options, table string, age time.Duration) tablefeed.Options {
+	cache := h.caches[table]
+	o.Name = table
+	o.Feed = &fanout.Feed{Name: table, Store: o.Feed, Group: h.group, Client: h.client, MaxAge: age}
+	o.Took, o.Lost = cache.Took, cache.Lost
+	return o
+}
+
+// part is this instance's part in reading the tables.
+type part int
+
+const (
+	alone   part = iota // reads the store for itself
+	source              // reads it for others as well
+	follows             // follows a source
+)
+
+func (h *sharing) part() part {
+	if h.group.Serves() {
+		return source
+	}
+	if _, ok := h.group.Source(); ok {
+		return follows
+	}
+	return alone
+}
+
+// introduce fills in how others reach this instance.
+func (h *sharing) introduce(row *presence.Row) {
+	if h.address == "" {
+		return
+	}
+	row.Address, row.Token, row.Cores = h.address, h.token, h.cores
+}
+
+// learn takes the live instances.
+func (h *sharing) learn(live map[string]presence.Row) {
+	members := make([]fanout.Member, 0, len(live))
+	for name, r := range live {
+		members = append(members, fanout.Member{
+			Name: name, Zone: r.Zone, Address: r.Address, Token: r.Token, Cores: r.Cores, Leaving: r.Leaving,
+		})
+	}
+	h.group.SetMembers(members)
+}
--- /dev/null
+++ b/internal/edge/sharing_test.go
@@ -0,0 +1,83 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fleet is the instances of one zone.
+type fleet []*running
+
+// with returns the instances that have a part in reading the tables.
+func (f fleet) with(p part) fleet {
+	var found fleet
+	for _, r := range f {
+		if r.sharing.part() == p {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// inForce reports whether all instances have a version of the configuration.
+func (f fleet) inForce(version uint64) bool {
+	for _, r := range f {
+		if t := r.view.Table(); t == nil || t.Version != version {
+			return false
+		}
+	}
+	return true
+}
+
+// TestInstancesOfAZoneFollowItsSources starts a zone of instances. Two of them
+// read the store, the others follow these, and hear of each change in time, also
+// when a source ends or the store is lost.
+func TestInstancesOfAZoneFollowItsSources(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(t)
+	w.addServer("a", 0)
+	var zone fleet
+	for n := range 8 {
+		zone = append(zone, w.ready(fmt.Sprint("instance-", n)))
+	}
+	settled := func() bool { return len(zone.with(source)) == 2 && len(zone.with(follows)) == len(zone)-2 }
+	eventually(t, 20*time.Second, "two sources, followed by all others", settled)
+
+	w.putConfig(2, "key")
+	eventually(t, 2*time.Second, "the change in force everywhere", func() bool { return zone.inForce(2) })
+
+	ended := zone.with(source)[0]
+	ended.stop()
+	var rest fleet
+	for _, r := range zone {
+		if r != ended {
+			rest = append(rest, r)
+		}
+	}
+	w.putConfig(3, "key")
+	eventually(t, 2*time.Second, "the change in force while a source stops", func() bool { return rest.inForce(3) })
+
+	w.store.SetDown(true)
+	eventually(t, 5*time.Second, "keys unproved everywhere", func() bool {
+		for _, r := range rest {
+			if r.view.KeysProved() {
+				return false
+			}
+		}
+		return true
+	})
+	w.store.SetDown(false)
+	eventually(t, 3*time.Second, "keys proved everywhere", func() bool {
+		for _, r := range rest {
+			if !r.view.KeysProved() {
+				return false
+			}
+		}
+		return true
+	})
+	is.True(len(rest) == len(zone)-1)
+}
--- a/internal/edge/storeview.go
+++ b/internal/edge/storeview.go
@@ -37,6 +37,7 @@
 	bounds   Bounds
 	balancer *balance.Balancer
 	recorder timeline.Recorder
+	sharing  *sharing
 
 	operators *tablefeed.Follower
 	servers   *tablefeed.Follower
@@ -50,20 +51,19 @@
 
 var _ gateway.Source = (*storeView)(nil)
 
-func newStoreView(p Platform, bounds Bounds, b *balance.Balancer, clock *truetime.Clock, recorder timeline.Recorder) *storeView {
+func newStoreView(p Platform, bounds Bounds, b *balance.Balancer, h *sharing, clock *truetime.Clock, recorder timeline.Recorder) *storeView {
 	v := &storeView{
-		platform: p, bounds: bounds, balancer: b, recorder: recorder,
+		platform: p, bounds: bounds, balancer: b, recorder: recorder, sharing: h,
 		zonesOut: map[string]bool{}, directory: directory.New(), torn: map[string]bool{},
 	}
-	v.operators = tablefeed.New(tablefeed.Options{
-		Name: "operators", Feed: p.Operators, Wait: v.operatorsWait, Patience: feedPatience, ReadPatience: readPatience,
+	v.operators = tablefeed.New(h.follow(tablefeed.Options{
+		Feed: p.Operators, Wait: v.operatorsWait, Patience: feedPatience, ReadPatience: readPatience,
 		Apply: v.applyOperators, Heard: clock.Heard, Recorder: recorder,
-	})
-	v.servers = tablefeed.New(tablefeed.Options{
-		Name: "servers", Feed: p.Servers, Wait: func() time.Duration { return serversWait }, Patience: feedPatience, ReadPatience: readPatience,
-		Pause: func() time.Duration { return serversPause(b.Instances(), bounds.Leaving) },
+	}, operatorsTable, promisedAge))
+	v.servers = tablefeed.New(h.follow(tablefeed.Options{
+		Feed: p.Servers, Wait: v.serversWait, Patience: feedPatience, ReadPatience: readPatience, Pause: v.serversPause,
 		Apply: v.applyServers, Heard: clock.Heard, Recorder: recorder,
-	})
+	}, serversTable, promisedAge))
 	return v
 }
 
@@ -85,15 +85,31 @@
 	return boottime.Now().Sub(v.operators.Proved()) < v.bounds.Revocation-revocationMargin
 }
 
-// operatorsWait is how long the store holds a call for the configuration back.
+// operatorsWait is how long a call for the configuration is held back.
 func (v *storeView) operatorsWait() time.Duration {
-	return operatorsWait(v.balancer.Instances(), v.bounds.Revocation)
+	return operatorsWait(v.sharing.part(), v.balancer.Instances(), v.bounds.Revocation)
+}
+
+// serversWait is how long a call for the servers' entries is held back.
+func (v *storeView) serversWait() time.Duration { return serversWait(v.sharing.part()) }
+
+// serversPause is the time between two calls for the servers' entries.
+func (v *storeView) serversPause() time.Duration {
+	return serversPause(v.sharing.part(), v.readers(), v.bounds.Leaving)
+}
+
+// readers is the number of instances that read the store themselves.
+func (v *storeView) readers() int {
+	if v.sharing.part() == alone {
+		return v.balancer.Instances()
+	}
+	return v.sharing.group.Readers()
 }
 
 // Current implements gateway.Source. Changes arrive as they are made while the
 // feed is answered in time.
 func (v *storeView) Current() bool {
-	return boottime.Now().Sub(v.operators.Proved()) < v.operatorsWait()+feedPatience
+	return boottime.Now().Sub(v.operators.Proved()) < max(v.operatorsWait(), promisedAge)+feedPatience
 }
 
 // zoneOut reports whether operators took the availability zone out.
--- /dev/null
+++ b/internal/fanout/group.go
@@ -0,0 +1,168 @@
+package fanout
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+const (
+	// shunFirst and shunMost bound how long a source that failed is not asked; the
+	// time doubles with each failure in a row.
+	shunFirst = time.Second
+	shunMost  = 16 * time.Second
+)
+
+// Values of the state of an event about where the tables are read.
+const (
+	stateStore  = "store"  // from the store, for this instance alone
+	stateServes = "serves" // from the store, for others as well
+	stateSource = "source" // from another instance
+)
+
+// GroupOptions configure a Group. All fields are required.
+type GroupOptions struct {
+	// Instance and Zone name this instance.
+	Instance, Zone string
+	// Recorder hears from where the tables are read.
+	Recorder timeline.Recorder
+	// Now is the clock.
+	Now func() boottime.Instant
+}
+
+// shunned is a source that failed.
+type shunned struct {
+	failures int
+	until    boottime.Instant
+}
+
+// Group is the instances of a zone, with this instance's part among them. It is
+// safe for concurrent use.
+type Group struct {
+	options GroupOptions
+
+	mu        sync.Mutex
+	serves    bool
+	sources   []Member           // to be asked, best first; empty for a source
+	shunned   map[string]shunned // by token
+	state     string             // of the last event
+	peer      string
+	direct    int // instances that read the store themselves
+	instances int // all of them
+}
+
+// NewGroup returns a group of unknown members, in which the store is read.
+func NewGroup(o GroupOptions) *Group {
+	return &Group{options: o, shunned: map[string]shunned{}, state: stateStore}
+}
+
+// SetMembers takes all live instances.
+func (g *Group) SetMembers(members []Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sources := Sources(members, g.options.Zone)
+	self := func(m Member) bool { return m.Name == g.options.Instance }
+	g.serves = slices.ContainsFunc(sources, self)
+	g.sources = nil
+	if !g.serves {
+		g.sources = preferred(sources, g.options.Instance)
+	}
+	g.instances, g.direct = len(members), readers(members)
+	g.forget()
+	g.note("")
+}
+
+// readers is the number of instances that read the store themselves.
+func readers(members []Member) int {
+	zones := map[string]int{}
+	for _, m := range members {
+		zones[m.Zone]++
+	}
+	count := 0
+	for zone, instances := range zones {
+		if sources := len(Sources(members, zone)); sources > 0 {
+			count += sources
+			continue
+		}
+		count += instances
+	}
+	return count
+}
+
+// forget drops what is known of sources that are none any more.
+func (g *Group) forget() {
+	for token := range g.shunned {
+		if !slices.ContainsFunc(g.sources, func(m Member) bool { return m.Token == token }) {
+			delete(g.shunned, token)
+		}
+	}
+}
+
+// Serves reports whether this instance is a source.
+func (g *Group) Serves() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.serves
+}
+
+// Readers is the number of instances that read the store themselves, 0 while the
+// members are unknown.
+func (g *Group) Readers() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.direct
+}
+
+// Source returns the source to ask now; false when the store is to be read.
+func (g *Group) Source() (Member, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.source()
+}
+
+func (g *Group) source() (Member, bool) {
+	now := g.options.Now()
+	for _, m := range g.sources {
+		if !now.Before(g.shunned[m.Token].until) {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// Failed takes a source that gave no fit answer.
+func (g *Group) Failed(m Member, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.shunned[m.Token]
+	s.failures++
+	s.until = g.options.Now().Add(min(shunFirst<<min(s.failures-1, 10), shunMost))
+	g.shunned[m.Token] = s
+	g.note(m.Name + ": " + err.Error())
+}
+
+// Answered takes a source that gave a fit answer.
+func (g *Group) Answered(m Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.shunned, m.Token)
+	g.note("")
+}
+
+// note adds an event when the tables are read from elsewhere than before.
+func (g *Group) note(why string) {
+	state, peer := stateStore, ""
+	if g.serves {
+		state = stateServes
+	} else if m, ok := g.source(); ok {
+		state, peer = stateSource, m.Name
+	}
+	if state == g.state && peer == g.peer {
+		return
+	}
+	g.state, g.peer = state, peer
+	g.options.Recorder.Record(timeline.Event{Kind: timeline.FeedSource, State: state, Peer: peer, Detail: why})
+}
--- /dev/null
+++ b/internal/fanout/wire.go
@@ -0,0 +1,39 @@
+package fanout
+
+import (
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
+)
+
+// wireRow is a row between instances.
+type wireRow struct {
+	Key     string `cbor:"1,keyasint"`
+	Value   []byte `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint"`
+	Removed bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// wirePage is an answer between instances.
+type wirePage struct {
+	Rows    []wireRow     `cbor:"1,keyasint,omitempty"`
+	Version uint64        `cbor:"2,keyasint"`
+	Clock   time.Duration `cbor:"3,keyasint"` // the store's steady clock when the answer was made
+	Age     time.Duration `cbor:"4,keyasint"` // of the proof, then
+}
+
+func toWire(p tablefeed.Page) wirePage {
+	w := wirePage{Version: p.Version, Clock: p.Clock, Age: p.Age}
+	for _, r := range p.Rows {
+		w.Rows = append(w.Rows, wireRow(r))
+	}
+	return w
+}
+
+func (w wirePage) page() tablefeed.Page {
+	p := tablefeed.Page{Version: w.Version, Clock: w.Clock, Age: w.Age}
+	for _, r := range w.Rows {
+		p.Rows = append(p.Rows, tablefeed.Row(r))
+	}
+	return p
+}
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -26,6 +26,11 @@
 	Offset *time.Duration `json:"offset,omitempty"`
 	// Demand is its work by service.
 	Demand map[string]Demand `json:"demand,omitempty"`
+	// Address and Token lead to its listener for instances, and Cores is its share of
+	// processors. Empty: others cannot follow tables through it.
+	Address string  `json:"address,omitempty"`
+	Token   string  `json:"token,omitempty"`
+	Cores   float64 `json:"cores,omitempty"`
 	// Sequence rises with each write, so that each one is a change.
 	Sequence uint64 `json:"sequence"`
 }
--- a/internal/tablefeed/follower.go
+++ b/internal/tablefeed/follower.go
@@ -34,6 +34,11 @@
 	Clock   time.Duration // the store's steady clock when it answered
 	// More is true when a read has rows after the last one of the page.
 	More bool
+	// Age is how long before the answer the rows were proved to be current, when it
+	// does not come from the store itself. Zero: they were then.
+	Age time.Duration
+	// AtOnce is true when the answer was not held back for the wait of the call.
+	AtOnce bool
 }
 
 // Feed reads one table.
@@ -78,6 +83,9 @@
 	// which that arrived. It returns the instant at which the answer was made. Nil:
 	// unknown.
 	Heard func(clock time.Duration, at boottime.Instant) boottime.Instant
+	// Took hears of each answer, changes or none, with the newest version and the
+	// instant at which the rows were current. May be nil.
+	Took func(u Update, version uint64, proved boottime.Instant)
 	// Lost hears of the first failed call in a row. May be nil.
 	Lost func(error)
 	// Recorder hears of contact lost and regained. Required.
@@ -228,8 +236,12 @@
 	if before := f.Proved(); failed && !before.IsZero() {
 		gap = proof.Sub(before)
 	}
+	u := Update{Rows: page.Rows, Whole: whole, Gap: gap}
 	if whole || len(page.Rows) > 0 || gap > 0 {
-		f.options.Apply(Update{Rows: page.Rows, Whole: whole, Gap: gap})
+		f.options.Apply(u)
+	}
+	if f.options.Took != nil {
+		f.options.Took(u, f.version, proof)
 	}
 	f.mu.Lock()
 	f.proved = max(f.proved, proof)
@@ -238,16 +250,16 @@
 
 // proof is the latest instant for which an answer is known to be current: when it
 // was made, or else when the call was sent, or when the wait was over for an
-// empty answer that was held back so long.
+// empty answer that was held back so long; earlier by the age that the answer states.
 func (f *Follower) proof(page Page, sent, heard boottime.Instant, hold time.Duration) boottime.Instant {
 	proof := sent
 	if f.options.Heard != nil {
 		proof = max(proof, min(f.options.Heard(page.Clock, heard), heard))
 	}
-	if f.known && len(page.Rows) == 0 && heard.Sub(sent) >= hold {
+	if f.known && !page.AtOnce && len(page.Rows) == 0 && heard.Sub(sent) >= hold {
 		proof = max(proof, sent.Add(hold))
 	}
-	return proof
+	return proof.Add(-page.Age)
 }
 
 func (f *Follower) lost(err error) {
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -52,6 +52,7 @@
 	InstanceDrains  Kind = "instance.drains"
 	InstanceStopped Kind = "instance.stopped" // Count: requests cut off; State "forced" when an operator gave them up
 	InstanceStale   Kind = "instance.stale"   // takes no new work: configuration may be old
+	FeedSource      Kind = "feed.source"      // State: store, serves or source; Peer: the source; Detail: why
 	PeerUp          Kind = "peer.up"          // Peer
 	PeerDown        Kind = "peer.down"        // Peer
 	LeaseAcquired   Kind = "lease.acquired"   // Duty, Token, Until
--- a/internal/truetime/truetime.go
+++ b/internal/truetime/truetime.go
@@ -62,6 +62,13 @@
 // store is the store's clock now.
 func (c *Clock) store() time.Duration { return time.Duration(c.options.Boot()) + c.ahead }
 
+// Store returns the store's steady clock now; false when the store was not heard yet.
+func (c *Clock) Store() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store(), c.heard
+}
+
 // Own returns how far this machine's time of day is before the store's clock;
 // false when the store was not heard yet.
 func (c *Clock) Own() (time.Duration, bool) {
