Write instances' rows and counts through sources, many in one transaction

Change: fanout.Writer joins rows that need no other row's check; a source answers when a checked row is written, at once for one without a check. Unknown outcomes stay unknown. The first reads of the others' rows follow each other soon, so that instances follow sources seconds earlier after a start.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -48,7 +48,7 @@
 	closer   *tally.Closer // nil when usage is reported by nobody here
 }
 
-func newDuties(s Settings, p Platform, view *storeView, fleet *members, b *balance.Balancer, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *duties {
+func newDuties(s Settings, p Platform, view *storeView, fleet *members, b *balance.Balancer, h *sharing, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *duties {
 	d := &duties{settings: s, platform: p, view: view, members: fleet, balancer: b, recorder: recorder, logger: logger}
 	window := s.Usage.Window
 	if window <= 0 {
@@ -57,7 +57,7 @@
 	d.meter = tally.NewMeter(window, clock.Now)
 	run := uuid.New()
 	interval := func() time.Duration { return saveInterval(b.Instances(), window) }
-	d.saver = tally.NewSaver(d.meter, p.Duties, s.Instance+"/"+hex.EncodeToString(run[:8]), interval, logger)
+	d.saver = tally.NewSaver(d.meter, h.rows(p.Duties, dutiesTable), s.Instance+"/"+hex.EncodeToString(run[:8]), interval, logger)
 	d.leases = lease.NewManager(lease.Options{
 		Instance: s.Instance, Table: p.Duties, Duties: []string{controlDuty}, SweepUnder: controlDuty, MinTenure: s.Bounds.Lease, Members: fleet.staying,
 		Recorder: recorder, Logger: logger, Timing: leaseTiming(s.Bounds.Lease),
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -33,6 +33,7 @@
 	sharing  *sharing
 	follower *tablefeed.Follower
 	leaving  atomic.Bool
+	reads    atomic.Int64 // of the others' rows
 	sequence uint64
 
 	mu    sync.Mutex
@@ -41,7 +42,7 @@
 
 func newMembers(s Settings, p Platform, b *balance.Balancer, h *sharing, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *members {
 	m := &members{
-		settings: s, rows: p.InstanceRows, balancer: b, clock: clock, recorder: recorder, logger: logger, board: presence.NewBoard(),
+		settings: s, rows: h.rows(p.InstanceRows, instancesTable), balancer: b, clock: clock, recorder: recorder, logger: logger, board: presence.NewBoard(),
 		sharing: h,
 	}
 	m.follower = tablefeed.New(h.follow(tablefeed.Options{
@@ -56,9 +57,13 @@
 	running.Go(func() { m.tellAgain(ctx) })
 }
 
-// readInterval is the time between two reads of the others' rows.
+// readInterval is the time between two reads of the others' rows. The first one
+// comes before all have written theirs, so the next ones follow soon.
 func (m *members) readInterval() time.Duration {
-	if m.sharing.part() == source {
+	switch early := m.reads.Add(1) <= earlyReads; {
+	case early:
+		return earlyReadInterval
+	case m.sharing.part() == source:
 		return sourceReadInterval
 	}
 	return m.interval()
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -33,6 +33,9 @@
 	// sourceReadInterval is the time between two reads of the instances' rows by a
 	// source.
 	sourceReadInterval = 2 * time.Second
+	// earlyReads is the number of reads after a start that follow each other soon.
+	earlyReads        = 2
+	earlyReadInterval = 1500 * time.Millisecond
 
 	presenceEach  = 70 * time.Millisecond
 	presenceLeast = 3 * time.Second
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -12,6 +12,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/fanout"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/presence"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -23,6 +24,7 @@
 	operatorsTable = "operators"
 	serversTable   = "servers"
 	instancesTable = "instances"
+	dutiesTable    = "duties"
 )
 
 const (
@@ -41,11 +43,12 @@
 	group   *fanout.Group
 	client  *fanout.Client
 	caches  map[string]*fanout.Cache
+	writers map[string]*fanout.Writer
 	server  *http.Server // nil: other instances cannot call this one
 	on      net.Listener
 }
 
-func newSharing(s Settings, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *sharing {
+func newSharing(s Settings, p Platform, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *sharing {
 	h := &sharing{
 		cores:  s.Cores,
 		token:  rand.Text(),
@@ -54,6 +57,9 @@
 			Instance: s.Instance, Zone: s.Zone, Recorder: recorder, Now: boottime.Now,
 		}),
 		caches: map[string]*fanout.Cache{},
+		writers: map[string]*fanout.Writer{
+			instancesTable: fanout.NewWriter(p.InstanceRows), dutiesTable: fanout.NewWriter(p.Duties),
+		},
 	}
 	for _, table := range []string{operatorsTable, serversTable, instancesTable} {
 		h.caches[table] = fanout.NewCache(boottime.Now)
@@ -67,11 +73,10 @@
 		return h
 	}
 	h.on, h.address = on, on.Addr().String()
-	mux := http.NewServeMux()
-	mux.Handle("GET /tables/{table}", &fanout.Server{
-		Token: h.token, Serves: h.group.Serves, StoreClock: clock.Store, Tables: h.caches,
-	})
-	h.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &fanout.Server{
+		Token: h.token, Serves: h.group.Serves, StoreClock: clock.Store, Tables: h.caches, Writers: h.writers,
+	}
+	h.server = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout}
 	return h
 }
 
@@ -102,6 +107,11 @@
 	return o
 }
 
+// rows returns a table of which single rows are written through a source.
+func (h *sharing) rows(store platform.Table, table string) platform.Table {
+	return &fanout.Table{Table: store, Name: table, Group: h.group, Client: h.client, Writer: h.writers[table]}
+}
+
 // part is this instance's part in reading the tables.
 type part int
 
--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
 
@@ -49,27 +51,54 @@
 		"since":   {strconv.FormatUint(since, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
+	var page wirePage
+	err := c.call(ctx, http.MethodGet, source, table, query, nil, &page)
+	return page.page(), err
+}
+
+// write writes a row of a table through a source. It returns errNotSource when
+// nothing was written, and *platform.ConflictError when the check failed.
+func (c *Client) write(ctx context.Context, source Member, table string, e Entry) (uint64, error) {
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		return 0, fmt.Errorf("encode the row %q: %w", e.Key, err)
+	}
+	var w wireWritten
+	if err := c.call(ctx, http.MethodPost, source, table, nil, data, &w); err != nil {
+		return 0, err
+	}
+	if w.Conflict {
+		return 0, &platform.ConflictError{Key: e.Key, Current: w.Version}
+	}
+	return w.Version, nil
+}
+
+// call makes a call and decodes the answer.
+func (c *Client) call(ctx context.Context, method string, source Member, table string, query url.Values, body []byte, into any) error {
 	u := &url.URL{Scheme: "http", Host: source.Address, Path: "/tables/" + table, RawQuery: query.Encode()}
 	request := (&http.Request{
-		Method: http.MethodGet, URL: u, Host: source.Address, Header: http.Header{"Authorization": {bearer(source.Token)}},
+		Method: method, URL: u, Host: source.Address, Header: http.Header{"Authorization": {bearer(source.Token)}},
 	}).WithContext(ctx)
+	if body != nil {
+		request.ContentLength = int64(len(body))
+		request.Body = io.NopCloser(bytes.NewReader(body))
+	}
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
-		return tablefeed.Page{}, fmt.Errorf("ask instance %s: %w", source.Name, err)
+		return fmt.Errorf("ask instance %s: %w", source.Name, err)
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, mostAnswerBytes))
 	if err != nil {
-		return tablefeed.Page{}, fmt.Errorf("read the answer of instance %s: %w", source.Name, err)
+		return fmt.Errorf("read the answer of instance %s: %w", source.Name, err)
 	}
 	if err := refusal(response.StatusCode); err != nil {
-		return tablefeed.Page{}, err
+		return err
 	}
-	var page wirePage
-	if err := cbor.Unmarshal(data, &page); err != nil {
-		return tablefeed.Page{}, fmt.Errorf("decode the answer of instance %s: %w", source.Name, err)
+	if err := cbor.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("decode the answer of instance %s: %w", source.Name, err)
 	}
-	return page.page(), nil
+	return nil
 }
 
 // refusal is what a status other than 200 means.
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -4,19 +4,24 @@
 	"context"
 	"crypto/subtle"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
 
 // mostWait bounds how long a call is kept waiting.
 const mostWait = 5 * time.Second
 
-// Server answers other instances from the caches of a source.
+// mostEntryBytes bounds the body of a call that writes.
+const mostEntryBytes = 64 << 10
+
+// Server answers other instances on behalf of a source.
 type Server struct {
 	// Token authorises calls.
 	Token string
@@ -24,26 +29,66 @@
 	Serves func() bool
 	// StoreClock is the store's steady clock now; false while it is unknown.
 	StoreClock func() (time.Duration, bool)
-	// Tables are the caches by name.
-	Tables map[string]*Cache
+	// Tables are the caches, and Writers the writers, by name of the table.
+	Tables  map[string]*Cache
+	Writers map[string]*Writer
+}
+
+// Handler returns the handler of all calls.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /tables/{table}", s.guard(s.changes))
+	mux.HandleFunc("POST /tables/{table}", s.guard(s.write))
+	return mux
 }
 
-var _ http.Handler = (*Server)(nil)
+// guard turns calls away that are not for this source.
+func (s *Server) guard(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(bearer(s.Token))) != 1:
+			w.WriteHeader(http.StatusUnauthorized)
+		case !s.Serves():
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		default:
+			h(w, r)
+		}
+	}
+}
 
-// ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// changes answers with the rows of a table changed after a version.
+func (s *Server) changes(w http.ResponseWriter, r *http.Request) {
 	cache := s.Tables[r.PathValue("table")]
 	since, errSince := strconv.ParseUint(r.FormValue("since"), 10, 64)
 	wait, errWait := strconv.ParseInt(r.FormValue("wait_ms"), 10, 64)
-	switch {
-	case subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(bearer(s.Token))) != 1:
-		w.WriteHeader(http.StatusUnauthorized)
-	case cache == nil || errSince != nil || errWait != nil:
+	if cache == nil || errSince != nil || errWait != nil {
 		w.WriteHeader(http.StatusBadRequest)
-	case !s.Serves():
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	s.serve(r.Context(), w, cache, since, min(time.Duration(wait)*time.Millisecond, mostWait))
+}
+
+// write writes one row of a table.
+func (s *Server) write(w http.ResponseWriter, r *http.Request) {
+	writer := s.Writers[r.PathValue("table")]
+	var e Entry
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostEntryBytes))
+	if err == nil {
+		err = cbor.Unmarshal(data, &e)
+	}
+	if writer == nil || err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	version, err := writer.Write(r.Context(), e)
+	var conflict *platform.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		answer(w, wireWritten{Version: conflict.Current, Conflict: true})
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
-		s.serve(r.Context(), w, cache, since, min(time.Duration(wait)*time.Millisecond, mostWait))
+		answer(w, wireWritten{Version: version})
 	}
 }
 
@@ -62,7 +107,11 @@
 		return
 	}
 	page.Clock = clock
-	data, err := cbor.Marshal(toWire(page))
+	answer(w, toWire(page))
+}
+
+func answer(w http.ResponseWriter, body any) {
+	data, err := cbor.Marshal(body)
 	if err != nil {
 		panic(err) // numbers, texts and bytes always have a form
 	}
--- a/internal/fanout/wire.go
+++ b/internal/fanout/wire.go
@@ -37,3 +37,9 @@
 	}
 	return p
 }
+
+// wireWritten is the outcome of an entry between instances.
+type wireWritten struct {
+	Version  uint64 `cbor:"1,keyasint,omitempty"`
+	Conflict bool   `cbor:"2,keyasint,omitempty"` // the check failed; Version is the row's
+}
