In an outage of the store let one table find out that it is back

Change: followers of one instance share a Contact. The operators' table is retried every 0.5 to 1.5 s, more rarely the more instances there are; the other tables wait until it was answered, 3 s at most. Test: TestOneTableFindsOutThatTheStoreIsBack.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -47,7 +47,7 @@
 	}
 	m.follower = tablefeed.New(h.follow(tablefeed.Options{
 		Feed: p.Instances, Pause: m.readInterval, Patience: feedPatience, ReadPatience: readPatience,
-		Apply: m.apply, Heard: clock.Heard, Recorder: recorder,
+		Apply: m.apply, Heard: clock.Heard, Recorder: recorder, RetryMost: othersRetry,
 	}, instancesTable, instancesAge))
 	return m
 }
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -17,6 +17,13 @@
 	// proof may reach while all is well.
 	operatorsWaitShare = 0.6
 
+	// In an outage of the store one table finds out that it is back, the more rarely
+	// the more instances ask, and the others wait for that.
+	retryEach   = 10 * time.Millisecond
+	retryLeast  = 500 * time.Millisecond
+	retryMost   = 1500 * time.Millisecond
+	retryOthers = 3 * time.Second
+
 	serversWaitAlone  = 3 * time.Second
 	serversPauseEach  = 20 * time.Millisecond
 	serversPauseLeast = 400 * time.Millisecond
@@ -62,6 +69,16 @@
 	return min(wait, time.Duration(operatorsWaitShare*float64(revocation-revocationMargin)))
 }
 
+// operatorsRetry is the longest wait before a call for the configuration after
+// failed ones.
+func operatorsRetry(instances int) time.Duration {
+	return clamp(time.Duration(instances)*retryEach, retryLeast, retryMost)
+}
+
+// othersRetry is the same for tables that hear from the operators' that the store
+// is back.
+func othersRetry() time.Duration { return retryOthers }
+
 // serversWait is how long a call for the servers' entries is held back.
 func serversWait(p part) time.Duration {
 	switch p {
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -42,6 +42,7 @@
 	cores   float64
 	group   *fanout.Group
 	client  *fanout.Client
+	contact *tablefeed.Contact
 	caches  map[string]*fanout.Cache
 	writers map[string]*fanout.Writer
 	server  *http.Server // nil: other instances cannot call this one
@@ -52,7 +53,7 @@
 	h := &sharing{
 		cores:  s.Cores,
 		token:  rand.Text(),
-		client: fanout.NewClient(),
+		client: fanout.NewClient(), contact: tablefeed.NewContact(),
 		group: fanout.NewGroup(fanout.GroupOptions{
 			Instance: s.Instance, Zone: s.Zone, Recorder: recorder, Now: boottime.Now,
 		}),
@@ -104,6 +105,7 @@
 	o.Name = table
 	o.Feed = &fanout.Feed{Name: table, Store: o.Feed, Group: h.group, Client: h.client, MaxAge: age}
 	o.Took, o.Lost = cache.Took, cache.Lost
+	o.Contact = h.contact
 	return o
 }
 
--- a/internal/tablefeed/follower.go
+++ b/internal/tablefeed/follower.go
@@ -77,6 +77,10 @@
 	// ReadPatience is the time after which the read of one page of all rows is given
 	// up. Zero: Patience.
 	ReadPatience time.Duration
+	// RetryMost bounds the wait before a call after failed ones. Nil: 500 ms.
+	RetryMost func() time.Duration
+	// Contact ends that wait when another table was answered. Nil: nothing does.
+	Contact *Contact
 	// Apply takes what was learnt; calls do not overlap. Required.
 	Apply func(Update)
 	// Heard takes the store's steady clock with each answer and the instant at
@@ -140,6 +144,9 @@
 	if o.Wait == nil {
 		o.Wait = noTime
 	}
+	if o.RetryMost == nil {
+		o.RetryMost = func() time.Duration { return defaultRetryMost }
+	}
 	return &Follower{options: o}
 }
 
@@ -154,8 +161,8 @@
 }
 
 const (
-	retryLeast = 100 * time.Millisecond
-	retryMost  = 500 * time.Millisecond
+	retryLeast       = 100 * time.Millisecond
+	defaultRetryMost = 500 * time.Millisecond
 )
 
 // Run follows the table until ctx ends.
@@ -173,11 +180,12 @@
 			return
 		case err != nil:
 			f.lost(err)
-			_ = wait.For(ctx, retry/2+rand.N(retry))
-			retry = min(2*retry, retryMost)
+			f.options.Contact.wait(ctx, retryLeast/2+rand.N(retryLeast), retry/2+rand.N(retry))
+			retry = min(2*retry, f.options.RetryMost())
 		default:
 			retry = retryLeast
 			f.regained()
+			f.options.Contact.note()
 			if f.reading == nil {
 				_ = wait.For(ctx, f.options.Pause()-boottime.Now().Sub(started))
 			}
--- a/internal/tablefeed/follower_test.go
+++ b/internal/tablefeed/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -27,6 +28,11 @@
 	answers []answer
 	calls   []call
 	done    chan struct{} // closed when the last answer was given
+
+	err      func() bool   // when set and true, calls fail at once
+	began    time.Time     // of the script
+	failed   int           // calls that did
+	answered time.Duration // until the first other one
 }
 
 type answer struct {
@@ -36,11 +42,19 @@
 }
 
 func newScript(answers ...answer) *script {
-	return &script{answers: answers, done: make(chan struct{})}
+	return &script{answers: answers, done: make(chan struct{}), began: time.Now()}
 }
 
 func (s *script) next(c call) (Page, error) {
 	s.mu.Lock()
+	if s.err != nil && s.err() {
+		s.failed++
+		s.mu.Unlock()
+		return Page{}, errors.New("reset")
+	}
+	if s.answered == 0 {
+		s.answered = time.Since(s.began)
+	}
 	a := s.answers[min(len(s.calls), len(s.answers)-1)]
 	s.calls = append(s.calls, c)
 	if len(s.calls) == len(s.answers) {
@@ -201,6 +215,38 @@
 	is.Equal(f.Proved(), first)
 }
 
+// TestOneTableFindsOutThatTheStoreIsBack plays an outage in which every call fails
+// at once.
+func TestOneTableFindsOutThatTheStoreIsBack(t *testing.T) {
+	const outage = 8 * time.Second
+	const patient = time.Minute
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		contact := NewContact()
+		began := time.Now()
+		away := func(s *script) { s.err = func() bool { return time.Since(began) < outage } }
+		lead, other := newScript(answer{page: Page{Version: 1}, delay: hold}), newScript(answer{page: Page{Version: 1}, delay: hold})
+		away(lead)
+		away(other)
+		ctx, cancel := context.WithTimeout(t.Context(), outage+2*time.Second)
+		defer cancel()
+		var running sync.WaitGroup
+		for s, most := range map[*script]time.Duration{lead: time.Second, other: patient} {
+			f := New(Options{
+				Feed: s, Wait: func() time.Duration { return hold }, Patience: time.Second, Contact: contact,
+				RetryMost: func() time.Duration { return most }, Apply: func(Update) {}, Recorder: timeline.Discard,
+			})
+			running.Go(func() { f.Run(ctx) })
+			defer func() { is.True(!f.Proved().IsZero()) }()
+		}
+		running.Wait()
+		is.True(lead.failed >= 8 && lead.failed <= 14)
+		is.True(other.failed <= 8)
+		is.True(other.answered-lead.answered < 100*time.Millisecond) // told by the lead
+		is.True(lead.answered-outage < 2*time.Second)
+	})
+}
+
 func TestReadOfAllRowsHasItsOwnPatience(t *testing.T) {
 	is := is.New(t)
 	f := New(Options{Patience: time.Second, ReadPatience: time.Minute, Wait: func() time.Duration { return hold }})
