--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -57,7 +57,10 @@
 	d.meter = tally.NewMeter(window, clock.Now)
 	run := uuid.New()
 	interval := func() time.Duration { return saveInterval(b.Instances(), window) }
-	d.saver = tally.NewSaver(d.meter, h.rows(p.Duties, dutiesTable), s.Instance+"/"+hex.EncodeToString(run[:8]), interval, logger)
+	d.saver = tally.NewSaver(tally.SaverOptions{
+		Meter: d.meter, Table: h.rows(p.Duties, dutiesTable), Run: s.Instance + "/" + hex.EncodeToString(run[:8]),
+		Interval: interval, Contact: h.contact, Logger: logger,
+	})
 	d.leases = lease.NewManager(lease.Options{
 		Instance: s.Instance, Table: p.Duties, Duties: []string{controlDuty}, SweepUnder: controlDuty, MinTenure: s.Bounds.Lease, Members: fleet.staying,
 		Recorder: recorder, Logger: logger, Timing: leaseTiming(s.Bounds.Lease),
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -314,6 +314,18 @@
 	is.True(ok)
 }
 
+func TestSourceThatHadLostTheStoreIsAskedSoonAgain(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	source, _ := p.feed.Group.Source()
+	for range 10 {
+		p.feed.Group.Failed(source, errStoreLost)
+	}
+	p.clock.advance(shunFirst)
+	_, ok := p.feed.Group.Source()
+	is.True(ok)
+}
+
 func TestEachChangeOfWhereTablesAreReadIsRecordedOnce(t *testing.T) {
 	is := is.New(t)
 	c := newClock()
--- a/internal/fanout/group.go
+++ b/internal/fanout/group.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -139,6 +140,9 @@
 	defer g.mu.Unlock()
 	s := g.shunned[m.Token]
 	s.failures++
+	if errors.Is(err, errStoreLost) {
+		s.failures = 1 // the store's fault: the source is fit once that is back
+	}
 	s.until = g.options.Now().Add(min(shunFirst<<min(s.failures-1, 10), shunMost))
 	g.shunned[m.Token] = s
 	g.note(m.Name + ": " + err.Error())
--- a/internal/tablefeed/contact.go
+++ b/internal/tablefeed/contact.go
@@ -30,9 +30,9 @@
 	c.heard = make(chan struct{})
 }
 
-// wait waits for a least time, and then until another table has been answered since
+// Wait waits for a least time, and then until another table has been answered since
 // the call, at most for the rest of most.
-func (c *Contact) wait(ctx context.Context, least, most time.Duration) {
+func (c *Contact) Wait(ctx context.Context, least, most time.Duration) {
 	var heard <-chan struct{}
 	if c != nil {
 		c.mu.Lock()
--- a/internal/tablefeed/follower.go
+++ b/internal/tablefeed/follower.go
@@ -162,6 +162,7 @@
 
 const (
 	retryLeast       = 100 * time.Millisecond
+	retryFactor      = 4
 	defaultRetryMost = 500 * time.Millisecond
 )
 
@@ -180,8 +181,8 @@
 			return
 		case err != nil:
 			f.lost(err)
-			f.options.Contact.wait(ctx, retryLeast/2+rand.N(retryLeast), retry/2+rand.N(retry))
-			retry = min(2*retry, f.options.RetryMost())
+			f.options.Contact.Wait(ctx, retryLeast/2+rand.N(retryLeast), retry/2+rand.N(retry))
+			retry = min(retryFactor*retry, f.options.RetryMost())
 		default:
 			retry = retryLeast
 			f.regained()
