--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -282,6 +282,21 @@
 	is.True(errors.Is(err, errNotSource))
 }
 
+func TestMetricsTellWhereTablesAreReadAndHowCallsEnded(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	_, err := p.ask(t, 0)
+	is.NoErr(err)
+	p.serves = false
+	_, err = p.ask(t, 0)
+	is.NoErr(err)
+	var text strings.Builder
+	p.feed.Group.WriteMetrics(&text)
+	is.True(strings.Contains(text.String(), `hawthornwick_feed_source{state="store"} 1`))
+	is.True(strings.Contains(text.String(), `hawthornwick_source_calls_total{outcome="answered"} 1`))
+	is.True(strings.Contains(text.String(), `hawthornwick_source_calls_total{outcome="failed"} 1`))
+}
+
 func TestStoreLostByTheSourceCountsAsAFailedCall(t *testing.T) {
 	is := is.New(t)
 	p := newPair(t)
--- a/internal/fanout/group.go
+++ b/internal/fanout/group.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -52,7 +54,8 @@
 	state     string             // of the last event
 	peer      string
 	direct    int // instances that read the store themselves
-	instances int // all of them
+
+	answered, failed uint64 // calls to sources
 }
 
 // NewGroup returns a group of unknown members, in which the store is read.
@@ -71,7 +74,7 @@
 	if !g.serves {
 		g.sources = preferred(sources, g.options.Instance)
 	}
-	g.instances, g.direct = len(members), readers(members)
+	g.direct = readers(members)
 	g.forget()
 	g.note("")
 }
@@ -138,6 +141,7 @@
 func (g *Group) Failed(m Member, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.failed++
 	s := g.shunned[m.Token]
 	s.failures++
 	if errors.Is(err, errStoreLost) {
@@ -152,10 +156,27 @@
 func (g *Group) Answered(m Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.answered++
 	delete(g.shunned, m.Token)
 	g.note("")
 }
 
+// WriteMetrics writes from where the tables are read, and the calls to sources, in
+// the text format.
+func (g *Group) WriteMetrics(w io.Writer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, state := range []string{stateStore, stateServes, stateSource} {
+		current := 0
+		if state == g.state {
+			current = 1
+		}
+		fmt.Fprintf(w, "hawthornwick_feed_source{state=%q} %d\n", state, current)
+	}
+	fmt.Fprintf(w, "hawthornwick_source_calls_total{outcome=\"answered\"} %d\n", g.answered)
+	fmt.Fprintf(w, "hawthornwick_source_calls_total{outcome=\"failed\"} %d\n", g.failed)
+}
+
 // note adds an event when the tables are read from elsewhere than before.
 func (g *Group) note(why string) {
 	state, peer := stateStore, ""
