--- a/internal/fanout/group.go
+++ b/internal/fanout/group.go
@@ -47,13 +47,13 @@
 type Group struct {
 	options GroupOptions
 
-	mu        sync.Mutex
-	serves    bool
-	sources   []Member           // to be asked, best first; empty for a source
-	shunned   map[string]shunned // by token
-	state     string             // of the last event
-	peer      string
-	direct    int // instances that read the store themselves
+	mu      sync.Mutex
+	serves  bool
+	sources []Member           // to be asked, best first; empty for a source
+	shunned map[string]shunned // by token
+	state   string             // of the last event
+	peer    string
+	direct  int // instances that read the store themselves
 
 	answered, failed uint64 // calls to sources
 }
