Let another instance stand in for a store that turns one instance away

Change: after a failed call the tables are followed through another instance that reads the store, for 3 s at a time. Answers state the age of their proof, so that a key withdrawn meanwhile stops there too. Tests: TestInstanceThatTheStoreTurnsAwayServesOn failed first; package fanout.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -53,6 +53,7 @@
 	orders  []replicas.Order
 
 	refuseOrders bool
+	spoil        func(*Platform) // changes what the next instance gets; nil: nothing
 }
 
 func newWorld(t *testing.T) *world {
@@ -191,7 +192,11 @@
 	}
 	log := &lockedBuffer{}
 	sink := logsink.New(log, 0)
-	e, err := New(s, w.platform(name), sink)
+	p := w.platform(name)
+	if w.spoil != nil {
+		w.spoil(&p)
+	}
+	e, err := New(s, p, sink)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -32,6 +32,9 @@
 	// rest, and instancesAge that for the instances' rows.
 	promisedAge  = 1600 * time.Millisecond
 	instancesAge = 10 * time.Second
+	// standInAge bounds it while another instance stands in for a lost store: the
+	// one that stands in may wait longest for the store.
+	standInAge = 4 * time.Second
 )
 
 // sharing is how this instance and the others of its zone follow the tables
@@ -75,7 +78,7 @@
 	}
 	h.on, h.address = on, on.Addr().String()
 	server := &fanout.Server{
-		Token: h.token, Serves: h.group.Serves, StoreClock: clock.Store, Tables: h.caches, Writers: h.writers,
+		Token: h.token, Reads: h.group.Reads, StoreClock: clock.Store, Tables: h.caches, Writers: h.writers,
 	}
 	h.server = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout}
 	return h
@@ -103,7 +106,7 @@
 func (h *sharing) follow(o tablefeed.Options, table string, age time.Duration) tablefeed.Options {
 	cache := h.caches[table]
 	o.Name = table
-	o.Feed = &fanout.Feed{Name: table, Store: o.Feed, Group: h.group, Client: h.client, MaxAge: age}
+	o.Feed = &fanout.Feed{Name: table, Store: o.Feed, Group: h.group, Client: h.client, MaxAge: age, StandInAge: standInAge}
 	o.Took, o.Lost = cache.Took, cache.Lost
 	o.Contact = h.contact
 	return o
@@ -124,12 +127,12 @@
 )
 
 func (h *sharing) part() part {
+	if !h.group.Reads() {
+		return follows
+	}
 	if h.group.Serves() {
 		return source
 	}
-	if _, ok := h.group.Source(); ok {
-		return follows
-	}
 	return alone
 }
 
--- a/internal/edge/sharing_test.go
+++ b/internal/edge/sharing_test.go
@@ -1,11 +1,16 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
 
 // fleet is the instances of one zone.
@@ -81,3 +86,41 @@
 	})
 	is.True(len(rest) == len(zone)-1)
 }
+
+// gate is a feed of a store that may turn its caller away.
+type gate struct {
+	tablefeed.Feed
+	shut *atomic.Bool
+}
+
+func (g gate) Changes(ctx context.Context, since uint64, wait time.Duration) (tablefeed.Page, error) {
+	if g.shut.Load() {
+		return tablefeed.Page{}, errors.New("turned away")
+	}
+	return g.Feed.Changes(ctx, since, wait)
+}
+
+// TestInstanceThatTheStoreTurnsAwayServesOn: an instance that alone is turned away
+// hears of changes through another one, so that no request under a key is refused.
+func TestInstanceThatTheStoreTurnsAwayServesOn(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.addServer("a", 0)
+	shut := &atomic.Bool{}
+	w.spoil = func(p *Platform) {
+		p.Operators, p.Servers, p.Instances = gate{p.Operators, shut}, gate{p.Servers, shut}, gate{p.Instances, shut}
+	}
+	alone := w.ready("alone")
+	w.spoil = nil
+	w.ready("other")
+	eventually(t, 10*time.Second, "the instances know each other", func() bool { return alone.balancer.Instances() == 2 })
+	shut.Store(true)
+	end := time.Now().Add(2 * alone.settings.Bounds.Revocation)
+	for n := 0; time.Now().Before(end); n++ {
+		alone.expect(fmt.Sprint(n), "key", 200)
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.putConfig(2, "new")
+	eventually(t, 2*time.Second, "the change in force", func() bool { return alone.view.Table().Version == 2 })
+	alone.expect("withdrawn", "key", 401)
+}
--- a/internal/fanout/fanout_test.go
+++ b/internal/fanout/fanout_test.go
@@ -195,7 +195,7 @@
 	p.cache = NewCache(p.clock.now)
 	p.cache.Took(tablefeed.Update{Whole: true}, 5, p.clock.now())
 	server := &Server{
-		Token: "t", Serves: func() bool { return p.serves },
+		Token: "t", Reads: func() bool { return p.serves },
 		StoreClock: func() (time.Duration, bool) { return 42 * time.Second, true },
 		Tables:     map[string]*Cache{"servers": p.cache},
 		Writers:    map[string]*Writer{"duties": NewWriter(p.rows)},
@@ -219,7 +219,7 @@
 	group.SetMembers(members)
 	client := NewClient()
 	t.Cleanup(client.Close)
-	p.feed = &Feed{Name: "servers", Store: p.store, Group: group, Client: client, MaxAge: 1600 * time.Millisecond}
+	p.feed = &Feed{Name: "servers", Store: p.store, Group: group, Client: client, MaxAge: 1600 * time.Millisecond, StandInAge: 4 * time.Second}
 	p.table = &Table{Table: p.own.Table("duties"), Name: "duties", Group: group, Client: client}
 	return p
 }
@@ -484,3 +484,69 @@
 	is.NoErr(err)
 	is.Equal(p.own.Calls(), 2) // at once, without waiting for other rows
 }
+
+// lonely is a pair in a zone without sources.
+func lonely(t *testing.T) *pair {
+	t.Helper()
+	p := newPair(t)
+	source, _ := p.feed.Group.Source()
+	p.feed.Group.SetMembers([]Member{source, {Name: "self", Zone: "a"}})
+	return p
+}
+
+func TestAnotherInstanceStandsInForAStoreThatTurnsThisOneAway(t *testing.T) {
+	is := is.New(t)
+	p := lonely(t)
+	p.store.err = errors.New("status 429")
+	_, err := p.ask(t, time.Second)
+	is.Equal(err, p.store.err) // told once: entries may have lapsed
+	p.clock.advance(2500 * time.Millisecond)
+	page, err := p.ask(t, 500*time.Millisecond)
+	is.NoErr(err)
+	is.Equal(page.Age, 2500*time.Millisecond) // it may wait longest for the store
+	is.Equal(len(p.store.waits), 1)
+	p.clock.advance(standInTime)
+	p.store.err = nil
+	page, err = p.ask(t, 500*time.Millisecond)
+	is.NoErr(err)
+	is.Equal(page.Version, uint64(77)) // the store's
+}
+
+func TestWhereAllHaveLostTheStoreEachKeepsTryingIt(t *testing.T) {
+	is := is.New(t)
+	p := lonely(t)
+	p.store.err = errors.New("reset")
+	p.cache.Lost(p.store.err)
+	for range 5 {
+		_, err := p.ask(t, 500*time.Millisecond)
+		is.Equal(err, p.store.err)
+		p.clock.advance(shunFirst)
+	}
+	is.Equal(len(p.store.waits), 5) // each call reached the store
+}
+
+func TestInstanceThatFollowsAnotherAnswersNobody(t *testing.T) {
+	is := is.New(t)
+	p := lonely(t)
+	is.True(p.feed.Group.Reads())
+	p.feed.Group.StoreFailed(errors.New("reset"))
+	is.True(!p.feed.Group.Reads())
+	is.True(p.feed.Group.EndStandIn())
+	is.True(p.feed.Group.Reads())
+}
+
+func TestInstancesOfTheOwnZoneStandInFirst(t *testing.T) {
+	is := is.New(t)
+	g := NewGroup(GroupOptions{Instance: "a-0", Zone: "a", Recorder: timeline.Discard, Now: newClock().now})
+	g.SetMembers(append(zoneOf("b", 3), zoneOf("a", 3)...))
+	g.StoreFailed(errors.New("reset"))
+	for range 2 {
+		m, ok := g.Source()
+		is.True(ok)
+		is.Equal(m.Zone, "a")
+		is.True(m.Name != "a-0")
+		g.Failed(m, errNotSource)
+	}
+	m, _ := g.Source()
+	is.Equal(m.Zone, "b")
+}
--- a/internal/fanout/feed.go
+++ b/internal/fanout/feed.go
@@ -29,6 +29,8 @@
 	Client *Client
 	// MaxAge is the age of a source's proof from which its answer does not count.
 	MaxAge time.Duration
+	// StandInAge is the same while another instance stands in for a store that failed.
+	StandInAge time.Duration
 }
 
 var _ tablefeed.Feed = (*Feed)(nil)
@@ -44,7 +46,7 @@
 func (f *Feed) Changes(ctx context.Context, since uint64, wait time.Duration) (tablefeed.Page, error) {
 	source, ok := f.Group.Source()
 	if !ok {
-		return f.Store.Changes(ctx, since, wait)
+		return f.askStore(ctx, since, wait)
 	}
 	page, err := f.ask(ctx, source, since, wait)
 	if err == nil {
@@ -55,22 +57,41 @@
 		return tablefeed.Page{}, err
 	}
 	f.Group.Failed(source, err)
-	if errors.Is(err, errStoreLost) {
+	if errors.Is(err, errStoreLost) && !f.Group.EndStandIn() {
 		return tablefeed.Page{}, err
 	}
-	page, err = f.Store.Changes(ctx, since, 0)
+	page, err = f.askStore(ctx, since, 0)
 	page.AtOnce = true
 	return page, err
 }
 
+// askStore asks the store. When that fails, the follower's next call goes to
+// another instance, which the store may still answer.
+func (f *Feed) askStore(ctx context.Context, since uint64, wait time.Duration) (tablefeed.Page, error) {
+	page, err := f.Store.Changes(ctx, since, wait)
+	stopped := errors.Is(ctx.Err(), context.Canceled)
+	if err != nil && !stopped && !errors.Is(err, tablefeed.ErrHistoryGone) {
+		f.Group.StoreFailed(err)
+	}
+	return page, err
+}
+
 // ask asks a source, in less than the wait.
 func (f *Feed) ask(ctx context.Context, source Member, since uint64, wait time.Duration) (tablefeed.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(wait, answerTime))
 	defer cancel()
 	page, err := f.Client.changes(ctx, source, f.Name, since, max(wait-answerTime, 0))
 	page.AtOnce = true
-	if err == nil && page.Age > f.MaxAge {
+	if age := f.mostAge(); err == nil && page.Age > age {
 		return tablefeed.Page{}, fmt.Errorf("the source's proof is %v old", page.Age)
 	}
 	return page, err
 }
+
+// mostAge is the age of a proof from which an answer does not count.
+func (f *Feed) mostAge() time.Duration {
+	if f.Group.StandsIn() {
+		return f.StandInAge
+	}
+	return f.MaxAge
+}
--- a/internal/fanout/group.go
+++ b/internal/fanout/group.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -17,6 +18,9 @@
 	// time doubles with each failure in a row.
 	shunFirst = time.Second
 	shunMost  = 16 * time.Second
+	// standInTime is how long another instance stands in for a store that failed,
+	// before the store is tried again.
+	standInTime = 3 * time.Second
 )
 
 // Values of the state of an event about where the tables are read.
@@ -47,13 +51,15 @@
 type Group struct {
 	options GroupOptions
 
-	mu      sync.Mutex
-	serves  bool
-	sources []Member           // to be asked, best first; empty for a source
-	shunned map[string]shunned // by token
-	state   string             // of the last event
-	peer    string
-	direct  int // instances that read the store themselves
+	mu       sync.Mutex
+	serves   bool
+	sources  []Member           // to be asked, best first; empty for a source
+	others   []Member           // that may stand in for the store, best first
+	standsIn boottime.Instant   // until then one of them does
+	shunned  map[string]shunned // by token
+	state    string             // of the last event
+	peer     string
+	direct   int // instances that read the store themselves
 
 	answered, failed uint64 // calls to sources
 }
@@ -74,11 +80,33 @@
 	if !g.serves {
 		g.sources = preferred(sources, g.options.Instance)
 	}
+	g.others = preferred(others(members, g.options.Instance), g.options.Instance)
+	slices.SortStableFunc(g.others, func(a, b Member) int {
+		return cmp.Compare(number(a.Zone != g.options.Zone), number(b.Zone != g.options.Zone))
+	})
 	g.direct = readers(members)
 	g.forget()
 	g.note("")
 }
 
+// others returns the members that may answer calls, without one.
+func others(members []Member, instance string) []Member {
+	var able []Member
+	for _, m := range members {
+		if m.Name != instance && m.mayServe() {
+			able = append(able, m)
+		}
+	}
+	return able
+}
+
+func number(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // readers is the number of instances that read the store themselves.
 func readers(members []Member) int {
 	zones := map[string]int{}
@@ -96,10 +124,10 @@
 	return count
 }
 
-// forget drops what is known of sources that are none any more.
+// forget drops what is known of instances that are gone.
 func (g *Group) forget() {
 	for token := range g.shunned {
-		if !slices.ContainsFunc(g.sources, func(m Member) bool { return m.Token == token }) {
+		if !slices.ContainsFunc(g.others, func(m Member) bool { return m.Token == token }) {
 			delete(g.shunned, token)
 		}
 	}
@@ -112,6 +140,41 @@
 	return g.serves
 }
 
+// Reads reports whether this instance reads the store itself now, so that it may
+// answer others.
+func (g *Group) Reads() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, follows := g.source()
+	return !follows
+}
+
+// StoreFailed takes a failed call to the store. Another instance stands in for a
+// time, if there is one that may.
+func (g *Group) StoreFailed(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.standsIn = g.options.Now().Add(standInTime)
+	g.note("store: " + err.Error())
+}
+
+// EndStandIn ends that another instance stands in for the store, since that one has
+// lost it too, and reports whether one did.
+func (g *Group) EndStandIn() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	did := g.options.Now().Before(g.standsIn)
+	g.standsIn = 0
+	return did
+}
+
+// StandsIn reports whether another instance may stand in for the store now.
+func (g *Group) StandsIn() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.options.Now().Before(g.standsIn)
+}
+
 // Readers is the number of instances that read the store themselves, 0 while the
 // members are unknown.
 func (g *Group) Readers() int {
@@ -129,7 +192,18 @@
 
 func (g *Group) source() (Member, bool) {
 	now := g.options.Now()
-	for _, m := range g.sources {
+	if m, ok := g.fit(g.sources, now); ok {
+		return m, true
+	}
+	if now.Before(g.standsIn) {
+		return g.fit(g.others, now)
+	}
+	return Member{}, false
+}
+
+// fit returns the first member that has not failed lately.
+func (g *Group) fit(members []Member, now boottime.Instant) (Member, bool) {
+	for _, m := range members {
 		if !now.Before(g.shunned[m.Token].until) {
 			return m, true
 		}
@@ -180,10 +254,10 @@
 // note adds an event when the tables are read from elsewhere than before.
 func (g *Group) note(why string) {
 	state, peer := stateStore, ""
-	if g.serves {
-		state = stateServes
-	} else if m, ok := g.source(); ok {
+	if m, ok := g.source(); ok {
 		state, peer = stateSource, m.Name
+	} else if g.serves {
+		state = stateServes
 	}
 	if state == g.state && peer == g.peer {
 		return
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -25,8 +25,8 @@
 type Server struct {
 	// Token authorises calls.
 	Token string
-	// Serves reports whether this instance is a source now.
-	Serves func() bool
+	// Reads reports whether this instance reads the store itself now.
+	Reads func() bool
 	// StoreClock is the store's steady clock now; false while it is unknown.
 	StoreClock func() (time.Duration, bool)
 	// Tables are the caches, and Writers the writers, by name of the table.
@@ -42,13 +42,13 @@
 	return mux
 }
 
-// guard turns calls away that are not for this source.
+// guard turns away calls without the token, and all while others are followed.
 func (s *Server) guard(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(bearer(s.Token))) != 1:
 			w.WriteHeader(http.StatusUnauthorized)
-		case !s.Serves():
+		case !s.Reads():
 			w.WriteHeader(http.StatusMisdirectedRequest)
 		default:
 			h(w, r)
@@ -102,7 +102,7 @@
 	case err != nil || !heard:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case !s.Serves():
+	case !s.Reads():
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/internal/fanout/table.go
+++ b/internal/fanout/table.go
@@ -30,11 +30,11 @@
 	if !single {
 		return t.Table.Commit(ctx, txn)
 	}
-	if t.Group.Serves() {
-		return versionOf(t.Writer.Write(ctx, e))
-	}
 	source, ok := t.Group.Source()
-	if !ok {
+	switch {
+	case !ok && t.Group.Serves():
+		return versionOf(t.Writer.Write(ctx, e))
+	case !ok:
 		return t.Table.Commit(ctx, txn)
 	}
 	version, err := t.Client.write(ctx, source, t.Name, e)
