--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -63,7 +63,7 @@
 	switch early := m.reads.Add(1) <= earlyReads; {
 	case early:
 		return earlyReadInterval
-	case m.sharing.part() == source:
+	case m.sharing.part() == partSource:
 		return sourceReadInterval
 	}
 	return m.interval()
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -57,9 +57,9 @@
 // store requests are refused the sooner the longer it is.
 func operatorsWait(p part, instances int, revocation time.Duration) time.Duration {
 	switch p {
-	case source:
+	case partSource:
 		return sourceWait
-	case follows:
+	case partFollows:
 		return fanout.FollowWait
 	}
 	wait := clamp(time.Duration(instances)*operatorsWaitEach, operatorsWaitLeast, operatorsWaitMost)
@@ -82,9 +82,9 @@
 // serversWait is how long a call for the servers' entries is held back.
 func serversWait(p part) time.Duration {
 	switch p {
-	case source:
+	case partSource:
 		return sourceWait
-	case follows:
+	case partFollows:
 		return fanout.FollowWait
 	}
 	return serversWaitAlone
@@ -93,7 +93,7 @@
 // serversPause is the time between two reads of the backend servers' entries; it
 // joins the changes of several servers.
 func serversPause(p part, instances int, leaving time.Duration) time.Duration {
-	if p == follows {
+	if p == partFollows {
 		return followPause
 	}
 	most := time.Duration(serversPauseShare * float64(leaving))
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -121,19 +121,19 @@
 type part int
 
 const (
-	alone   part = iota // reads the store for itself
-	source              // reads it for others as well
-	follows             // follows a source
+	partAlone   part = iota // reads the store for itself
+	partSource              // reads it for others as well
+	partFollows             // follows another instance
 )
 
 func (h *sharing) part() part {
 	if !h.group.Reads() {
-		return follows
+		return partFollows
 	}
 	if h.group.Serves() {
-		return source
+		return partSource
 	}
-	return alone
+	return partAlone
 }
 
 // introduce fills in how others reach this instance.
--- a/internal/edge/sharing_test.go
+++ b/internal/edge/sharing_test.go
@@ -49,13 +49,13 @@
 	for n := range 8 {
 		zone = append(zone, w.ready(fmt.Sprint("instance-", n)))
 	}
-	settled := func() bool { return len(zone.with(source)) == 2 && len(zone.with(follows)) == len(zone)-2 }
+	settled := func() bool { return len(zone.with(partSource)) == 2 && len(zone.with(partFollows)) == len(zone)-2 }
 	eventually(t, 20*time.Second, "two sources, followed by all others", settled)
 
 	w.putConfig(2, "key")
 	eventually(t, 2*time.Second, "the change in force everywhere", func() bool { return zone.inForce(2) })
 
-	ended := zone.with(source)[0]
+	ended := zone.with(partSource)[0]
 	ended.stop()
 	var rest fleet
 	for _, r := range zone {
--- a/internal/edge/storeview.go
+++ b/internal/edge/storeview.go
@@ -101,7 +101,7 @@
 
 // readers is the number of instances that read the store themselves.
 func (v *storeView) readers() int {
-	if v.sharing.part() == alone {
+	if v.sharing.part() == partAlone {
 		return v.balancer.Instances()
 	}
 	return v.sharing.group.Readers()
--- a/internal/fanout/group.go
+++ b/internal/fanout/group.go
@@ -1,7 +1,6 @@
 package fanout
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -80,50 +79,12 @@
 	if !g.serves {
 		g.sources = preferred(sources, g.options.Instance)
 	}
-	g.others = preferred(others(members, g.options.Instance), g.options.Instance)
-	slices.SortStableFunc(g.others, func(a, b Member) int {
-		return cmp.Compare(number(a.Zone != g.options.Zone), number(b.Zone != g.options.Zone))
-	})
+	g.others = standIns(members, g.options.Instance, g.options.Zone)
 	g.direct = readers(members)
 	g.forget()
 	g.note("")
 }
 
-// others returns the members that may answer calls, without one.
-func others(members []Member, instance string) []Member {
-	var able []Member
-	for _, m := range members {
-		if m.Name != instance && m.mayServe() {
-			able = append(able, m)
-		}
-	}
-	return able
-}
-
-func number(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// readers is the number of instances that read the store themselves.
-func readers(members []Member) int {
-	zones := map[string]int{}
-	for _, m := range members {
-		zones[m.Zone]++
-	}
-	count := 0
-	for zone, instances := range zones {
-		if sources := len(Sources(members, zone)); sources > 0 {
-			count += sources
-			continue
-		}
-		count += instances
-	}
-	return count
-}
-
 // forget drops what is known of instances that are gone.
 func (g *Group) forget() {
 	for token := range g.shunned {
--- /dev/null
+++ b/internal/fanout/harness_test.go
@@ -0,0 +1,120 @@
+package fanout
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/standin/store"
+	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+func zoneOf(zone string, n int) []Member {
+	var members []Member
+	for i := range n {
+		name := fmt.Sprintf("%s-%d", zone, i)
+		members = append(members, Member{Name: name, Zone: zone, Address: name + ":1", Token: "t-" + name, Cores: 0.2})
+	}
+	return members
+}
+
+// clock is a settable clock.
+type clock struct{ at atomic.Int64 }
+
+func (c *clock) now() boottime.Instant { return boottime.Instant(c.at.Load()) }
+
+func (c *clock) advance(d time.Duration) { c.at.Add(int64(d)) }
+
+func newClock() *clock { c := &clock{}; c.advance(time.Hour); return c }
+
+func row(key string, v uint64) tablefeed.Row { return tablefeed.Row{Key: key, Version: v} }
+
+// storeFeed is the store as one instance reaches it.
+type storeFeed struct {
+	waits []time.Duration
+	err   error
+}
+
+func (s *storeFeed) Read(context.Context, string) (tablefeed.Page, error) {
+	return tablefeed.Page{}, s.err
+}
+
+func (s *storeFeed) Changes(_ context.Context, _ uint64, wait time.Duration) (tablefeed.Page, error) {
+	s.waits = append(s.waits, wait)
+	return tablefeed.Page{Version: 77}, s.err
+}
+
+// pair is one instance that follows a source over loopback.
+type pair struct {
+	clock  *clock
+	cache  *Cache
+	server *httptest.Server
+	serves bool
+	store  *storeFeed
+	feed   *Feed
+	rows   platform.Table // of the source
+	own    *store.Store   // as this instance reaches it
+	table  *Table
+	mute   atomic.Bool // the source accepts calls and never answers
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{clock: newClock(), serves: true, store: &storeFeed{}, own: store.New()}
+	p.rows = p.own.Table("duties")
+	p.cache = NewCache(p.clock.now)
+	p.cache.Took(tablefeed.Update{Whole: true}, 5, p.clock.now())
+	server := &Server{
+		Token: "t", Reads: func() bool { return p.serves },
+		StoreClock: func() (time.Duration, bool) { return 42 * time.Second, true },
+		Tables:     map[string]*Cache{"servers": p.cache},
+		Writers:    map[string]*Writer{"duties": NewWriter(p.rows)},
+	}
+	handler := server.Handler()
+	p.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.mute.Load() {
+			_, _ = io.Copy(io.Discard, r.Body) // else the end of the connection goes unnoticed
+			<-r.Context().Done()
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(p.server.Close)
+	group := NewGroup(GroupOptions{Instance: "self", Zone: "a", Recorder: timeline.Discard, Now: p.clock.now})
+	members := append(zoneOf("a", leastZone), Member{Name: "self", Zone: "a"})
+	for i := range members {
+		members[i].Token, members[i].Address = "", ""
+	}
+	members[0].Token, members[0].Address = "t", strings.TrimPrefix(p.server.URL, "http://")
+	group.SetMembers(members)
+	client := NewClient()
+	t.Cleanup(client.Close)
+	p.feed = &Feed{Name: "servers", Store: p.store, Group: group, Client: client, MaxAge: 1600 * time.Millisecond, StandInAge: 4 * time.Second}
+	p.table = &Table{Table: p.own.Table("duties"), Name: "duties", Group: group, Client: client}
+	return p
+}
+
+func (p *pair) ask(t *testing.T, wait time.Duration) (tablefeed.Page, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return p.feed.Changes(ctx, 5, wait)
+}
+
+// lonely is a pair in a zone without sources.
+func lonely(t *testing.T) *pair {
+	t.Helper()
+	p := newPair(t)
+	source, _ := p.feed.Group.Source()
+	p.feed.Group.SetMembers([]Member{source, {Name: "self", Zone: "a"}})
+	return p
+}
--- a/internal/fanout/roles.go
+++ b/internal/fanout/roles.go
@@ -69,5 +69,38 @@
 	return ordered
 }
 
+// standIns returns the instances that may stand in for the store for one instance,
+// those of its zone first.
+func standIns(members []Member, instance, zone string) []Member {
+	var near, far []Member
+	for _, m := range members {
+		switch {
+		case m.Name == instance || !m.mayServe():
+		case m.Zone == zone:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	return append(preferred(near, instance), preferred(far, instance)...)
+}
+
+// readers is the number of instances that read the store themselves.
+func readers(members []Member) int {
+	zones := map[string]int{}
+	for _, m := range members {
+		zones[m.Zone]++
+	}
+	count := 0
+	for zone, instances := range zones {
+		if sources := len(Sources(members, zone)); sources > 0 {
+			count += sources
+			continue
+		}
+		count += instances
+	}
+	return count
+}
+
 // weight is the random weight of a name for a key.
 func weight(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
