Let no answer read after a suspension prove the instant at which it was read

Cause, found by reading: the store's clock was taken anew from an answer when the last exact one was 20 s old. Had that answer lain unread while the machine was suspended, the clock was wrong by that time, and the answer proved keys to be in force at the instant at which it was read; for some milliseconds requests under a key withdrawn meanwhile could run. Change: the better of both readings tells when an answer was made; the first answer of all proves the instant of its call only. Test: TestAnswerReadAfterASuspensionWasMadeBeforeIt.

--- a/internal/truetime/truetime.go
+++ b/internal/truetime/truetime.go
@@ -47,16 +47,23 @@
 }
 
 // Heard takes the store's steady clock from an answer that arrived at an instant,
-// and returns when the answer was made. The answer that took least time on its
-// way is the most exact one.
+// and returns when the answer was made; zero when nothing tells how long it was on
+// its way. The answer that took least time is the most exact one. An answer is not
+// its own measure: one that lay unread while the machine was suspended would seem to
+// have been made when it was read.
 func (c *Clock) Heard(store time.Duration, at boottime.Instant) boottime.Instant {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ahead := store - time.Duration(at)
-	if !c.heard || ahead >= c.ahead || at.Sub(c.heardAt) >= sampleLifetime {
+	if !c.heard {
 		c.heard, c.ahead, c.heardAt = true, ahead, at
+		return 0
+	}
+	best := max(ahead, c.ahead)
+	if ahead >= c.ahead || at.Sub(c.heardAt) >= sampleLifetime {
+		c.ahead, c.heardAt = ahead, at
 	}
-	return boottime.Instant(store - c.ahead)
+	return boottime.Instant(store - best)
 }
 
 // store is the store's clock now.
--- a/internal/truetime/truetime_test.go
+++ b/internal/truetime/truetime_test.go
@@ -46,3 +46,15 @@
 	again, _ := c.Own()
 	is.Equal(own, again)
 }
+
+// TestAnswerReadAfterASuspensionWasMadeBeforeIt: an answer arrives while the machine
+// is suspended, long after the last exact one.
+func TestAnswerReadAfterASuspensionWasMadeBeforeIt(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{Boot: boottime.Now, Wall: time.Now})
+	start := boottime.Instant(time.Hour)
+	is.True(c.Heard(0, start).IsZero()) // nothing is known yet
+	made := start.Add(sampleLifetime)
+	read := made.Add(6 * time.Second)
+	is.Equal(c.Heard(sampleLifetime, read), made)
+}
