--- a/internal/fanout/feed.go
+++ b/internal/fanout/feed.go
@@ -17,13 +17,14 @@
 	answerTime = 400 * time.Millisecond
 )
 
-// Feed is a table's feed that goes through a source while there is a fit one.
+// Feed is a table's feed that goes through another instance while there is a fit
+// one: a source of its zone, or one that stands in for a store that failed.
 type Feed struct {
 	// Name of the table among instances.
 	Name string
 	// Store is the store's own feed.
 	Store tablefeed.Feed
-	// Group tells which source to ask.
+	// Group tells which instance to ask.
 	Group *Group
 	// Client asks it.
 	Client *Client
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -27,7 +27,7 @@
 	// Demand is its work by service.
 	Demand map[string]Demand `json:"demand,omitempty"`
 	// Address and Token lead to its listener for instances, and Cores is its share of
-	// processors. Empty: others cannot follow tables through it.
+	// processors. Empty: it cannot be asked for the store's tables.
 	Address string  `json:"address,omitempty"`
 	Token   string  `json:"token,omitempty"`
 	Cores   float64 `json:"cores,omitempty"`
