Soak: a stream that backend servers broke off is not a planned stop's fault

Load was ruled out by the trace. Change: backend servers tell the checker which runs they broke off. Only a request all of whose runs were broken off is excepted; one cut in a later run still counts. Test: TestBreakOfABackendServerIsNotThePlannedStops, both ways.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -32,6 +32,7 @@
 
 	mu        sync.Mutex
 	runs      map[string][]time.Time
+	brokenOff map[string]int    // runs that their backend server broke off, by request
 	keys      map[string]string // key by request
 	withdrawn map[string]time.Time
 	outcomes  []Outcome
@@ -57,7 +58,7 @@
 // NewChecker returns a checker; withdrawn keys must stop within revocation.
 func NewChecker(revocation time.Duration) *Checker {
 	return &Checker{
-		revocation: revocation, runs: map[string][]time.Time{}, keys: map[string]string{},
+		revocation: revocation, runs: map[string][]time.Time{}, brokenOff: map[string]int{}, keys: map[string]string{},
 		withdrawn: map[string]time.Time{}, reports: map[int64]string{}, tokens: map[uint64]string{},
 	}
 }
@@ -73,6 +74,14 @@
 	c.runs[id] = append(c.runs[id], time.Now())
 }
 
+// BrokeOff takes a run that its backend server broke off, or answered as another
+// request's.
+func (c *Checker) BrokeOff(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.brokenOff[id]++
+}
+
 // Withdrawn takes the store's acknowledgement that a key was withdrawn.
 func (c *Checker) Withdrawn(key string) {
 	c.mu.Lock()
@@ -200,5 +209,8 @@
 // than the planned stop of its instance.
 func (c *Checker) cutByStop(o Outcome) bool {
 	touches := func(i interval) bool { return i.touches(o) }
-	return o.Status == 0 && !o.GaveUp && slices.ContainsFunc(c.stops, touches) && !slices.ContainsFunc(c.troubles, touches)
+	if o.Status != 0 || o.GaveUp || c.brokenOff[o.ID] == len(c.runs[o.ID]) {
+		return false // answered, not waited for, or every run was broken off by its server
+	}
+	return slices.ContainsFunc(c.stops, touches) && !slices.ContainsFunc(c.troubles, touches)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -156,3 +156,28 @@
 	_, err = says(dial())
 	is.True(err != nil)
 }
+
+func TestBreakOfABackendServerIsNotThePlannedStops(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		brokenOff int
+		cut       bool
+	}{
+		"every run was broken off by its server": {brokenOff: 2},
+		"the second one was not":                 {brokenOff: 1, cut: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			checker := NewChecker(bound)
+			checker.Stopped("a", now, now.Add(time.Second))
+			for range 2 {
+				checker.Ran("x")
+			}
+			for range c.brokenOff {
+				checker.BrokeOff("x")
+			}
+			checker.Answered(Outcome{ID: "x", Idempotent: true, Instance: "a", Sent: now, Ended: now.Add(time.Millisecond)})
+			is.Equal(len(finish(checker)) > 0, c.cut)
+		})
+	}
+}
