Name the refusal that stopped a request before its first byte

A withdrawal seals the request's gate and then cancels the attempt; an attempt that came to its first write between the two found the gate sealed and no cause, and called that a deadline. The caller heard the wrong reason (and a Retry-After); not run was true.

Change: the gate keeps the refusal that sealed it, and the dispatcher gives that. TestRefusalThatCameBeforeTheFirstByteIsTheAnswer failed first (deadline_hopeless != key_withdrawn) and holds now.

--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -47,6 +47,9 @@
 	if errors.Is(err, errCallerGone) || errors.Is(err, errCallerBody) {
 		return &attemptError{code: result.CallerGone, cause: err, final: true}
 	}
+	if refusal := a.x.gate.Refusal(); refusal != nil && a.permit.Denied() {
+		return &attemptError{code: refusal.Code, cause: refusal, final: true}
+	}
 	if a.permit.Denied() {
 		return &attemptError{code: result.DeadlineHopeless, cause: guardconn.ErrNotPermitted, final: true}
 	}
--- a/internal/dispatch/path_test.go
+++ b/internal/dispatch/path_test.go
@@ -107,6 +107,17 @@
 	}
 }
 
+func TestRefusalThatCameBeforeTheFirstByteIsTheAnswer(t *testing.T) {
+	is := is.New(t)
+	s := startPlain(t)
+	c := plainCall(plainTargets(s))
+	c.Request.Gate.Refuse(result.KeyWithdrawn, "the key was withdrawn while the request waited")
+	out, _ := do(t, newDispatcher(t, Options{}), c) // nobody has cancelled it yet
+	is.True(out.Err.NotRun())
+	is.Equal(out.Err.Code, result.KeyWithdrawn)
+	is.Equal(s.TotalRuns(), 0)
+}
+
 func TestBackendServerSeesNoKeyAndUnknownFields(t *testing.T) {
 	is := is.New(t)
 	var header http.Header
--- a/internal/entry/withdrawals.go
+++ b/internal/entry/withdrawals.go
@@ -73,17 +73,14 @@
 	if service == nil || permitted(service, t.organisation) {
 		return nil
 	}
-	if proof, ok := t.gate.Seal(); ok {
-		return result.NotRun(result.NotPermitted, proof, "service %q was closed to the caller while the request waited", t.service)
-	}
-	return nil
+	return t.gate.TryRefuse(result.NotPermitted, "service %q was closed to the caller while the request waited", t.service)
 }
 
 // end tells a waiting request that it was not run and a started one that its
 // answer ends.
 func (t *watch) end(code result.Code, reason string) *result.Error {
-	if proof, ok := t.gate.Seal(); ok {
-		return result.NotRun(code, proof, "%s while the request waited", reason)
+	if refusal := t.gate.TryRefuse(code, "%s while the request waited", reason); refusal != nil {
+		return refusal
 	}
 	return result.MayHaveRun(result.StreamKeyLapsed, "%s while the request ran", reason)
 }
--- a/internal/result/gate.go
+++ b/internal/result/gate.go
@@ -9,45 +9,70 @@
 // Issued reports whether a Gate issued the proof.
 func (p Proof) Issued() bool { return p.issued }
 
-const (
-	gateUndecided int32 = iota
-	gateOpened
-	gateSealed
+// gateDecision is what a Gate decided.
+type gateDecision struct {
+	opened  bool
+	refusal *Error // nil if the gate was opened, or sealed without a reason
+}
+
+var (
+	gateOpened = &gateDecision{opened: true}
+	gateSealed = &gateDecision{}
 )
 
 // Gate decides, once per request, between sending it and proving that it was
-// not run. Whichever of Open and Seal comes first wins for good.
+// not run. Whichever of Open, Seal and Refuse comes first wins for good.
 // The zero Gate is undecided. A Gate is safe for concurrent use.
-type Gate struct{ state atomic.Int32 }
+type Gate struct{ decision atomic.Pointer[gateDecision] }
 
 // Open must be called right before the first byte of any attempt is written.
 // It reports false when the request was already declared not run; the attempt
 // must then write nothing.
 func (g *Gate) Open() bool {
-	if g.state.CompareAndSwap(gateUndecided, gateOpened) {
-		return true
-	}
-	return g.state.Load() == gateOpened
+	g.decision.CompareAndSwap(nil, gateOpened)
+	return g.Opened()
 }
 
 // Opened reports whether a byte may have been written.
-func (g *Gate) Opened() bool { return g.state.Load() == gateOpened }
+func (g *Gate) Opened() bool {
+	d := g.decision.Load()
+	return d != nil && d.opened
+}
 
 // Seal forbids every later attempt and returns the proof that none was made.
 // It reports false when an attempt may have written a byte.
-func (g *Gate) Seal() (Proof, bool) {
-	if g.state.CompareAndSwap(gateUndecided, gateSealed) {
-		return Proof{issued: true}, true
+func (g *Gate) Seal() (Proof, bool) { return g.seal(gateSealed) }
+
+func (g *Gate) seal(d *gateDecision) (Proof, bool) {
+	g.decision.CompareAndSwap(nil, d)
+	sealed := !g.Opened()
+	return Proof{issued: sealed}, sealed
+}
+
+// TryRefuse ends the request with the code as not run. It returns nil when an
+// attempt may have written a byte.
+func (g *Gate) TryRefuse(code Code, format string, args ...any) *Error {
+	refusal := NotRun(code, Proof{issued: true}, format, args...)
+	kept := *refusal // the caller may still add to its own
+	if _, ok := g.seal(&gateDecision{refusal: &kept}); !ok {
+		return nil
 	}
-	return Proof{issued: g.state.Load() == gateSealed}, g.state.Load() == gateSealed
+	return refusal
 }
 
 // Refuse ends the request with the code: as not run when the gate can be
 // sealed, as may-have-run otherwise.
 func (g *Gate) Refuse(code Code, format string, args ...any) *Error {
-	proof, ok := g.Seal()
-	if !ok {
-		return MayHaveRun(code, format, args...)
+	if refusal := g.TryRefuse(code, format, args...); refusal != nil {
+		return refusal
+	}
+	return MayHaveRun(code, format, args...)
+}
+
+// Refusal returns the refusal that sealed the gate; nil if none did.
+func (g *Gate) Refusal() *Error {
+	if d := g.decision.Load(); d != nil {
+		return d.refusal
 	}
-	return NotRun(code, proof, format, args...)
+	return nil
 }
--- a/internal/result/result_test.go
+++ b/internal/result/result_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -29,6 +30,23 @@
 	is.True(!h.Refuse(Shed, "opened first").NotRun())
 }
 
+func TestGateKeepsTheRefusalThatSealedIt(t *testing.T) {
+	is := is.New(t)
+	var g Gate
+	is.True(g.Refusal() == nil)
+	first := g.Refuse(KeyWithdrawn, "first")
+	is.True(g.Refuse(DeadlineHopeless, "second").NotRun())
+	first.WithRetryAfter(1)
+	is.Equal(g.Refusal().Code, KeyWithdrawn)
+	is.Equal(g.Refusal().RetryAfter, time.Duration(0))
+	var sealed, opened Gate
+	_, _ = sealed.Seal()
+	is.True(sealed.Refusal() == nil)
+	is.True(opened.Open())
+	is.True(opened.TryRefuse(Shed, "too late") == nil)
+	is.True(opened.Refusal() == nil)
+}
+
 func TestGateRaceHasOneWinner(t *testing.T) {
 	for range 1000 {
 		var g Gate
