Tell demand when it has grown, and let the instance that orders servers hear of it

Change: an instance looks every second whether its demand has grown by half and 0.4 engines beyond what its row tells, and writes the row then; the holder of the duty reads the rows every second.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -263,3 +263,18 @@
 	b.take(&Query{Service: "plain", Patience: time.Millisecond})
 	b.take(&Query{Service: "plain", Patience: time.Millisecond})
 }
+
+func TestDemandIsSinceItWasLastTaken(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, "i", "i")
+	b.add("engine", "a", nil)
+	b.TakeDemand()
+	b.take(prompt(1))
+	b.clock = b.clock.Add(time.Second)
+	is.Equal(b.Demand()["engine"].PromptRate, 17000.0)
+	is.Equal(b.Demand()["engine"].PromptRate, 17000.0) // looking changes nothing
+	is.Equal(b.TakeDemand()["engine"].PromptRate, 17000.0)
+	b.clock = b.clock.Add(time.Second)
+	is.Equal(b.Demand()["engine"].PromptRate, 0.0)
+	is.Equal(b.Demand()["engine"].InFlight, 1)
+}
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -11,11 +11,26 @@
 	since          boottime.Instant
 }
 
-// Demand returns this instance's work by service since the last call.
-func (b *Balancer) Demand() map[string]presence.Demand {
+// TakeDemand returns this instance's work by service since the last call.
+func (b *Balancer) TakeDemand() map[string]presence.Demand {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
+	demand := b.demand(now)
+	for _, p := range b.pools {
+		p.work = work{since: now}
+	}
+	return demand
+}
+
+// Demand returns this instance's work by service since the last TakeDemand.
+func (b *Balancer) Demand() map[string]presence.Demand {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.demand(b.now())
+}
+
+func (b *Balancer) demand(now boottime.Instant) map[string]presence.Demand {
 	demand := make(map[string]presence.Demand, len(b.pools))
 	for name, p := range b.pools {
 		if d := p.demand(now); d != (presence.Demand{}) {
@@ -34,7 +49,6 @@
 		d.PromptRate = float64(p.work.prompt) / seconds
 		d.OutputRate = float64(p.work.output) / seconds
 	}
-	p.work = work{since: now}
 	return d
 }
 
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -112,6 +112,8 @@
 // scale orders backend servers under the duty's lease until ctx ends.
 func (d *duties) scale(ctx context.Context, g lease.Guard) error {
 	planner := replicas.NewPlanner()
+	d.members.planning.Store(true)
+	defer d.members.planning.Store(false)
 	for {
 		d.plan(ctx, g, planner)
 		if err := wait.For(ctx, planInterval); err != nil {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -13,6 +13,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/presence"
+	"github.com/hawthornwick/hawthornwick/internal/replicas"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/truetime"
@@ -33,6 +34,7 @@
 	sharing  *sharing
 	follower *tablefeed.Follower
 	leaving  atomic.Bool
+	planning atomic.Bool  // this instance orders backend servers by the demand of all
 	reads    atomic.Int64 // of the others' rows
 	sequence uint64
 
@@ -63,26 +65,43 @@
 	switch early := m.reads.Add(1) <= earlyReads; {
 	case early:
 		return earlyReadInterval
+	case m.planning.Load():
+		return planningReadInterval
 	case m.sharing.part() == partSource:
 		return sourceReadInterval
 	}
 	return m.interval()
 }
 
-// interval is the time between two writes of the own row.
+// interval is the longest time between two writes of the own row.
 func (m *members) interval() time.Duration { return presenceInterval(m.balancer.Instances()) }
 
 // tellAgain writes the own row until ctx ends. Few members are known at first, so
 // the first writes follow each other soon.
 func (m *members) tellAgain(ctx context.Context) {
 	for {
-		m.tell(ctx)
-		if wait.For(ctx, m.interval()) != nil {
+		demand := m.balancer.TakeDemand()
+		m.tell(ctx, demand)
+		if m.awaitNews(ctx, demand) != nil {
 			return
 		}
 	}
 }
 
+// awaitNews waits until the own row is due again, which it is early when the
+// demand has grown beyond what the last one told. It returns the error of ctx.
+func (m *members) awaitNews(ctx context.Context, told map[string]presence.Demand) error {
+	for left := m.interval(); left > 0; left -= demandInterval {
+		if err := wait.For(ctx, min(left, demandInterval)); err != nil {
+			return err
+		}
+		if replicas.Grown(told, m.balancer.Demand()) {
+			return nil
+		}
+	}
+	return nil
+}
+
 // apply takes rows of the other instances.
 func (m *members) apply(u tablefeed.Update) {
 	if err := m.board.Apply(boottime.Now(), u); err != nil {
@@ -92,13 +111,13 @@
 }
 
 // tell writes the own row and acts on those of the others.
-func (m *members) tell(ctx context.Context) {
+func (m *members) tell(ctx context.Context, demand map[string]presence.Demand) {
 	if !m.follower.Proved().IsZero() {
 		m.learn(m.live())
 	}
 	m.sequence++
 	row := presence.Row{
-		Zone: m.settings.Zone, Leaving: m.leaving.Load(), Demand: m.balancer.Demand(), Sequence: m.sequence,
+		Zone: m.settings.Zone, Leaving: m.leaving.Load(), Demand: demand, Sequence: m.sequence,
 	}
 	m.sharing.introduce(&row)
 	if offset, ok := m.clock.Own(); ok {
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -43,6 +43,11 @@
 	// earlyReads is the number of reads after a start that follow each other soon.
 	earlyReads        = 2
 	earlyReadInterval = 1500 * time.Millisecond
+	// planningReadInterval is the time between two reads of them by the instance
+	// that orders backend servers, and demandInterval how often each one looks
+	// whether its demand has grown.
+	planningReadInterval = time.Second
+	demandInterval       = time.Second
 
 	presenceEach  = 70 * time.Millisecond
 	presenceLeast = 3 * time.Second
--- a/internal/replicas/replicas.go
+++ b/internal/replicas/replicas.go
@@ -16,12 +16,6 @@
 )
 
 const (
-	// promptTokensPerSecond is what one engine reads when it does nothing else.
-	promptTokensPerSecond = 50000.0
-	// promptShare is the part of an engine's time that reading prompts may take.
-	promptShare = 0.45
-	// inFlightPerServer is the number of requests that one engine runs at a good pace.
-	inFlightPerServer = 12.0
 	// cheapShare is the part of a zone's maximum that is kept for sudden load, and
 	// for the loss of other zones, where preemptible servers cost little.
 	cheapShare = 0.65
@@ -135,13 +129,6 @@
 	return int(math.Ceil(cheapShare * float64(s.Max)))
 }
 
-// needed is the number of engines that the demand keeps as busy as they should be.
-func needed(d presence.Demand) float64 {
-	reading := d.PromptRate / (promptTokensPerSecond * promptShare)
-	running := float64(d.InFlight+d.Waiting) / inFlightPerServer
-	return max(reading, running)
-}
-
 // highest returns the highest need of the recent past.
 func (p *Planner) highest(now boottime.Instant, service string, servers float64) float64 {
 	last, ok := p.peaks[service]
