Tell one another what is on each backend server, and weigh reading anew by how busy all are

Cause: an instance chose servers by its own requests alone, an eighth to a ninetieth of what a server had.

Change: package loadshare.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -64,6 +64,7 @@
 	members []string // sorted; empty while unknown
 	out     map[string]bool
 	ticking bool
+	sent    []Sent // to be told to other instances
 }
 
 // pool is the servers of one service.
@@ -76,7 +77,8 @@
 	repeats *retrybudget.Window
 	work    work
 
-	median slowdown // of the servers
+	median  slowdown // of the servers
+	pressed pressure
 
 	repeated, notRepeated uint64 // sends that the bound allowed, and did not
 }
--- a/internal/balance/metrics.go
+++ b/internal/balance/metrics.go
@@ -27,7 +27,7 @@
 	fmt.Fprintf(w, "hawthornwick_repeats_left{service=%q} %.1f\n", p.name, p.repeats.Left(time.Duration(now)))
 	suspect, cold := 0, 0
 	for _, s := range p.servers {
-		s.writeMetrics(w)
+		s.writeMetrics(w, now)
 		if s.suspect(now) {
 			suspect++
 		}
@@ -40,8 +40,11 @@
 	fmt.Fprintf(w, "hawthornwick_servers{service=%q,state=\"listed\"} %d\n", p.name, len(p.servers))
 }
 
-func (s *server) writeMetrics(w io.Writer) {
+func (s *server) writeMetrics(w io.Writer, now boottime.Instant) {
 	fmt.Fprintf(w, "hawthornwick_server_in_flight{service=%q,server=%q,zone=%q} %d\n", s.Service, s.ID, s.Zone, s.inFlight)
+	others := s.others.at(now)
+	fmt.Fprintf(w, "hawthornwick_server_others_in_flight{service=%q,server=%q} %d\n", s.Service, s.ID, others.InFlight)
+	fmt.Fprintf(w, "hawthornwick_server_others_unread_tokens{service=%q,server=%q} %d\n", s.Service, s.ID, others.Unread)
 	fmt.Fprintf(w, "hawthornwick_server_failure_rate{service=%q,server=%q} %.3f\n", s.Service, s.ID, s.failureRate)
 	for outcome, count := range s.outcomes {
 		if count > 0 {
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -10,17 +10,20 @@
 	SameZone bool
 	// Cold is true when it bears only few requests a second.
 	Cold bool
-	// InFlight is the number of this instance's requests on it.
+	// InFlight is the number of requests on it, as far as this instance knows.
 	InFlight int
-	// Reading is the number of this instance's prompt tokens that it still has to read.
+	// Reading is the number of prompt tokens that it still has to read, likewise.
 	Reading int
 	// Missing is the number of the request's prompt tokens that it probably does
-	// not hold, taking it for the prefix's home; MissingSent takes only what this
-	// instance sent there.
+	// not hold, taking it for the prefix's home; MissingSent takes only what is known
+	// to have been sent there.
 	Missing, MissingSent float64
 	// Excess is how many times as long as the median of its service it takes, at
 	// least 1.
 	Excess float64
+	// Pressure is the time in milliseconds that the servers of its service still need
+	// on average for the prompts that they were sent, as far as this instance knows.
+	Pressure float64
 	// FailureRate is its share of failed attempts, recent ones weighing most.
 	FailureRate float64
 }
@@ -49,6 +52,9 @@
 	failureMillis = 3000.0
 	// coldMillis prices a cold server beside a warm one.
 	coldMillis = 50.0
+	// doublingPressure is the pressure at which reading a token anew weighs twice as
+	// much as without any.
+	doublingPressure = 300.0
 )
 
 // DefaultRereadWeight is the usual weight of reading a token anew.
@@ -57,7 +63,9 @@
 // Estimate is the usual Scorer.
 type Estimate struct {
 	// RereadWeight is what reading a token anew weighs against waiting for one,
-	// since it takes the server's time from others as well. Zero: DefaultRereadWeight.
+	// since it takes the server's time from others as well. It grows with the
+	// pressure: the busier the servers, the more others wait for that time.
+	// Zero: DefaultRereadWeight.
 	RereadWeight float64
 }
 
@@ -74,7 +82,8 @@
 		cost += engineZoneMillis
 	}
 	work := firstEventMillis + engineRunMillis*float64(c.InFlight)
-	work += (float64(c.Reading) + e.rereadWeight()*c.Missing) / prefillTokensPerMilli
+	reread := e.rereadWeight() * (1 + c.Pressure/doublingPressure)
+	work += (float64(c.Reading) + reread*c.Missing) / prefillTokensPerMilli
 	return cost + c.Excess*work
 }
 
@@ -95,10 +104,11 @@
 
 // candidate describes a server to the Scorer.
 func (b *Balancer) candidate(now boottime.Instant, p *pool, s *server, q *Query, home *server) Candidate {
+	load := s.load(now)
 	c := Candidate{
 		Engine: p.engine, SameZone: s.Zone == b.options.Zone, Cold: s.cold(now),
-		InFlight: s.inFlight, Reading: s.prefill, FailureRate: s.failureRate,
-		Excess: s.excess(now, p.medianSlowdown(now)),
+		InFlight: load.InFlight, Reading: load.Unread, FailureRate: s.failureRate,
+		Excess: s.excess(now, p.medianSlowdown(now)), Pressure: p.pressure(now),
 	}
 	if p.engine {
 		held := float64(s.cachedTokens(now, q.Parts))
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -31,6 +31,7 @@
 
 	inFlight int // own requests
 	prefill  int // own prompt tokens sent whose first event has not come
+	others   othersLoad
 
 	slowdown     slowdown
 	failureRate  float64 // 0 to 1, over recent outcomes
@@ -96,18 +97,28 @@
 
 // noteParts remembers a prompt that the server will hold.
 func (s *server) noteParts(now boottime.Instant, parts []Part) {
-	if len(s.parts) > maxParts {
-		s.dropOldParts(now)
-	}
+	s.makeRoom(now)
 	for _, p := range parts {
 		s.parts[p.ID] = now
 	}
 }
 
+// noteIDs does the same by the parts' IDs.
+func (s *server) noteIDs(now boottime.Instant, ids []uint64) {
+	s.makeRoom(now)
+	for _, id := range ids {
+		s.parts[id] = now
+	}
+}
+
 // maxParts is the number of remembered prompt parts from which old ones are dropped.
 const maxParts = 4096
 
-func (s *server) dropOldParts(now boottime.Instant) {
+// makeRoom drops old parts when there are too many.
+func (s *server) makeRoom(now boottime.Instant) {
+	if len(s.parts) <= maxParts {
+		return
+	}
 	for id, used := range s.parts {
 		if now.Sub(used) > partLifetime {
 			delete(s.parts, id)
--- a/internal/balance/types.go
+++ b/internal/balance/types.go
@@ -102,6 +102,8 @@
 	Home bool
 	// InFlight is the number of this instance's other requests on the server.
 	InFlight int
+	// Others is what the other instances said to have on the server.
+	Others Load
 
 	balancer *Balancer
 	server   *server
--- a/internal/balance/wait.go
+++ b/internal/balance/wait.go
@@ -176,21 +176,24 @@
 
 // assign takes a place of the server for the query.
 func (b *Balancer) assign(now boottime.Instant, p *pool, s *server, q *Query) *Assignment {
-	home, inFlight := b.home(now, p, q) == s, s.inFlight
+	home, inFlight, others := b.home(now, p, q) == s, s.inFlight, s.others.at(now)
 	cold := s.cold(now)
 	if cold {
 		s.noteColdSend(now)
 	}
 	missing := max(q.PromptTokens-s.cachedTokens(now, q.Parts), 0)
 	s.noteParts(now, q.Parts)
+	if p.engine {
+		b.keepSent(s, q.Parts)
+	}
 	s.inFlight++
 	s.prefill += missing
 	p.work.prompt += missing
 	p.work.output += q.OutputTokens
 	return &Assignment{
-		Server: s.ID, Address: s.Address, Zone: s.Zone, Cold: cold, Home: home, InFlight: inFlight,
+		Server: s.ID, Address: s.Address, Zone: s.Zone, Cold: cold, Home: home, InFlight: inFlight, Others: others,
 		balancer: b, server: s, pool: p, prefill: missing, given: now,
-		expected: firstEventMillis + float64(s.prefill)/prefillTokensPerMilli,
+		expected: firstEventMillis + float64(s.prefill+others.Unread)/prefillTokensPerMilli,
 	}
 }
 
--- a/internal/balanceexp/balanceexp_test.go
+++ b/internal/balanceexp/balanceexp_test.go
@@ -93,16 +93,50 @@
 	}
 }
 
-// TestWhatIsKnownOfServersPays takes one decision out at a time, on the days that
-// it was made for.
+// comparison is a decision that is taken out on a day that it was made for.
+type comparison struct {
+	without Policy
+	day     string
+	servers int
+}
+
+// compare fails for each decision that does not pay.
+func compare(t *testing.T, isolated bool, comparisons []comparison) {
+	t.Helper()
+	for _, c := range comparisons {
+		x := Experiment{Day: dayNamed(t, c.day), Servers: c.servers, Isolated: isolated}
+		full := mean(t, x, value)
+		x.Policy = c.without
+		without := mean(t, x, value)
+		t.Logf("%s, %d servers: full %.3f, %s %.3f", c.day, c.servers, full, c.without, without)
+		if full <= without {
+			t.Errorf("%s, %d servers: full %.3f, %s %.3f", c.day, c.servers, full, c.without, without)
+		}
+	}
+}
+
+func TestWhatInstancesTellOneAnotherPays(t *testing.T) {
+	compare(t, false, []comparison{
+		{Unshared, "calm", 12},
+		{Unshared, "burst", 12},
+		{Unshared, "hot prefix", 12},
+		{Unshared, "lost servers", 18},
+		{NoPressure, "burst", 12},
+		{NoPressure, "hot organisation", 12},
+		{RereadOnce, "burst", 12},
+		{RereadOnce, "hot organisation", 12},
+		{NoHomes, "calm", 12},
+		{NoHomes, "burst", 18},
+	})
+}
+
+// TestWhatIsKnownOfServersPays takes one decision out at a time while instances do
+// not hear one another: then each has only what it sees itself.
 func TestWhatIsKnownOfServersPays(t *testing.T) {
-	for _, c := range []struct {
-		without Policy
-		day     string
-		servers int
-	}{
+	compare(t, true, []comparison{
 		{RereadOnce, "burst", 12},
 		{RereadOnce, "hot organisation", 12},
+		{NoPressure, "burst", 12},
 		{NoHolding, "burst", 12},
 		{NoHolding, "hot organisation", 12},
 		{NoHolding, "lost servers", 12},
@@ -110,15 +144,7 @@
 		{NoHomes, "burst", 18},
 		{EquallyFast, "slow servers", 18},
 		{EquallyFast, "hot prefix", 18},
-	} {
-		day := dayNamed(t, c.day)
-		full := mean(t, Experiment{Day: day, Servers: c.servers}, value)
-		without := mean(t, Experiment{Day: day, Servers: c.servers, Policy: c.without}, value)
-		t.Logf("%s, %d servers: full %.3f, %s %.3f", c.day, c.servers, full, c.without, without)
-		if full <= without {
-			t.Errorf("%s, %d servers: full %.3f, %s %.3f", c.day, c.servers, full, c.without, without)
-		}
-	}
+	})
 }
 
 // TestNobodyStarves bounds what the worst kind and the smallest organisations get
--- a/internal/balanceexp/experiment.go
+++ b/internal/balanceexp/experiment.go
@@ -17,14 +17,16 @@
 	RereadOnce    Policy = "reread once"     // a token read anew weighs as much as one that is waited for
 	EquallyFast   Policy = "equally fast"    // as all servers are taken to be
 	NoHolding     Policy = "no holding"      // requests wait on servers that are late
-	NoHomes       Policy = "no homes"        // prefixes stay where this instance sent them itself
+	NoHomes       Policy = "no homes"        // prefixes stay where they are known to have been sent
+	Unshared      Policy = "unshared"        // instances do not tell one another what they sent
+	NoPressure    Policy = "no pressure"     // a token read anew weighs the same however busy servers are
 	LeastInFlight Policy = "least in flight" // of this instance
 	Random        Policy = "random"
 )
 
 // Policies returns all policies.
 func Policies() []Policy {
-	return []Policy{Full, RereadOnce, EquallyFast, NoHolding, NoHomes, LeastInFlight, Random}
+	return []Policy{Full, RereadOnce, EquallyFast, NoHolding, NoHomes, Unshared, NoPressure, LeastInFlight, Random}
 }
 
 // hold returns how late a server may be before requests are held back; 0 is the
@@ -45,6 +47,8 @@
 		return equallyFast{}
 	case NoHomes:
 		return noHomes{}
+	case NoPressure:
+		return noPressure{}
 	case LeastInFlight:
 		return leastInFlight{}
 	case Random:
@@ -69,6 +73,14 @@
 	return n.Estimate.Cost(q, c)
 }
 
+type noPressure struct{ balance.Estimate }
+
+// Cost implements balance.Scorer.
+func (n noPressure) Cost(q *balance.Query, c balance.Candidate) float64 {
+	c.Pressure = 0
+	return n.Estimate.Cost(q, c)
+}
+
 type leastInFlight struct{}
 
 // Cost implements balance.Scorer.
@@ -91,6 +103,11 @@
 	Instances int
 	// Servers, a third in each of three zones. Default 12.
 	Servers int
+	// Isolated instances do not hear one another.
+	Isolated bool
+	// ShareEvery is how often instances tell one another what they sent, and
+	// ShareDelay the time until that is heard. Default 200 ms and 20 ms.
+	ShareEvery, ShareDelay time.Duration
 	// Length is the time in which requests arrive. Default 45 s.
 	Length time.Duration
 }
@@ -108,6 +125,15 @@
 	if x.Servers == 0 {
 		x.Servers = 12
 	}
+	if x.Policy == Unshared {
+		x.Isolated = true
+	}
+	if x.ShareEvery == 0 {
+		x.ShareEvery = 200 * time.Millisecond
+	}
+	if x.ShareDelay == 0 {
+		x.ShareDelay = 20 * time.Millisecond
+	}
 	if x.Length == 0 {
 		x.Length = 45 * time.Second
 	}
--- a/internal/balanceexp/world.go
+++ b/internal/balanceexp/world.go
@@ -168,6 +168,11 @@
 	for at := pump; at < last; at += pump {
 		w.after(at, w.pumpAll)
 	}
+	if !x.Isolated {
+		for at := x.ShareEvery; at < last; at += x.ShareEvery {
+			w.after(at, w.share)
+		}
+	}
 	w.after(x.Day.from, w.disturb)
 	w.after(x.Day.to, w.mend)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -81,7 +81,7 @@
 		Recorder: e.events,
 	})
 	clock := truetime.New(truetime.Options{})
-	e.sharing = newSharing(s, p, clock, e.events, logger.Named("sharing"))
+	e.sharing = newSharing(s, p, e.balancer, clock, e.events, logger.Named("sharing"))
 	e.view = newStoreView(p, s.Bounds, e.balancer, e.sharing, clock, e.events)
 	e.members = newMembers(s, p, e.balancer, e.sharing, clock, e.events, logger.Named("members"))
 	e.duties = newDuties(s, p, e.view, e.members, e.balancer, e.sharing, clock, e.events, logger.Named("duties"))
@@ -150,6 +150,7 @@
 			failed <- fmt.Errorf("serve readiness checks: %w", err)
 		}
 	})
+	running.Go(func() { e.sharing.loads.Run(services) })
 	running.Go(func() {
 		if err := e.sharing.serve(); err != nil {
 			e.logger.Error("other instances are not served", "address", e.settings.Peers, "error", err)
--- /dev/null
+++ b/internal/edge/loads.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/hawthornwick/hawthornwick/internal/fanout"
+	"github.com/hawthornwick/hawthornwick/internal/loadshare"
+)
+
+// roster tells with whom this instance shares its loads: as the tables are shared,
+// so that what each one hears does not grow with the number of instances.
+type roster struct {
+	instance, zone string
+	group          *fanout.Group
+
+	mu      sync.Mutex
+	members []fanout.Member
+}
+
+var _ loadshare.Roster = (*roster)(nil)
+
+func (r *roster) learn(members []fanout.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.members = members
+}
+
+// Role implements loadshare.Roster.
+func (r *roster) Role() loadshare.Role {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.role()
+}
+
+func (r *roster) role() loadshare.Role {
+	sources := fanout.Sources(r.members, r.zone)
+	if len(sources) == 0 || slices.ContainsFunc(sources, r.isSelf) {
+		return loadshare.Reader
+	}
+	return loadshare.Follower
+}
+
+func (r *roster) isSelf(m fanout.Member) bool { return m.Name == r.instance }
+
+// Upstream implements loadshare.Roster.
+func (r *roster) Upstream() []loadshare.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.role() == loadshare.Follower {
+		if source, ok := r.group.Source(); ok {
+			return []loadshare.Peer{peer(source)}
+		}
+		return nil
+	}
+	var peers []loadshare.Peer
+	for _, m := range fanout.Readers(r.members) {
+		if !r.isSelf(m) && m.Address != "" {
+			peers = append(peers, peer(m))
+		}
+	}
+	return peers
+}
+
+// Follower implements loadshare.Roster.
+func (r *roster) Follower(instance string) (loadshare.Peer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.members {
+		if m.Name == instance && m.Address != "" {
+			return peer(m), true
+		}
+	}
+	return loadshare.Peer{}, false
+}
+
+func peer(m fanout.Member) loadshare.Peer {
+	return loadshare.Peer{Instance: m.Name, Address: m.Address, Token: m.Token}
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -21,6 +21,7 @@
 	fmt.Fprintf(w, "hawthornwick_ready %d\n", number(e.Ready()))
 	e.members.writeMetrics(w)
 	e.sharing.group.WriteMetrics(w)
+	e.sharing.hub.WriteMetrics(w)
 	e.sink.WriteMetrics(w)
 }
 
--- a/internal/edge/pace.go
+++ b/internal/edge/pace.go
@@ -49,6 +49,11 @@
 	planningReadInterval = time.Second
 	demandInterval       = time.Second
 
+	// The loads of backend servers are told among the instances themselves.
+	loadsEach  = 2 * time.Millisecond
+	loadsLeast = 200 * time.Millisecond
+	loadsMost  = time.Second
+
 	presenceEach  = 70 * time.Millisecond
 	presenceLeast = 3 * time.Second
 	presenceMost  = 6 * time.Second
@@ -111,6 +116,11 @@
 	return clamp(time.Duration(instances)*presenceEach, presenceLeast, presenceMost)
 }
 
+// loadsInterval is the time between two reports of loads to another instance.
+func loadsInterval(instances int) time.Duration {
+	return clamp(time.Duration(instances)*loadsEach, loadsLeast, loadsMost)
+}
+
 // saveInterval is the time between two writes of the own counts, at most a window.
 func saveInterval(instances int, window time.Duration) time.Duration {
 	return clamp(time.Duration(instances)*saveEach, saveLeast, max(window, saveLeast))
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -10,8 +10,10 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/fanout"
+	"github.com/hawthornwick/hawthornwick/internal/loadshare"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/presence"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
@@ -38,7 +40,7 @@
 )
 
 // sharing is how this instance and the others of its zone follow the tables
-// together.
+// together, and how all tell one another their loads.
 type sharing struct {
 	address string
 	token   string
@@ -48,11 +50,14 @@
 	contact *tablefeed.Contact
 	caches  map[string]*fanout.Cache
 	writers map[string]*fanout.Writer
+	roster  *roster
+	hub     *loadshare.Hub
+	loads   *loadshare.Mesh
 	server  *http.Server // nil: other instances cannot call this one
 	on      net.Listener
 }
 
-func newSharing(s Settings, p Platform, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *sharing {
+func newSharing(s Settings, p Platform, b *balance.Balancer, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *sharing {
 	h := &sharing{
 		cores:  s.Cores,
 		token:  rand.Text(),
@@ -68,6 +73,12 @@
 	for _, table := range []string{operatorsTable, serversTable, instancesTable} {
 		h.caches[table] = fanout.NewCache(boottime.Now)
 	}
+	h.roster = &roster{instance: s.Instance, zone: s.Zone, group: h.group}
+	h.hub = loadshare.NewHub(b, boottime.Now)
+	h.loads = loadshare.NewMesh(loadshare.MeshOptions{
+		Instance: s.Instance, Hub: h.hub, Roster: h.roster, Recorder: recorder,
+		Interval: func() time.Duration { return loadsInterval(b.Instances()) },
+	})
 	if s.Peers == "" {
 		return h
 	}
@@ -80,7 +91,10 @@
 	server := &fanout.Server{
 		Token: h.token, Reads: h.group.Reads, StoreClock: clock.Store, Tables: h.caches, Writers: h.writers,
 	}
-	h.server = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout}
+	mux := http.NewServeMux()
+	mux.Handle("/", server.Handler())
+	mux.HandleFunc("GET "+loadshare.Path, fanout.RequireToken(h.token, h.hub.ServeHTTP))
+	h.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return h
 }
 
@@ -153,4 +167,5 @@
 		})
 	}
 	h.group.SetMembers(members)
+	h.roster.learn(members)
 }
--- a/internal/fanout/group.go
+++ b/internal/fanout/group.go
@@ -80,7 +80,7 @@
 		g.sources = preferred(sources, g.options.Instance)
 	}
 	g.others = standIns(members, g.options.Instance, g.options.Zone)
-	g.direct = readers(members)
+	g.direct = len(Readers(members))
 	g.forget()
 	g.note("")
 }
--- a/internal/fanout/roles.go
+++ b/internal/fanout/roles.go
@@ -85,21 +85,20 @@
 	return append(preferred(near, instance), preferred(far, instance)...)
 }
 
-// readers is the number of instances that read the store themselves.
-func readers(members []Member) int {
-	zones := map[string]int{}
+// Readers returns the instances that read the store themselves.
+func Readers(members []Member) []Member {
+	zones := map[string][]Member{}
 	for _, m := range members {
-		zones[m.Zone]++
+		zones[m.Zone] = append(zones[m.Zone], m)
 	}
-	count := 0
-	for zone, instances := range zones {
-		if sources := len(Sources(members, zone)); sources > 0 {
-			count += sources
-			continue
+	var found []Member
+	for zone, inZone := range zones {
+		if sources := Sources(inZone, zone); len(sources) > 0 {
+			inZone = sources
 		}
-		count += instances
+		found = append(found, inZone...)
 	}
-	return count
+	return found
 }
 
 // weight is the random weight of a name for a key.
--- a/internal/fanout/roles_test.go
+++ b/internal/fanout/roles_test.go
@@ -33,7 +33,7 @@
 		for zone := range 10 {
 			members = append(members, zoneOf(fmt.Sprint("z", zone), n/10)...)
 		}
-		return readers(members)
+		return len(Readers(members))
 	}
 	is.Equal(count(30), 30)   // nobody follows
 	is.Equal(count(100), 20)  // two a zone
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -44,15 +44,23 @@
 
 // guard turns away calls without the token, and all while others are followed.
 func (s *Server) guard(h http.HandlerFunc) http.HandlerFunc {
+	return RequireToken(s.Token, func(w http.ResponseWriter, r *http.Request) {
+		if !s.Reads() {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		h(w, r)
+	})
+}
+
+// RequireToken turns away calls that do not bear the token.
+func RequireToken(token string, h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		switch {
-		case subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(bearer(s.Token))) != 1:
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(bearer(token))) != 1 {
 			w.WriteHeader(http.StatusUnauthorized)
-		case !s.Reads():
-			w.WriteHeader(http.StatusMisdirectedRequest)
-		default:
-			h(w, r)
+			return
 		}
+		h(w, r)
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -136,8 +136,8 @@
 
 // reasons tells what decided for the server.
 func (a *attempt) reasons() string {
-	return fmt.Sprintf("home=%t cold=%t in_flight=%d repeat=%t resume_after=%q",
-		a.place.Home, a.place.Cold, a.place.InFlight, a.x.sends > 0, a.x.resumeAt)
+	return fmt.Sprintf("home=%t cold=%t in_flight=%d others=%d unread=%d repeat=%t resume_after=%q",
+		a.place.Home, a.place.Cold, a.place.InFlight, a.place.Others.InFlight, a.place.Others.Unread, a.x.sends > 0, a.x.resumeAt)
 }
 
 // request builds the request for the server.
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -99,7 +99,7 @@
 	s.call(http.MethodPost, "/once/x", "")
 	all, _ := s.ring.Snapshot()
 	i := slices.IndexFunc(all, func(e timeline.Event) bool { return e.Kind == timeline.AttemptSent })
-	is.Equal(all[i].Detail, `home=false cold=false in_flight=0 repeat=false resume_after=""`)
+	is.Equal(all[i].Detail, `home=false cold=false in_flight=0 others=0 unread=0 repeat=false resume_after=""`)
 	is.Equal(all[i].Server, "0")
 	is.Equal(all[i].Version, uint64(1))
 	is.Equal(all[i].Organisation, "org")
--- /dev/null
+++ b/internal/loadshare/mesh_test.go
@@ -0,0 +1,169 @@
+package loadshare
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/balance"
+	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+const testInterval = 5 * time.Millisecond
+
+// node is one instance on loopback.
+type node struct {
+	name     string
+	role     Role
+	chooser  *chooser
+	hub      *Hub
+	server   *httptest.Server
+	events   *timeline.Ring
+	upstream []*node
+	children []*node
+}
+
+// Role implements Roster.
+func (n *node) Role() Role { return n.role }
+
+// Upstream implements Roster.
+func (n *node) Upstream() []Peer {
+	var peers []Peer
+	for _, u := range n.upstream {
+		peers = append(peers, u.peer())
+	}
+	return peers
+}
+
+// Follower implements Roster.
+func (n *node) Follower(instance string) (Peer, bool) {
+	for _, c := range n.children {
+		if c.name == instance {
+			return c.peer(), true
+		}
+	}
+	return Peer{}, false
+}
+
+func (n *node) peer() Peer {
+	return Peer{Instance: n.name, Address: n.server.Listener.Addr().String(), Token: "t"}
+}
+
+// newNode returns an instance that answers and hears nobody yet.
+func newNode(t *testing.T, name string, role Role, inFlight int) *node {
+	t.Helper()
+	n := &node{name: name, role: role, chooser: &chooser{own: loadsOf(inFlight, 0)}, events: timeline.NewRing(name, 64, nil)}
+	n.hub = NewHub(n.chooser, boottime.Now)
+	n.server = httptest.NewServer(n.hub)
+	t.Cleanup(func() {
+		n.server.CloseClientConnections()
+		n.server.Close()
+	})
+	return n
+}
+
+// run hears the others and reports to them until the returned function is called.
+func (n *node) run(t *testing.T) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	mesh := NewMesh(MeshOptions{
+		Instance: n.name, Hub: n.hub, Roster: n, Recorder: n.events, Interval: func() time.Duration { return testInterval },
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		mesh.Run(ctx)
+	}()
+	stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(stop)
+	return stop
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+// TestInstancesHearOneAnotherDirectlyAndThroughReaders runs two readers, one of them
+// with two followers.
+func TestInstancesHearOneAnotherDirectlyAndThroughReaders(t *testing.T) {
+	a, b := newNode(t, "a", Reader, 1), newNode(t, "b", Reader, 10)
+	c, d := newNode(t, "c", Follower, 100), newNode(t, "d", Follower, 1000)
+	a.upstream, b.upstream = []*node{b}, []*node{a}
+	c.upstream, d.upstream = []*node{a}, []*node{a}
+	a.children = []*node{c, d}
+	for _, n := range []*node{a, b, c, d} {
+		n.run(t)
+	}
+	for n, others := range map[*node]int{a: 1110, b: 1101, c: 1011, d: 111} {
+		eventually(t, fmt.Sprintf("%s hears all others", n.name), func() bool { return n.chooser.has("s").InFlight == others })
+	}
+	d.chooser.mu.Lock()
+	d.chooser.sent = []balance.Sent{{Server: "s", Parts: []uint64{7}}}
+	d.chooser.mu.Unlock()
+	for _, n := range []*node{a, b, c} {
+		eventually(t, n.name+" hears of the prompt", func() bool { return n.chooser.notes() == 1 })
+	}
+}
+
+// TestInstanceThatFallsSilentIsForgottenAndHeardAgain: its connection stays open and
+// nothing comes on it.
+func TestInstanceThatFallsSilentIsForgottenAndHeardAgain(t *testing.T) {
+	is := is.New(t)
+	a, b := newNode(t, "a", Reader, 1), newNode(t, "b", Reader, 10)
+	a.upstream = []*node{b}
+	a.run(t)
+	halt := b.run(t)
+	eventually(t, "heard", func() bool { return a.chooser.has("s").InFlight == 10 })
+	halt()
+	eventually(t, "forgotten", func() bool { return a.chooser.has("s").InFlight == 0 })
+	b.run(t)
+	eventually(t, "heard again", func() bool { return a.chooser.has("s").InFlight == 10 })
+	var kinds []timeline.Kind
+	events, _ := a.events.Snapshot()
+	for _, e := range events {
+		kinds = append(kinds, e.Kind)
+	}
+	is.Equal(kinds, []timeline.Kind{timeline.LoadsHeard, timeline.LoadsLost, timeline.LoadsHeard})
+}
+
+func TestCallsWithoutNameOrRoleGetNoReports(t *testing.T) {
+	is := is.New(t)
+	hub := NewHub(&chooser{}, boottime.Now)
+	for _, query := range []string{"", "?instance=a", "?instance=a&role=king", "?role=reader"} {
+		w := httptest.NewRecorder()
+		hub.ServeHTTP(w, httptest.NewRequest(http.MethodGet, Path+query, nil))
+		is.Equal(w.Code, http.StatusBadRequest)
+	}
+}
+
+// TestBytesThatAreNoReportEndTheConnection: another program may have the address now.
+func TestBytesThatAreNoReportEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	stranger := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("hello, I am another program"))
+	}))
+	defer stranger.Close()
+	c := &chooser{}
+	hub := NewHub(c, boottime.Now)
+	mesh := NewMesh(MeshOptions{Instance: "a", Hub: hub, Recorder: timeline.Discard})
+	address := stranger.Listener.Addr().(*net.TCPAddr).String()
+	heard, err := mesh.read(t.Context(), hearing{peer: Peer{Instance: "b", Address: address}, as: Reader})
+	is.True(!heard)
+	is.True(err != nil)
+}
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -52,6 +52,8 @@
 	InstanceDrains  Kind = "instance.drains"
 	InstanceStopped Kind = "instance.stopped" // Count: requests cut off; State "forced" when an operator gave them up
 	InstanceStale   Kind = "instance.stale"   // takes no new work: configuration may be old
+	LoadsHeard      Kind = "loads.heard"      // Peer: an instance whose loads are heard again; State: its role
+	LoadsLost       Kind = "loads.lost"       // Peer: an instance whose loads are no longer heard; Detail: why
 	FeedSource      Kind = "feed.source"      // State: store, serves or source; Peer: the source; Detail: why
 	PeerUp          Kind = "peer.up"          // Peer
 	PeerDown        Kind = "peer.down"        // Peer
