Tell crash notices to all instances on the platform

Change: reports between instances carry the notices of the quarantine, in the first one all that are known, so that an instance that has just come up refuses what was convicted. Package loadshare is now called reports. TestRequestThatCrashesServersIsRefusedByAll: 12 sends to three instances crash two servers; without the notices five (all there were).

--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -54,7 +54,7 @@
 	coldMillis = 50.0
 	// doublingPressure is the pressure at which reading a token anew weighs twice as
 	// much as without any.
-	doublingPressure = 300.0
+	doublingPressure = 150.0
 )
 
 // DefaultRereadWeight is the usual weight of reading a token anew.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -81,13 +81,16 @@
 		Recorder: e.events,
 	})
 	clock := truetime.New(truetime.Options{})
-	e.sharing = newSharing(s, p, e.balancer, clock, e.events, logger.Named("sharing"))
+	suspects := quarantine.New(quarantine.Options{
+		Instance: s.Instance, Recorder: e.events, Notify: func(n quarantine.Notice) { e.sharing.hub.Crashed(n) },
+	})
+	e.sharing = newSharing(s, p, e.balancer, suspects, clock, e.events, logger.Named("sharing"))
 	e.view = newStoreView(p, s.Bounds, e.balancer, e.sharing, clock, e.events)
 	e.members = newMembers(s, p, e.balancer, e.sharing, clock, e.events, logger.Named("members"))
 	e.duties = newDuties(s, p, e.view, e.members, e.balancer, e.sharing, clock, e.events, logger.Named("duties"))
 	e.gateway = gateway.New(gateway.Options{
 		Source: e.view, Balancer: e.balancer, Protocol: p.Protocol, Meter: e.duties.meter,
-		Suspects: dispatch.Quarantine(quarantine.New(quarantine.Options{Instance: s.Instance, Recorder: e.events})),
+		Suspects: dispatch.Quarantine(suspects),
 		Recorder: e.events,
 	})
 	return e, e.listen()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -81,15 +81,25 @@
 	w.store.Put("op", "config", data)
 }
 
+// poison is the body of a request that crashes servers.
+const poison = "poison"
+
 // addServer starts a backend server that answers after a time.
 func (w *world) addServer(id string, after time.Duration) {
 	w.t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) {
+	var server *httptest.Server
+	server = httptest.NewUnstartedServer(http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) {
+		if body, err := io.ReadAll(r.Body); err == nil && string(body) == poison {
+			_ = server.Listener.Close()
+			server.CloseClientConnections()
+			return
+		}
 		time.Sleep(after)
 		a.Header().Set("Id", r.Header.Get("Id"))
 		a.Header().Set("Signed", id)
 		_, _ = io.WriteString(a, "done")
 	}))
+	server.Start()
 	w.t.Cleanup(server.Close)
 	entry, err := json.Marshal(directory.Entry{
 		ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Zone: "z", Capacity: 64,
@@ -213,7 +223,12 @@
 
 // call sends a request over a client of its own.
 func (r *running) call(client *http.Client, id, key string) (status int, closes bool, err error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+r.CallerAddress()+"/x", strings.NewReader("body"))
+	return r.send(client, id, key, "body")
+}
+
+// send sends a request with a body.
+func (r *running) send(client *http.Client, id, key, body string) (status int, closes bool, err error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+r.CallerAddress()+"/x", strings.NewReader(body))
 	if err != nil {
 		return 0, false, err
 	}
--- a/internal/edge/loads.go
+++ b/internal/edge/loads.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"github.com/hawthornwick/hawthornwick/internal/fanout"
-	"github.com/hawthornwick/hawthornwick/internal/loadshare"
+	"github.com/hawthornwick/hawthornwick/internal/reports"
 )
 
 // roster tells with whom this instance shares its loads: as the tables are shared,
@@ -18,7 +18,7 @@
 	members []fanout.Member
 }
 
-var _ loadshare.Roster = (*roster)(nil)
+var _ reports.Roster = (*roster)(nil)
 
 func (r *roster) learn(members []fanout.Member) {
 	r.mu.Lock()
@@ -26,34 +26,34 @@
 	r.members = members
 }
 
-// Role implements loadshare.Roster.
-func (r *roster) Role() loadshare.Role {
+// Role implements reports.Roster.
+func (r *roster) Role() reports.Role {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.role()
 }
 
-func (r *roster) role() loadshare.Role {
+func (r *roster) role() reports.Role {
 	sources := fanout.Sources(r.members, r.zone)
 	if len(sources) == 0 || slices.ContainsFunc(sources, r.isSelf) {
-		return loadshare.Reader
+		return reports.Reader
 	}
-	return loadshare.Follower
+	return reports.Follower
 }
 
 func (r *roster) isSelf(m fanout.Member) bool { return m.Name == r.instance }
 
-// Upstream implements loadshare.Roster.
-func (r *roster) Upstream() []loadshare.Peer {
+// Upstream implements reports.Roster.
+func (r *roster) Upstream() []reports.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.role() == loadshare.Follower {
+	if r.role() == reports.Follower {
 		if source, ok := r.group.Source(); ok {
-			return []loadshare.Peer{peer(source)}
+			return []reports.Peer{peer(source)}
 		}
 		return nil
 	}
-	var peers []loadshare.Peer
+	var peers []reports.Peer
 	for _, m := range fanout.Readers(r.members) {
 		if !r.isSelf(m) && m.Address != "" {
 			peers = append(peers, peer(m))
@@ -62,8 +62,8 @@
 	return peers
 }
 
-// Follower implements loadshare.Roster.
-func (r *roster) Follower(instance string) (loadshare.Peer, bool) {
+// Follower implements reports.Roster.
+func (r *roster) Follower(instance string) (reports.Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, m := range r.members {
@@ -71,9 +71,9 @@
 			return peer(m), true
 		}
 	}
-	return loadshare.Peer{}, false
+	return reports.Peer{}, false
 }
 
-func peer(m fanout.Member) loadshare.Peer {
-	return loadshare.Peer{Instance: m.Name, Address: m.Address, Token: m.Token}
+func peer(m fanout.Member) reports.Peer {
+	return reports.Peer{Instance: m.Name, Address: m.Address, Token: m.Token}
 }
--- a/internal/edge/loads_test.go
+++ b/internal/edge/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -11,7 +12,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/fanout"
-	"github.com/hawthornwick/hawthornwick/internal/loadshare"
+	"github.com/hawthornwick/hawthornwick/internal/reports"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -39,7 +40,7 @@
 func TestInstancesOfSmallZonesHearOneAnotherDirectly(t *testing.T) {
 	is := is.New(t)
 	r := rosterOf("a0", 3)
-	is.Equal(r.Role(), loadshare.Reader)
+	is.Equal(r.Role(), reports.Reader)
 	is.Equal(len(r.Upstream()), 4)
 	for _, p := range r.Upstream() {
 		is.True(p.Instance != "a0" && p.Token == "t-"+p.Instance)
@@ -48,17 +49,17 @@
 
 func TestInstancesOfLargeZonesHearTheirSource(t *testing.T) {
 	is := is.New(t)
-	roles := map[loadshare.Role]int{}
+	roles := map[reports.Role]int{}
 	for i := range 20 {
 		r := rosterOf(fmt.Sprint("a", i), 20)
 		roles[r.Role()]++
 		want := 1 // its source
-		if r.Role() == loadshare.Reader {
+		if r.Role() == reports.Reader {
 			want = 3 // the other source, and two of the small zone
 		}
 		is.Equal(len(r.Upstream()), want)
 	}
-	is.Equal(roles, map[loadshare.Role]int{loadshare.Reader: 2, loadshare.Follower: 18})
+	is.Equal(roles, map[reports.Role]int{reports.Reader: 2, reports.Follower: 18})
 	p, known := rosterOf("a0", 20).Follower("a7")
 	is.True(known)
 	is.Equal(p.Address, "a7:1")
@@ -96,3 +97,33 @@
 	r.serveMetrics(w, nil)
 	return strings.Contains(w.Body.String(), "\n"+line+"\n")
 }
+
+// TestRequestThatCrashesServersIsRefusedByAll: its caller sends it to one instance
+// after the other, and each of them would try it on servers of its own.
+func TestRequestThatCrashesServersIsRefusedByAll(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newWorld(t)
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		w.addServer(id, 0)
+	}
+	fleet := fleet{w.ready("0"), w.ready("1"), w.ready("2")}
+	for _, r := range fleet {
+		eventually(t, 10*time.Second, "all hear all", func() bool { return r.shows("hawthornwick_loads_heard_instances 2") })
+	}
+	failed := 0
+	for n := range 12 {
+		status, _, err := fleet[n%3].send(newClient(t), fmt.Sprint(n), "key", poison)
+		is.NoErr(err)
+		if status == http.StatusBadGateway {
+			failed++ // it ran
+		} else {
+			is.Equal(status, http.StatusServiceUnavailable)
+		}
+		time.Sleep(500 * time.Millisecond) // longer than notices take, and crashes to settle
+	}
+	is.Equal(failed, 2)
+	for n, r := range fleet {
+		r.expect(fmt.Sprint("other-", n), "key", http.StatusOK) // other requests are served
+	}
+}
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -13,9 +13,10 @@
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/fanout"
-	"github.com/hawthornwick/hawthornwick/internal/loadshare"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/presence"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
+	"github.com/hawthornwick/hawthornwick/internal/reports"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/truetime"
@@ -51,13 +52,13 @@
 	caches  map[string]*fanout.Cache
 	writers map[string]*fanout.Writer
 	roster  *roster
-	hub     *loadshare.Hub
-	loads   *loadshare.Mesh
+	hub     *reports.Hub
+	loads   *reports.Mesh
 	server  *http.Server // nil: other instances cannot call this one
 	on      net.Listener
 }
 
-func newSharing(s Settings, p Platform, b *balance.Balancer, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *sharing {
+func newSharing(s Settings, p Platform, b *balance.Balancer, suspects *quarantine.Tracker, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *sharing {
 	h := &sharing{
 		cores:  s.Cores,
 		token:  rand.Text(),
@@ -74,8 +75,8 @@
 		h.caches[table] = fanout.NewCache(boottime.Now)
 	}
 	h.roster = &roster{instance: s.Instance, zone: s.Zone, group: h.group}
-	h.hub = loadshare.NewHub(b, boottime.Now)
-	h.loads = loadshare.NewMesh(loadshare.MeshOptions{
+	h.hub = reports.NewHub(b, suspects, boottime.Now)
+	h.loads = reports.NewMesh(reports.MeshOptions{
 		Instance: s.Instance, Hub: h.hub, Roster: h.roster, Recorder: recorder,
 		Interval: func() time.Duration { return loadsInterval(b.Instances()) },
 	})
@@ -93,7 +94,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", server.Handler())
-	mux.HandleFunc("GET "+loadshare.Path, fanout.RequireToken(h.token, h.hub.ServeHTTP))
+	mux.HandleFunc("GET "+reports.Path, fanout.RequireToken(h.token, h.hub.ServeHTTP))
 	h.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return h
 }
--- a/internal/loadshare/hub.go
+++ b/internal/reports/hub.go
@@ -1,4 +1,4 @@
-package loadshare
+package reports
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 )
 
 const (
@@ -16,7 +17,8 @@
 	lifetime = 2500 * time.Millisecond
 	// heartbeat is the longest time between two reports to one instance.
 	heartbeat = time.Second
-	// mostQueued bounds the prompts that wait for the next report; the oldest go.
+	// mostQueued bounds the prompts, and the notices, that wait for the next report;
+	// the oldest go.
 	mostQueued = 512
 )
 
@@ -32,6 +34,14 @@
 	NoteSent(sent []balance.Sent)
 }
 
+// Suspects follows requests that crash servers.
+type Suspects interface {
+	// Notices returns what an instance that has just come up needs to know.
+	Notices(now time.Time) []quarantine.Notice
+	// Learn takes a notice of another instance, which may come more than once.
+	Learn(n quarantine.Notice, now time.Time)
+}
+
 // heard is the last report of another instance.
 type heard struct {
 	role  Role
@@ -43,6 +53,7 @@
 // reports to each of them. It is safe for concurrent use.
 type Hub struct {
 	balancer Balancer
+	suspects Suspects
 	now      func() boottime.Instant
 
 	mu          sync.Mutex
@@ -60,13 +71,14 @@
 	role     Role
 	wake     chan struct{}
 	sent     []balance.Sent
+	crashes  []quarantine.Notice
 	last     map[string]balance.Load
 	at       boottime.Instant // of the last report
 }
 
 // NewHub returns a hub that has heard nothing.
-func NewHub(b Balancer, now func() boottime.Instant) *Hub {
-	return &Hub{balancer: b, now: now, heard: map[string]heard{}, subscribers: map[*subscriber]struct{}{}}
+func NewHub(b Balancer, s Suspects, now func() boottime.Instant) *Hub {
+	return &Hub{balancer: b, suspects: s, now: now, heard: map[string]heard{}, subscribers: map[*subscriber]struct{}{}}
 }
 
 // subscribe begins reports to an instance.
@@ -74,6 +86,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := &subscriber{instance: instance, role: role, wake: make(chan struct{}, 1)}
+	s.crashes = h.suspects.Notices(time.Now())
 	h.subscribers[s] = struct{}{}
 	return s
 }
@@ -105,13 +118,25 @@
 	h.taken++
 	for s := range h.subscribers {
 		if s.hears(instance, role) {
-			s.queue(r.Sent)
+			s.queue(r.Sent, r.Crashes)
 		}
 	}
 	h.mu.Unlock()
 	if len(r.Sent) > 0 {
 		h.balancer.NoteSent(r.Sent)
 	}
+	for _, n := range r.Crashes {
+		h.suspects.Learn(n, time.Now())
+	}
+}
+
+// Crashed tells the others of a crash that this instance saw.
+func (h *Hub) Crashed(n quarantine.Notice) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for s := range h.subscribers {
+		s.queue(nil, []quarantine.Notice{n})
+	}
 }
 
 // lost forgets an instance that is no longer heard.
@@ -129,13 +154,13 @@
 	return s.instance != instance && (s.role == Follower || role == Follower)
 }
 
-func (s *subscriber) queue(sent []balance.Sent) {
-	s.sent = append(s.sent, sent...)
-	if spare := len(s.sent) - mostQueued; spare > 0 {
-		s.sent = s.sent[spare:]
-	}
+func (s *subscriber) queue(sent []balance.Sent, crashes []quarantine.Notice) {
+	s.sent = newest(append(s.sent, sent...))
+	s.crashes = newest(append(s.crashes, crashes...))
 }
 
+func newest[T any](queued []T) []T { return queued[max(len(queued)-mostQueued, 0):] }
+
 // turn tells the balancer what was heard and wakes the subscribers for their next
 // reports.
 func (h *Hub) turn() {
@@ -149,7 +174,7 @@
 		h.news = false
 	}
 	for s := range h.subscribers {
-		s.queue(sent)
+		s.queue(sent, nil)
 		select {
 		case s.wake <- struct{}{}:
 		default: // still busy with the last one
@@ -196,12 +221,12 @@
 		loads[server] = loads[server].Add(l)
 	}
 	now := h.now()
-	if len(s.sent) == 0 && maps.Equal(loads, s.last) && now.Sub(s.at) < heartbeat {
+	if len(s.sent)+len(s.crashes) == 0 && maps.Equal(loads, s.last) && now.Sub(s.at) < heartbeat {
 		return Report{}, false
 	}
 	h.made++
-	r := Report{Loads: loads, Sent: s.sent}
-	s.last, s.at, s.sent = loads, now, nil
+	r := Report{Loads: loads, Sent: s.sent, Crashes: s.crashes}
+	s.last, s.at, s.sent, s.crashes = loads, now, nil, nil
 	return r, true
 }
 
--- a/internal/loadshare/hub_test.go
+++ b/internal/reports/hub_test.go
@@ -1,4 +1,4 @@
-package loadshare
+package reports
 
 import (
 	"sync"
@@ -9,6 +9,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 )
 
 // chooser is a balancer that keeps what it is told.
@@ -61,16 +62,22 @@
 // bench is a hub on a clock that tests move.
 type bench struct {
 	*Hub
-	chooser *chooser
-	clock   boottime.Instant
+	chooser  *chooser
+	suspects *quarantine.Tracker
+	clock    boottime.Instant
 }
 
 func newBench(own map[string]balance.Load) *bench {
 	b := &bench{chooser: &chooser{own: own}, clock: boottime.Instant(time.Hour)}
-	b.Hub = NewHub(b.chooser, func() boottime.Instant { return b.clock })
+	b.suspects = quarantine.New(quarantine.Options{Instance: "i", Notify: func(n quarantine.Notice) { b.Crashed(n) }})
+	b.Hub = NewHub(b.chooser, b.suspects, func() boottime.Instant { return b.clock })
 	return b
 }
 
+func newSuspects(instance string) *quarantine.Tracker {
+	return quarantine.New(quarantine.Options{Instance: instance})
+}
+
 func loadsOf(inFlight, unread int) map[string]balance.Load {
 	return map[string]balance.Load{"s": {InFlight: inFlight, Unread: unread}}
 }
@@ -163,3 +170,37 @@
 	is.Equal(len(r.Sent), mostQueued)
 	is.Equal(r.Sent[mostQueued-1].Parts[0], uint64(2*mostQueued-1)) // the newest are kept
 }
+
+// TestCrashesAreToldToAllAlsoToThoseThatComeLater: an instance that has just come up
+// must not run what crashed servers before.
+func TestCrashesAreToldToAllAlsoToThoseThatComeLater(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	early := b.subscribe("r", Reader)
+	run, ok := b.suspects.Start(7, "s", 0, time.Now())
+	is.True(ok)
+	run.Crashed(time.Now())
+	for _, s := range []*subscriber{early, b.subscribe("f", Follower)} {
+		r, _ := b.report(s)
+		is.Equal(len(r.Crashes), 1)
+		is.Equal(r.Crashes[0].Fingerprints, []uint64{7})
+		_, again := b.report(s)
+		is.True(!again)
+	}
+}
+
+// TestCrashesThatOthersSawAreLearntAndPassedOn: two crashes of one request make all
+// refuse it.
+func TestCrashesThatOthersSawAreLearntAndPassedOn(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	reader := b.subscribe("r", Reader)
+	long := time.Now().Add(-time.Minute).UnixMilli()
+	for i, server := range []string{"s", "t"} {
+		n := quarantine.Notice{Reporter: "f", Server: server, UnixMillis: long + int64(i), Fingerprints: []uint64{7}}
+		b.took("f", Follower, Report{Crashes: []quarantine.Notice{n}})
+	}
+	is.True(b.suspects.Refused(7, time.Now()))
+	r, _ := b.report(reader)
+	is.Equal(len(r.Crashes), 2)
+}
--- a/internal/loadshare/mesh_test.go
+++ b/internal/reports/mesh_test.go
@@ -1,4 +1,4 @@
-package loadshare
+package reports
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -23,6 +24,7 @@
 	name     string
 	role     Role
 	chooser  *chooser
+	suspects *quarantine.Tracker
 	hub      *Hub
 	server   *httptest.Server
 	events   *timeline.Ring
@@ -59,8 +61,8 @@
 // newNode returns an instance that answers and hears nobody yet.
 func newNode(t *testing.T, name string, role Role, inFlight int) *node {
 	t.Helper()
-	n := &node{name: name, role: role, chooser: &chooser{own: loadsOf(inFlight, 0)}, events: timeline.NewRing(name, 64, nil)}
-	n.hub = NewHub(n.chooser, boottime.Now)
+	n := &node{name: name, role: role, suspects: newSuspects(name), chooser: &chooser{own: loadsOf(inFlight, 0)}, events: timeline.NewRing(name, 64, nil)}
+	n.hub = NewHub(n.chooser, n.suspects, boottime.Now)
 	n.server = httptest.NewServer(n.hub)
 	t.Cleanup(func() {
 		n.server.CloseClientConnections()
@@ -144,7 +146,7 @@
 
 func TestCallsWithoutNameOrRoleGetNoReports(t *testing.T) {
 	is := is.New(t)
-	hub := NewHub(&chooser{}, boottime.Now)
+	hub := NewHub(&chooser{}, newSuspects("a"), boottime.Now)
 	for _, query := range []string{"", "?instance=a", "?instance=a&role=king", "?role=reader"} {
 		w := httptest.NewRecorder()
 		hub.ServeHTTP(w, httptest.NewRequest(http.MethodGet, Path+query, nil))
@@ -160,7 +162,7 @@
 	}))
 	defer stranger.Close()
 	c := &chooser{}
-	hub := NewHub(c, boottime.Now)
+	hub := NewHub(c, newSuspects("a"), boottime.Now)
 	mesh := NewMesh(MeshOptions{Instance: "a", Hub: hub, Recorder: timeline.Discard})
 	address := stranger.Listener.Addr().(*net.TCPAddr).String()
 	heard, err := mesh.read(t.Context(), hearing{peer: Peer{Instance: "b", Address: address}, as: Reader})
--- a/internal/loadshare/server.go
+++ b/internal/reports/server.go
@@ -1,4 +1,4 @@
-package loadshare
+package reports
 
 import (
 	"net/http"
