gateway: log when a stream's first event came and its longest pause

Change: request.answered carries first_event_ms, longest_pause_ms and when that pause ended; attempt.sent carries the prompt tokens that the server has to prefill.

--- a/internal/balance/acquire.go
+++ b/internal/balance/acquire.go
@@ -195,7 +195,7 @@
 	p.tokens.output += q.OutputTokens
 	return &Assignment{
 		Server: s.ID, Address: s.Address, Zone: s.Zone, Cold: cold, OnAffinityServer: onAffinity, InFlight: inFlight, Others: others,
-		balancer: b, server: s, pool: p, prefill: uncached, assignedAt: now,
+		Uncached: uncached, balancer: b, server: s, pool: p, assignedAt: now,
 		expectedMillis: minFirstEventMillis + float64(s.pendingPrefill+others.PendingPrefill)/prefillTokensPerMilli,
 	}
 }
--- a/internal/balance/types.go
+++ b/internal/balance/types.go
@@ -106,11 +106,13 @@
 	InFlight int
 	// Others is the load that the other instances reported for the server.
 	Others Load
+	// Uncached is the estimated number of prompt tokens that the server has to
+	// prefill.
+	Uncached int
 
 	balancer       *Balancer
 	server         *server
 	pool           *pool
-	prefill        int
 	assignedAt     boottime.Instant
 	expectedMillis float64 // expected time to the first event, without a relative slowdown
 	prefilled      bool    // the first event arrived, so prefill is done
@@ -136,7 +138,7 @@
 		return false
 	}
 	a.prefilled = true
-	a.server.pendingPrefill -= a.prefill
+	a.server.pendingPrefill -= a.Uncached
 	return true
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,8 +139,9 @@
 
 // describeChoice returns the inputs to the choice of the server as key=value pairs.
 func (a *attempt) describeChoice() string {
-	return fmt.Sprintf("home=%t cold=%t in_flight=%d others=%d unread=%d repeat=%t resume_after=%q",
-		a.assignment.OnAffinityServer, a.assignment.Cold, a.assignment.InFlight, a.assignment.Others.InFlight, a.assignment.Others.PendingPrefill, a.x.sends > 0, a.x.lastEventID)
+	return fmt.Sprintf("home=%t cold=%t in_flight=%d others=%d unread=%d uncached=%d repeat=%t resume_after=%q",
+		a.assignment.OnAffinityServer, a.assignment.Cold, a.assignment.InFlight, a.assignment.Others.InFlight,
+		a.assignment.Others.PendingPrefill, a.assignment.Uncached, a.x.sends > 0, a.x.lastEventID)
 }
 
 // request builds the request for the server.
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -76,5 +76,6 @@
 	a.x.record(timeline.Event{
 		Kind: timeline.RequestAnswered, Attempt: a.x.head.Attempt, Server: a.assignment.Server, Zone: a.assignment.Zone,
 		Count: events, Duration: time.Since(a.x.receivedAt), State: strconv.Itoa(a.response.StatusCode),
+		Detail: a.x.pauses.describe(a.x.receivedAt),
 	})
 }
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -102,8 +103,20 @@
 	s.call(http.MethodPost, "/once/x", "")
 	all, _ := s.ring.Snapshot()
 	i := slices.IndexFunc(all, func(e timeline.Event) bool { return e.Kind == timeline.AttemptSent })
-	is.Equal(all[i].Detail, `home=false cold=false in_flight=0 others=0 unread=0 repeat=false resume_after=""`)
+	is.Equal(all[i].Detail, `home=false cold=false in_flight=0 others=0 unread=0 uncached=0 repeat=false resume_after=""`)
 	is.Equal(all[i].Server, "0")
 	is.Equal(all[i].Version, uint64(1))
 	is.Equal(all[i].Organisation, "org")
 }
+
+// TestAnsweredStreamDetail pins the figures that explain why a stream was late.
+func TestAnsweredStreamDetail(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	var p pauses
+	is.Equal(p.describe(start), "")
+	for _, millis := range []int{40, 60, 400, 410} {
+		p.record(start.Add(time.Duration(millis) * time.Millisecond))
+	}
+	is.Equal(p.describe(start), "first_event_ms=40 longest_pause_ms=340 pause_ended_ms=400")
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -61,6 +61,7 @@
 	responseStarted bool   // the head of the answer was sent to the caller
 	lastEventID     string // of the last event that the caller received; empty if none
 	events          int64  // complete events sent to the caller
+	pauses          pauses // between these events
 }
 
 func newExchange(g *Gateway, w http.ResponseWriter, r *http.Request) *exchange {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/routes"
 )
@@ -89,6 +90,7 @@
 		return a.connectionFailure(err)
 	}
 	x.events++
+	x.pauses.record(time.Now())
 	if id, ok := eventID(event); ok {
 		x.lastEventID = id
 	}
