routes: rank requests by organisation, then by route

Cause: an organisation's priority replaced that of the route. Change: Table.Rank numbers the pairs of organisation's and route's priority. Test: TestRankByOrganisationThenRoute.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -155,7 +155,7 @@
 	x.fingerprint = x.digest()
 	x.lastEventID = x.head.ResumeAfter
 	x.query = balance.Query{
-		Service: x.route.Choose(x.head.Attempt), Priority: x.priority(), Organisation: x.organisationName(),
+		Service: x.route.Choose(x.head.Attempt), Priority: x.table.Rank(x.route, x.organisation), Organisation: x.organisationName(),
 		Parts: x.head.Parts, PromptTokens: x.head.PromptTokens, OutputTokens: x.head.OutputTokens,
 	}
 }
@@ -172,14 +172,6 @@
 	return h.Sum64()
 }
 
-// priority returns the organisation's priority if it has one, or else the route's.
-func (x *exchange) priority() int {
-	if x.organisation != nil && x.organisation.Priority != nil {
-		return *x.organisation.Priority
-	}
-	return x.route.Priority
-}
-
 func (x *exchange) organisationName() string {
 	if x.organisation == nil {
 		return ""
--- a/internal/gatewayfile/file.go
+++ b/internal/gatewayfile/file.go
@@ -99,8 +99,9 @@
 	// KeyDigests are the SHA-256 digests of the organisation's keys in lower-case
 	// hexadecimal.
 	KeyDigests []string `yaml:"key-digests"`
-	// Priority overrides the priority of the routes. If nil, the priority of the route is
-	// used.
+	// Priority goes before the priority of the routes, which decides among requests of
+	// organisations with equal priority. If nil, the priority of the route stands in
+	// its place.
 	Priority *int `yaml:"priority"`
 }
 
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -54,7 +54,7 @@
 	Resumable bool
 	// Open routes need no key.
 	Open bool
-	// Priority ranks the route's requests; 0 is the most urgent.
+	// Priority ranks the route's requests; 0 is the most urgent. See Table.Rank.
 	Priority int
 	// MaxAttempts bounds how often one request may run. Zero means 1.
 	MaxAttempts int
@@ -130,8 +130,9 @@
 	Name string
 	// Keys are the digests of the organisation's secret keys.
 	Keys []config.KeyDigest
-	// Priority overrides the route's; 0 is the most urgent. If nil, the route's
-	// applies.
+	// Priority ranks the organisation's requests and goes before the route's
+	// priority; 0 is the most urgent. If nil, the route's stands in its place. See
+	// Table.Rank.
 	Priority *int
 }
 
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -18,6 +18,7 @@
 	hosts         map[string]map[string]*Route // by host in lower case, then prefix
 	services      map[string]*Service
 	organisations map[config.KeyDigest]*Organisation
+	ranks         map[rankKey]int
 }
 
 // Compile validates a configuration and compiles it. The caller must not change c
@@ -42,6 +43,7 @@
 			t.organisations[key] = &c.Organisations[i]
 		}
 	}
+	t.compileRanks()
 	return t, nil
 }
 
--- a/internal/routes/table_test.go
+++ b/internal/routes/table_test.go
@@ -51,3 +51,28 @@
 	is.True(count["a"] > 8800 && count["a"] < 9200)
 	is.Equal(count["never"], 0)
 }
+
+func TestRankByOrganisationThenRoute(t *testing.T) {
+	is := is.New(t)
+	split := []Share{{Service: "a", Weight: 1}}
+	urgent, usual := 0, 1
+	table := mustCompile(t, Config{
+		Services: []Service{{Name: "a"}},
+		Routes: []Route{
+			{Name: "draft", Prefix: "/d/", Split: split, Priority: 2},
+			{Name: "lookup", Prefix: "/l/", Split: split, Priority: 0},
+			{Name: "review", Prefix: "/r/", Split: split, Priority: 1},
+		},
+		Organisations: []Organisation{{Name: "usual", Priority: &usual}, {Name: "urgent", Priority: &urgent}, {Name: "other"}},
+	})
+	draft, lookup, review := &table.Routes[0], &table.Routes[1], &table.Routes[2]
+	first, second, none := &table.Organisations[1], &table.Organisations[0], &table.Organisations[2]
+	order := []int{
+		table.Rank(lookup, first), table.Rank(review, first), table.Rank(draft, first),
+		table.Rank(lookup, second), table.Rank(review, second), table.Rank(draft, second),
+	}
+	is.Equal(order, []int{0, 1, 2, 3, 4, 5}) // the organisation's priority goes before the route's
+	is.Equal(table.Rank(lookup, none), 0)    // without one the route's stands in its place
+	is.Equal(table.Rank(review, none), 4)
+	is.Equal(table.Rank(draft, nil), 6)
+}
