balance: record loads of other instances beyond what a server can hold

Operators saw requests go to a few servers while all others were idle, and no line told why: the instances' reported loads had grown to 1e11 requests in flight on a server with 64 places. loads.excess names the server, the reported number and the limit (four times the places), at most once a second; hawthornwick_excess_loads_total counts them and hawthornwick_others_in_flight gives the sum to compare with hawthornwick_active_requests. Nothing is clamped.

TestLoadBeyondServerIsRecorded failed before (no such event).

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -13,6 +13,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
 // testBalancer is a balancer whose clock the test advances.
@@ -21,15 +22,16 @@
 	t       *testing.T
 	clock   boottime.Instant
 	servers []directory.Server
+	events  *timeline.Ring
 }
 
 func newTestBalancer(t *testing.T, instance string, members ...string) *testBalancer {
 	t.Helper()
-	b := &testBalancer{t: t, clock: boottime.Instant(time.Hour)}
+	b := &testBalancer{t: t, clock: boottime.Instant(time.Hour), events: timeline.NewRing(instance, 64, nil)}
 	b.Balancer = New(Options{
 		Instance: instance, Zone: "z", ColdOvershoot: 1.5, ColdTolerance: 5,
-		Retries: RetryLimit{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
-		Now:     func() boottime.Instant { return b.clock },
+		Retries:  RetryLimit{Window: 10 * time.Second, Ratio: 0.2, Slack: 50},
+		Recorder: b.events, Now: func() boottime.Instant { return b.clock },
 	})
 	table, err := routes.Compile(routes.Config{Services: []routes.Service{
 		{Name: "engine", Engine: &routes.Engine{Slots: 64}, ColdTime: 3 * time.Second, ColdRate: 6.7},
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -70,6 +70,8 @@
 	drainedZones map[string]bool
 	timerArmed   bool
 	unpublished  []SentPrompt // prompts to publish to the other instances
+
+	nextExcessEvent boottime.Instant // see checkOthers
 }
 
 // pool is the state of one service: its servers and its queue.
@@ -86,6 +88,7 @@
 	meanPrefill meanPrefill
 
 	retriesAllowed, retriesDenied uint64
+	excessLoads                   uint64 // reported loads beyond what a server can hold
 }
 
 // New returns a balancer without services or servers.
@@ -237,12 +240,17 @@
 // inFlightLimit returns the number of this instance's requests that a server may
 // have in flight.
 func (b *Balancer) inFlightLimit(p *pool, s *server) int {
-	slots := s.Capacity
+	const evenShareFactor = 2 // times the even share, since callers are spread unevenly over instances
+	return max(evenShareFactor, int(math.Ceil(evenShareFactor*float64(p.slots(s))/float64(b.instances()))))
+}
+
+// slots returns the number of requests that a server runs concurrently. Zero means
+// unknown.
+func (p *pool) slots(s *server) int {
 	if p.spec.Engine != nil && p.spec.Engine.Slots > 0 {
-		slots = p.spec.Engine.Slots
+		return p.spec.Engine.Slots
 	}
-	const evenShareFactor = 2 // times the even share, since callers are spread unevenly over instances
-	return max(evenShareFactor, int(math.Ceil(evenShareFactor*float64(slots)/float64(b.instances()))))
+	return s.Capacity
 }
 
 // coldShare returns the number of requests that this instance may send to a cold
--- a/internal/balance/load.go
+++ b/internal/balance/load.go
@@ -1,9 +1,11 @@
 package balance
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
 // Load is the load of one or more instances on one backend server.
@@ -40,6 +42,12 @@
 	// maxUnpublished bounds the prompts kept for publication. The oldest are
 	// dropped.
 	maxUnpublished = 512
+	// maxLoadFactor is the number of requests that a server can hold, running or in
+	// its queue, relative to the number that it runs concurrently.
+	maxLoadFactor = 4
+	// excessEventInterval is the minimum time between two events of loads that
+	// exceed what a server can hold.
+	excessEventInterval = time.Second
 )
 
 // othersLoad is the last reported load of all other instances on a server.
@@ -84,9 +92,27 @@
 	now := b.now()
 	for id, s := range b.servers {
 		s.others = othersLoad{load: loads[id], receivedAt: now}
+		b.checkOthers(now, s)
 	}
 }
 
+// checkOthers counts a reported load that is more than the server can hold, and
+// records it, at most once per excessEventInterval.
+func (b *Balancer) checkOthers(now boottime.Instant, s *server) {
+	p := b.pool(s.Service)
+	limit := maxLoadFactor * p.slots(s)
+	reported := s.others.load.InFlight
+	if limit == 0 || reported <= limit {
+		return
+	}
+	p.excessLoads++
+	if now.Before(b.nextExcessEvent) {
+		return
+	}
+	b.nextExcessEvent = now.Add(excessEventInterval)
+	b.record(s, timeline.Event{Kind: timeline.LoadsExcess, Count: int64(reported), Detail: fmt.Sprintf("limit=%d unread=%d", limit, s.others.load.PendingPrefill)})
+}
+
 // TakeSent returns and removes the prompts that this instance sent since the last
 // call.
 func (b *Balancer) TakeSent() []SentPrompt {
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
 func TestOthersLoadExpires(t *testing.T) {
@@ -91,3 +93,30 @@
 	}
 	is.True(e.Cost(q, busy(affinity)) < e.Cost(q, busy(other)))
 }
+
+// TestLoadBeyondServerIsRecorded guards against reported loads that cannot be true and
+// that no log line or metric tells.
+func TestLoadBeyondServerIsRecorded(t *testing.T) {
+	is := is.New(t)
+	b := newTestBalancer(t, "i", "i", "j")
+	b.add("engine", "a", nil)
+	limit := maxLoadFactor * b.Balancer.pool("engine").slots(b.Balancer.servers["a"])
+	excess := func() (counts []int64) {
+		events, _ := b.events.Snapshot()
+		for _, e := range events {
+			if e.Kind == timeline.LoadsExcess {
+				counts = append(counts, e.Count)
+			}
+		}
+		return counts
+	}
+	b.SetOthers(map[string]Load{"a": {InFlight: limit}})
+	is.Equal(len(excess()), 0)
+	b.SetOthers(map[string]Load{"a": {InFlight: limit + 1}})
+	b.SetOthers(map[string]Load{"a": {InFlight: limit + 2}})
+	is.Equal(excess(), []int64{int64(limit + 1)})
+	b.clock = b.clock.Add(excessEventInterval)
+	b.SetOthers(map[string]Load{"a": {InFlight: limit + 3}})
+	is.Equal(excess(), []int64{int64(limit + 1), int64(limit + 3)})
+	is.Equal(b.Balancer.pool("engine").excessLoads, uint64(3))
+}
--- a/internal/balance/metrics.go
+++ b/internal/balance/metrics.go
@@ -27,8 +27,10 @@
 	fmt.Fprintf(w, "hawthornwick_repeats_total{service=%q,allowed=\"false\"} %d\n", p.name, p.retriesDenied)
 	fmt.Fprintf(w, "hawthornwick_repeats_left{service=%q} %.1f\n", p.name, p.retryWindow.Remaining(time.Duration(now)))
 	suspect, cold := 0, 0
+	var others Load
 	for _, s := range p.servers {
 		s.writeMetrics(w, now)
+		others = others.Add(s.others.at(now))
 		if s.suspect(now) {
 			suspect++
 		}
@@ -36,6 +38,8 @@
 			cold++
 		}
 	}
+	fmt.Fprintf(w, "hawthornwick_others_in_flight{service=%q} %d\n", p.name, others.InFlight)
+	fmt.Fprintf(w, "hawthornwick_excess_loads_total{service=%q} %d\n", p.name, p.excessLoads)
 	fmt.Fprintf(w, "hawthornwick_servers{service=%q,state=\"suspect\"} %d\n", p.name, suspect)
 	fmt.Fprintf(w, "hawthornwick_servers{service=%q,state=\"cold\"} %d\n", p.name, cold)
 	fmt.Fprintf(w, "hawthornwick_servers{service=%q,state=\"listed\"} %d\n", p.name, len(p.servers))
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -54,6 +54,7 @@
 	InstanceStale    Kind = "instance.stale"   // accepts no new requests, since its configuration may be out of date
 	LoadsResumed     Kind = "loads.heard"      // Peer: instance whose load reports arrive again; State: its role
 	LoadsInterrupted Kind = "loads.lost"       // Peer: instance whose load reports no longer arrive; Detail: why
+	LoadsExcess      Kind = "loads.excess"     // Server, Zone, Service, Count: requests in flight as reported by the other instances, more than the server can hold; Detail: the limit
 	FeedSource       Kind = "feed.source"      // State: store, serves or source (where the tables are read from); Peer: the source; Detail: why
 	PeerUp           Kind = "peer.up"          // Peer
 	PeerDown         Kind = "peer.down"        // Peer
