reports: failing tests of loads that circulate between instances

TestLoadsDoNotGrowRoundCircle: three instances that take each other for their source report 221 requests in flight in place of 110, and soon more. TestFormerSourceIsLeft: two followers that were subscribed to each other once stay so (15 s), since each subscription is the reason for the other one.

--- a/internal/reports/mesh_test.go
+++ b/internal/reports/mesh_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/knownred"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -28,6 +31,8 @@
 	hub      *Hub
 	server   *httptest.Server
 	events   *timeline.Ring
+
+	mu       sync.Mutex
 	upstream []*node
 	children []*node
 }
@@ -37,6 +42,8 @@
 
 // Upstream implements Roster.
 func (n *node) Upstream() []Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	var peers []Peer
 	for _, u := range n.upstream {
 		peers = append(peers, u.peer())
@@ -46,6 +53,8 @@
 
 // Follower implements Roster.
 func (n *node) Follower(instance string) (Peer, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, c := range n.children {
 		if c.name == instance {
 			return c.peer(), true
@@ -54,6 +63,25 @@
 	return Peer{}, false
 }
 
+// setUpstream changes the readers that the instance subscribes to.
+func (n *node) setUpstream(upstream ...*node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.upstream = upstream
+}
+
+// subscribers returns the names of the instances that are subscribed to n.
+func (n *node) subscribers() []string {
+	n.hub.mu.Lock()
+	defer n.hub.mu.Unlock()
+	var names []string
+	for s := range n.hub.subscribers {
+		names = append(names, s.instance)
+	}
+	slices.Sort(names)
+	return names
+}
+
 func (n *node) peer() Peer {
 	return Peer{Instance: n.name, Address: n.server.Listener.Addr().String(), Token: "t"}
 }
@@ -123,6 +151,56 @@
 	}
 }
 
+// TestLoadsDoNotGrowRoundCircle guards against loads that grow without bound while
+// instances disagree on who reads the store: each of three takes the next one for its
+// source.
+func TestLoadsDoNotGrowRoundCircle(t *testing.T) {
+	knownred.Skip(t)
+	is := is.New(t)
+	a, b, c := newNode(t, "a", Follower, 1), newNode(t, "b", Follower, 10), newNode(t, "c", Follower, 100)
+	a.upstream, b.upstream, c.upstream = []*node{b}, []*node{c}, []*node{a}
+	a.children, b.children, c.children = []*node{c}, []*node{a}, []*node{b}
+	others := map[*node]int{a: 110, b: 101, c: 11}
+	for n := range others {
+		n.run(t)
+	}
+	for n, sum := range others {
+		eventually(t, n.name+" receives the load of all others", func() bool { return n.balancer.othersOn("s").InFlight >= sum })
+	}
+	for range 100 {
+		time.Sleep(testInterval)
+		for n, sum := range others {
+			is.Equal(n.balancer.othersOn("s").InFlight, sum)
+		}
+	}
+}
+
+// TestFormerSourceIsLeft guards against two followers that stay subscribed to each other
+// for ever: b took a for its source for a time, while a is a follower itself.
+func TestFormerSourceIsLeft(t *testing.T) {
+	knownred.Skip(t)
+	is := is.New(t)
+	r := newNode(t, "r", Reader, 1)
+	a, b := newNode(t, "a", Follower, 10), newNode(t, "b", Follower, 100)
+	a.upstream, b.upstream = []*node{r}, []*node{a}
+	r.children, a.children, b.children = []*node{a, b}, []*node{b}, []*node{a}
+	for _, n := range []*node{r, a, b} {
+		n.run(t)
+	}
+	eventually(t, "a and b are subscribed to each other", func() bool {
+		return slices.Contains(a.subscribers(), "b") && slices.Contains(b.subscribers(), "a")
+	})
+	time.Sleep(2 * rosterInterval)
+	b.setUpstream(r)
+	eventually(t, "b follows r alone", func() bool {
+		return slices.Equal(a.subscribers(), []string{"r"}) && slices.Equal(b.subscribers(), []string{"r"})
+	})
+	for n, others := range map[*node]int{r: 110, a: 101, b: 11} {
+		eventually(t, n.name+" receives the load of all others", func() bool { return n.balancer.othersOn("s").InFlight == others })
+	}
+	is.Equal(r.subscribers(), []string{"a", "b"})
+}
+
 // TestMeshIdleConnection: an instance stops publishing while its connection stays
 // open. Its load must expire, and return when it publishes again.
 func TestMeshIdleConnection(t *testing.T) {
