reports: pass a crash notice on only once

quarantine.Tracker.Apply now says whether a notice is news, and only then it is passed on. A notice whose suspects are all cleared is no news.

TestCrashNoticesEnd failed before (notices still queued after two rounds).

--- a/internal/quarantine/apply.go
+++ b/internal/quarantine/apply.go
@@ -6,17 +6,23 @@
 	"time"
 )
 
-// Apply applies a notice of another instance. Applying a notice again has no
-// effect.
-func (t *Tracker) Apply(n Notice, now time.Time) {
+// Apply applies a notice of another instance and reports whether it is news. Applying a
+// notice again has no effect.
+func (t *Tracker) Apply(n Notice, now time.Time) (news bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if n.Cleared != 0 {
+	if now.Sub(n.at()) >= t.options.Retention {
+		return false
+	}
+	if n.Cleared != 0 && t.cleared[n.Cleared].Before(n.at()) {
 		t.clear(n.Cleared, n.at())
+		t.cleared[n.Cleared] = n.at()
+		news = true
 	}
-	if n.Server != "" && now.Sub(n.at()) < t.options.Retention {
-		t.addNotice(n)
+	if n.Server != "" && t.addNotice(n) {
+		news = true
 	}
+	return news
 }
 
 // Notices returns the crash reports that an instance needs when it starts or
@@ -33,26 +39,31 @@
 }
 
 // addNotice merges the notice into the incident that it reports, or into a new
-// one. A notice that was added before has no effect.
-func (t *Tracker) addNotice(n Notice) {
+// one. It returns false for a notice that was added before or whose suspects are
+// cleared.
+func (t *Tracker) addNotice(n Notice) bool {
 	if slices.ContainsFunc(t.incidents, func(in incident) bool { return in.containsReport(&n) }) {
-		return
+		return false
 	}
 	n.Fingerprints = slices.DeleteFunc(slices.Clone(n.Fingerprints), func(f uint64) bool {
 		cleared, ok := t.cleared[f]
 		return ok && !cleared.Before(n.at())
 	})
+	if len(n.Fingerprints) == 0 {
+		return false
+	}
 	t.stale = true
 	for i := range t.incidents {
 		if t.incidents[i].matches(&n) {
 			t.incidents[i].merge(n)
-			return
+			return true
 		}
 	}
 	t.incidents = append(t.incidents, newIncident(n))
 	if len(t.incidents) > maxIncidents {
 		t.incidents = slices.Delete(t.incidents, 0, 1)
 	}
+	return true
 }
 
 // clear removes a fingerprint whose request was completed from all
--- a/internal/reports/hub.go
+++ b/internal/reports/hub.go
@@ -35,8 +35,9 @@
 type CrashTracker interface {
 	// Notices returns all notices that a newly started instance needs.
 	Notices(now time.Time) []quarantine.Notice
-	// Apply records a notice of another instance. It is idempotent.
-	Apply(n quarantine.Notice, now time.Time)
+	// Apply records a notice of another instance and reports whether it is news. It
+	// is idempotent.
+	Apply(n quarantine.Notice, now time.Time) bool
 }
 
 // Hub holds the loads of all instances and builds the reports to each subscriber. It is
@@ -113,7 +114,9 @@
 		h.balancer.RecordSent(prompts)
 	}
 	for _, n := range r.Crashes {
-		h.crashTracker.Apply(n, time.Now())
+		if h.crashTracker.Apply(n, time.Now()) {
+			h.forwardCrash(instance, relation, n)
+		}
 	}
 }
 
@@ -135,14 +138,6 @@
 			sent = append(sent, s.Sent)
 		}
 	}
-	for s := range h.subscribers {
-		if s.instance == instance || !s.needs(relation) {
-			continue
-		}
-		for _, n := range r.Crashes {
-			s.enqueueCrash(n)
-		}
-	}
 	return sent
 }
 
@@ -157,6 +152,18 @@
 	o.snapshot.Sent = nil
 }
 
+// forwardCrash queues a notice that an instance sent for the other subscribers that
+// need it.
+func (h *Hub) forwardCrash(instance string, relation Relation, n quarantine.Notice) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for s := range h.subscribers {
+		if s.instance != instance && s.needs(relation) {
+			s.enqueueCrash(n)
+		}
+	}
+}
+
 // QueueCrash queues a notice of a crash that this instance observed, for all
 // subscribers.
 func (h *Hub) QueueCrash(n quarantine.Notice) {
--- a/internal/reports/hub_test.go
+++ b/internal/reports/hub_test.go
@@ -326,3 +326,29 @@
 	r, _ := h.nextReport(reader)
 	is.Equal(len(r.Crashes), 2)
 }
+
+// TestCrashNoticesEnd guards against notices that instances pass on for ever while they
+// disagree on who follows whom: each of three takes the next one for its follower.
+func TestCrashNoticesEnd(t *testing.T) {
+	is := is.New(t)
+	circle := []*testHub{newTestHub(nil), newTestHub(nil), newTestHub(nil)}
+	var next []*subscriber
+	for _, h := range circle {
+		next = append(next, h.subscribe("next", RelationFollower))
+	}
+	crash := quarantine.Notice{Reporter: "x", Server: "s", UnixMillis: time.Now().UnixMilli(), Fingerprints: []uint64{7, 8}}
+	cleared := quarantine.Notice{Reporter: "x", UnixMillis: time.Now().UnixMilli(), Cleared: 8}
+	harmless := quarantine.Notice{Reporter: "x", Server: "t", UnixMillis: crash.UnixMillis, Fingerprints: []uint64{8}}
+	circle[0].receive("x", RelationFollower, Report{Crashes: []quarantine.Notice{crash, harmless, cleared}})
+	for range 2 * len(circle) {
+		for n := range circle {
+			if r, ok := circle[n].nextReport(next[n]); ok {
+				circle[(n+1)%len(circle)].receive("previous", RelationFollower, r)
+			}
+		}
+	}
+	for n, h := range circle {
+		is.Equal(len(next[n].crashes), 0)
+		is.Equal(len(h.tracker.Notices(time.Now())), 1)
+	}
+}
