tablefeed, fanout: give a call up when it makes no progress, not when it is long

A call to a source or to the store had one timeout for its whole answer. An answer whose transfer took longer was read from its beginning again and again, and all instances together filled the links.

The timeout now runs until the answer begins and between two parts of it (package stall); the transfer as a whole is bounded by 5 and 6 s. A source that falls silent is given up as soon as before.

--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/stall"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
 
@@ -91,7 +92,8 @@
 		return fmt.Errorf("call instance %s: %w", source.Name, err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	stall.Progress(ctx)
+	data, err := io.ReadAll(io.LimitReader(stall.Reader(ctx, response.Body), maxResponseBytes))
 	if err != nil {
 		return fmt.Errorf("read response of instance %s: %w", source.Name, err)
 	}
--- a/internal/fanout/feed.go
+++ b/internal/fanout/feed.go
@@ -6,15 +6,18 @@
 	"fmt"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/stall"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
 
 const (
 	// LongPollWait is the long-poll wait for following a table through a source.
 	LongPollWait = time.Second
-	// responseMargin is the part of the wait that is reserved for the transfer of the
+	// responseMargin is the part of the wait that is reserved for the start of the
 	// response. A source that has not answered by the end of the wait counts as failed.
 	responseMargin = 400 * time.Millisecond
+	// transferLimit bounds the time that the transfer of a response may take.
+	transferLimit = 5 * time.Second
 )
 
 // Feed reads the changes of a table through another instance while one is available: a
@@ -71,7 +74,7 @@
 // since the store may still answer another instance.
 func (f *Feed) fetchFromStore(ctx context.Context, since uint64, wait time.Duration) (tablefeed.Page, error) {
 	page, err := f.Store.Changes(ctx, since, wait)
-	stopped := errors.Is(ctx.Err(), context.Canceled)
+	stopped := errors.Is(context.Cause(ctx), context.Canceled)
 	if err != nil && !stopped && !errors.Is(err, tablefeed.ErrHistoryGone) {
 		f.Group.ReportStoreFailure(err)
 	}
@@ -79,9 +82,9 @@
 }
 
 // fetchFromSource reads a source. It waits at most for wait or responseMargin, whichever
-// is longer.
+// is longer, for the answer to begin, and as long for each further part of it.
 func (f *Feed) fetchFromSource(ctx context.Context, source Member, since uint64, wait time.Duration) (tablefeed.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, max(wait, responseMargin))
+	ctx, cancel := stall.WithTimeout(ctx, max(wait, responseMargin), transferLimit)
 	defer cancel()
 	page, err := f.Client.fetchChanges(ctx, source, f.Name, since, max(wait-responseMargin, 0))
 	page.Immediate = true
--- a/internal/fanout/feed_test.go
+++ b/internal/fanout/feed_test.go
@@ -131,3 +131,32 @@
 	}
 	is.Equal(len(p.store.waits), 5) // each call reached the store
 }
+
+// TestLargeAnswerIsReceived guards against changes that never arrive because their
+// transfer takes longer than the timeout of a call, so that each call starts it anew.
+func TestLargeAnswerIsReceived(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	value := make([]byte, 1<<20)
+	p.cache.Apply(tablefeed.Update{Rows: []tablefeed.Row{{Key: "a", Version: 8, Value: value}}}, 8, p.clock.now())
+	p.pieceDelay.Store(int64(100 * time.Millisecond))
+	page, err := p.fetch(t, time.Second)
+	is.NoErr(err)
+	is.Equal(len(p.store.waits), 0)
+	is.Equal(len(page.Rows), 1)
+	is.Equal(page.Rows[0].Value, value)
+}
+
+// TestAnswerThatStopsIsGivenUp: a source that falls silent in the middle of its answer
+// must not delay the store's.
+func TestAnswerThatStopsIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	p := newPair(t)
+	p.cache.Apply(tablefeed.Update{Rows: []tablefeed.Row{{Key: "a", Version: 8, Value: make([]byte, 1<<20)}}}, 8, p.clock.now())
+	p.pieceDelay.Store(int64(time.Minute))
+	began := time.Now()
+	page, err := p.fetch(t, time.Second)
+	is.NoErr(err)
+	is.Equal(page.Version, uint64(77))
+	is.True(time.Since(began) < 4*time.Second)
+}
--- a/internal/fanout/harness_test.go
+++ b/internal/fanout/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/standin/store"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 func membersOf(zone string, n int) []Member {
@@ -64,7 +66,31 @@
 	rows         platform.Table // of the source
 	backing      *store.Store   // as the follower reaches it
 	table        *Table
-	unresponsive atomic.Bool // the source accepts calls and never answers
+	unresponsive atomic.Bool  // the source accepts calls and never answers
+	pieceDelay   atomic.Int64 // between two pieces of an answer's body, in nanoseconds
+}
+
+// slowWriter writes a body in pieces with a delay after each.
+type slowWriter struct {
+	http.ResponseWriter
+	delay time.Duration
+	ctx   context.Context
+}
+
+const pieceBytes = 64 << 10
+
+func (w slowWriter) Write(body []byte) (int, error) {
+	written := 0
+	for piece := range slices.Chunk(body, pieceBytes) {
+		n, err := w.ResponseWriter.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
+		_ = http.NewResponseController(w.ResponseWriter).Flush()
+		_ = wait.For(w.ctx, w.delay)
+	}
+	return written, nil
 }
 
 func newPair(t *testing.T) *pair {
@@ -86,6 +112,9 @@
 			<-r.Context().Done()
 			return
 		}
+		if delay := time.Duration(p.pieceDelay.Load()); delay > 0 {
+			w = slowWriter{ResponseWriter: w, delay: delay, ctx: r.Context()}
+		}
 		handler.ServeHTTP(w, r)
 	}))
 	t.Cleanup(p.server.Close)
--- a/internal/tablefeed/follower.go
+++ b/internal/tablefeed/follower.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/stall"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
@@ -75,9 +76,10 @@
 	Wait func() time.Duration
 	// Pause returns the minimum interval between two calls. If nil, there is none.
 	Pause func() time.Duration
-	// CallTimeout is added to Wait to give the timeout of a call.
+	// CallTimeout is added to Wait to give the time that a call may take until its
+	// answer begins, and between two parts of the answer.
 	CallTimeout time.Duration
-	// ReadTimeout is the timeout for one page of a read of all rows. Zero means
+	// ReadTimeout is the same for one page of a read of all rows. Zero means
 	// CallTimeout.
 	ReadTimeout time.Duration
 	// MaxRetryDelay returns the upper bound of the backoff after failed calls,
@@ -170,8 +172,10 @@
 }
 
 const (
-	minRetryDelay        = 100 * time.Millisecond
-	retryFactor          = 4
+	minRetryDelay = 100 * time.Millisecond
+	retryFactor   = 4
+	// transferLimit bounds the time that the transfer of an answer may take.
+	transferLimit        = 6 * time.Second
 	defaultMaxRetryDelay = 500 * time.Millisecond
 )
 
@@ -209,7 +213,7 @@
 	if f.complete && !f.failing { // after a failure, an immediate answer shows the recovery soonest
 		hold = f.options.Wait()
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.callTimeout(hold))
+	ctx, cancel := stall.WithTimeout(ctx, f.callTimeout(hold), transferLimit)
 	defer cancel()
 	sent := boottime.Now()
 	page, err := f.call(ctx, hold)
