quarantine: record the shared parts of the prompts of suspects

The log named suspects by a digest of the whole request, so that nothing showed what requests that crash servers have in common. quarantine.added now tells the parts of the prompt that others may share. The tracker is given them with the fingerprint (Request); nothing is decided by them yet.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -57,7 +57,7 @@
 	out, _ := do(t, d, c)
 	is.True(out.Err != nil)
 	is.Equal(crashes(), uint64(2))
-	eventually(t, func() bool { return tracker.Refused(1, time.Now()) })
+	eventually(t, func() bool { return tracker.Refused(quarantine.Request{Fingerprint: 1}, time.Now()) })
 	c.Request.Gate = new(result.Gate)
 	out, _ = do(t, d, c)
 	is.Equal(out.Err.Code, result.RequestQuarantined)
@@ -73,9 +73,9 @@
 	refuses                 bool
 }
 
-func (s *countingSuspects) Refused(uint64, time.Time) bool { return s.refuses }
+func (s *countingSuspects) Refused(quarantine.Request, time.Time) bool { return s.refuses }
 
-func (s *countingSuspects) Start(uint64, string, uint64, time.Time) (Run, bool) {
+func (s *countingSuspects) Start(quarantine.Request, string, uint64, time.Time) (Run, bool) {
 	s.started++
 	return s, true
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -56,11 +57,11 @@
 // Suspects decides where suspect requests may run, that is, requests that were
 // in flight on a server when it crashed.
 type Suspects interface {
-	// Refused reports whether the fingerprint is refused on all servers.
-	Refused(fingerprint uint64, now time.Time) bool
-	// Start registers a run on the server. It returns false if the fingerprint
+	// Refused reports whether the request is refused on all servers.
+	Refused(r quarantine.Request, now time.Time) bool
+	// Start registers a run on the server. It returns false if the request
 	// must not run there now. An epoch of 0 means unknown.
-	Start(fingerprint uint64, server string, epoch uint64, now time.Time) (Run, bool)
+	Start(r quarantine.Request, server string, epoch uint64, now time.Time) (Run, bool)
 }
 
 // Run is one registered execution. Exactly one of its methods must be called.
@@ -132,9 +133,11 @@
 
 type noSuspects struct{}
 
-func (noSuspects) Refused(uint64, time.Time) bool { return false }
+func (noSuspects) Refused(quarantine.Request, time.Time) bool { return false }
 
-func (noSuspects) Start(uint64, string, uint64, time.Time) (Run, bool) { return noRun{}, true }
+func (noSuspects) Start(quarantine.Request, string, uint64, time.Time) (Run, bool) {
+	return noRun{}, true
+}
 
 type noRun struct{}
 
--- a/internal/dispatch/exchange.go
+++ b/internal/dispatch/exchange.go
@@ -121,7 +121,7 @@
 
 func (x *exchange) isQuarantined() bool {
 	r := x.call.Request
-	if r.Fingerprint == 0 || !x.d.options.Suspects.Refused(r.Fingerprint, time.Now()) {
+	if r.Fingerprint == 0 || !x.d.options.Suspects.Refused(r.Suspect(), time.Now()) {
 		return false
 	}
 	x.d.options.Recorder.Record(timeline.Event{
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -12,13 +12,13 @@
 type trackerSuspects struct{ tracker *quarantine.Tracker }
 
 // Refused implements Suspects.
-func (q trackerSuspects) Refused(fingerprint uint64, now time.Time) bool {
-	return q.tracker.Refused(fingerprint, now)
+func (q trackerSuspects) Refused(r quarantine.Request, now time.Time) bool {
+	return q.tracker.Refused(r, now)
 }
 
 // Start implements Suspects.
-func (q trackerSuspects) Start(fingerprint uint64, server string, epoch uint64, now time.Time) (Run, bool) {
-	run, ok := q.tracker.Start(fingerprint, server, epoch, now)
+func (q trackerSuspects) Start(r quarantine.Request, server string, epoch uint64, now time.Time) (Run, bool) {
+	run, ok := q.tracker.Start(r, server, epoch, now)
 	if !ok {
 		return nil, false
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	api "github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/scheduler"
 	"github.com/hawthornwick/hawthornwick/internal/standin/engine"
 	"github.com/hawthornwick/hawthornwick/internal/standin/plain"
@@ -297,7 +298,7 @@
 
 type noQuarantine struct{}
 
-func (noQuarantine) Refused(uint64, time.Time) bool { return false }
+func (noQuarantine) Refused(quarantine.Request, time.Time) bool { return false }
 
 type noMeter struct{}
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -41,7 +41,7 @@
 // refuseQuarantined refuses a request whose fingerprint is quarantined because it
 // crashed backend servers.
 func (x *exchange) refuseQuarantined() *result.Error {
-	if x.req.Fingerprint == 0 || !x.server.o.Quarantine.Refused(x.req.Fingerprint, time.Now()) {
+	if x.req.Fingerprint == 0 || !x.server.o.Quarantine.Refused(x.req.Suspect(), time.Now()) {
 		return nil
 	}
 	x.server.o.Recorder.Record(timeline.Event{
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/ledger"
 	"github.com/hawthornwick/hawthornwick/internal/operator"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/traffic"
@@ -24,8 +25,8 @@
 
 // Quarantine reports which requests crash backend servers.
 type Quarantine interface {
-	// Refused reports whether requests with the fingerprint are refused now.
-	Refused(fingerprint uint64, now time.Time) bool
+	// Refused reports whether the request is refused now.
+	Refused(r quarantine.Request, now time.Time) bool
 }
 
 // Meter counts billed usage.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -48,7 +48,7 @@
 	a.permit = guardconn.NewPermit(a.maySend)
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	defer a.cancel(errEnded)
-	run, ok := x.gateway.options.Suspects.Start(x.fingerprint, assignment.Server, 0, a.started)
+	run, ok := x.gateway.options.Suspects.Start(x.suspect, assignment.Server, 0, a.started)
 	if !ok {
 		assignment.End(balance.Abandoned)
 		return &failure{code: result.NoBackendServer, cause: errIsolated, outcome: balance.Abandoned}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/httphead"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -51,7 +52,7 @@
 	organisation *routes.Organisation // nil if the route needs no key
 	keyDigest    config.KeyDigest     // of the caller's key; empty if none was checked
 	body         []byte
-	fingerprint  uint64
+	suspect      quarantine.Request
 	header       http.Header // fields common to all attempts
 	query        balance.Query
 
@@ -152,7 +153,7 @@
 	httphead.RemoveHopByHop(x.header)
 	delete(x.header, "Content-Length")
 	delete(x.header, "Expect")
-	x.fingerprint = x.digest()
+	x.suspect = quarantine.Request{Fingerprint: x.digest(), Parts: x.sharedPartIDs()}
 	x.lastEventID = x.head.ResumeAfter
 	x.query = balance.Query{
 		Service: x.route.Choose(x.head.Attempt), Priority: x.table.Rank(x.route, x.organisation), Organisation: x.organisationName(),
@@ -172,6 +173,20 @@
 	return h.Sum64()
 }
 
+// sharedPartIDs returns the IDs of the prompt's parts that other requests may share,
+// which are all but the last.
+func (x *exchange) sharedPartIDs() []uint64 {
+	if len(x.head.Parts) < 2 {
+		return nil
+	}
+	shared := x.head.Parts[:len(x.head.Parts)-1]
+	ids := make([]uint64, len(shared))
+	for i, p := range shared {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 func (x *exchange) organisationName() string {
 	if x.organisation == nil {
 		return ""
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -41,7 +41,7 @@
 
 // tryServers makes attempts until the caller has the answer or no retry is allowed.
 func (x *exchange) tryServers() {
-	if x.gateway.options.Suspects.Refused(x.fingerprint, time.Now()) {
+	if x.gateway.options.Suspects.Refused(x.suspect, time.Now()) {
 		x.refuse(newRefusal(result.RequestQuarantined, "backend servers crashed while they ran this request"))
 		return
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -10,7 +10,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -50,11 +49,11 @@
 // Run is one registered execution on a backend server. One of Ended and Crashed
 // must be called.
 type Run struct {
-	tracker     *Tracker
-	fingerprint uint64
-	server      string
-	epoch       uint64
-	started     time.Time
+	tracker *Tracker
+	request Request
+	server  string
+	epoch   uint64
+	started time.Time
 }
 
 // New returns a tracker without any recorded crash.
@@ -71,23 +70,24 @@
 	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{}), cleared: make(map[uint64]time.Time)}
 }
 
-// Refused reports whether the fingerprint is refused on all servers.
-func (t *Tracker) Refused(fingerprint uint64, now time.Time) bool {
+// Refused reports whether the request is refused on all servers.
+func (t *Tracker) Refused(r Request, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.assess(now).refused[fingerprint]
+	return t.assess(now).refused[r.Fingerprint]
 }
 
-// MayRun reports whether the fingerprint may run on the server now. A
-// fingerprint that is not a suspect may run anywhere.
-func (t *Tracker) MayRun(fingerprint uint64, server string, now time.Time) bool {
+// MayRun reports whether the request may run on the server now. A request that is
+// not a suspect may run anywhere.
+func (t *Tracker) MayRun(r Request, server string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.mayRun(fingerprint, server, now)
+	return t.mayRun(r, server, now)
 }
 
-func (t *Tracker) mayRun(fingerprint uint64, server string, now time.Time) bool {
+func (t *Tracker) mayRun(r Request, server string, now time.Time) bool {
 	current := t.assess(now)
+	fingerprint := r.Fingerprint
 	switch {
 	case current.refused[fingerprint]:
 		return false
@@ -97,7 +97,7 @@
 		return false
 	}
 	for run := range t.runs[server] {
-		if current.crashes[run.fingerprint] > 0 {
+		if current.crashes[run.request.Fingerprint] > 0 {
 			return false
 		}
 	}
@@ -107,13 +107,13 @@
 // Start registers a run on the server. It returns false if MayRun does. The
 // epoch is the server's restart epoch; 0 if unknown. Fingerprint 0 means
 // unknown and is never a suspect.
-func (t *Tracker) Start(fingerprint uint64, server string, epoch uint64, now time.Time) (*Run, bool) {
+func (t *Tracker) Start(request Request, server string, epoch uint64, now time.Time) (*Run, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.mayRun(fingerprint, server, now) {
+	if !t.mayRun(request, server, now) {
 		return nil, false
 	}
-	r := &Run{tracker: t, fingerprint: fingerprint, server: server, epoch: epoch, started: now}
+	r := &Run{tracker: t, request: request, server: server, epoch: epoch, started: now}
 	if t.runs[server] == nil {
 		t.runs[server] = make(map[*Run]struct{})
 	}
@@ -127,10 +127,10 @@
 	t := r.tracker
 	t.mu.Lock()
 	t.removeRun(r)
-	cleared := complete && r.fingerprint != 0 && t.clear(r.fingerprint, r.started)
+	cleared := complete && r.request.Fingerprint != 0 && t.clear(r.request.Fingerprint, r.started)
 	t.mu.Unlock()
 	if cleared {
-		t.options.Notify(Notice{Reporter: t.options.Instance, UnixMillis: now.UnixMilli(), Cleared: r.fingerprint})
+		t.options.Notify(Notice{Reporter: t.options.Instance, UnixMillis: now.UnixMilli(), Cleared: r.request.Fingerprint})
 	}
 }
 
@@ -152,21 +152,23 @@
 		return Notice{}, false
 	}
 	n := Notice{Reporter: t.options.Instance, Server: r.server, Epoch: r.epoch, UnixMillis: now.UnixMilli()}
+	var suspects []Request
 	for other := range t.runs[r.server] {
 		if other.epoch > r.epoch {
 			continue // started after the restart
 		}
 		t.removeRun(other)
 		n.SinceMillis = max(n.SinceMillis, other.started.UnixMilli())
-		if other.fingerprint != 0 && !slices.Contains(n.Fingerprints, other.fingerprint) {
-			n.Fingerprints = append(n.Fingerprints, other.fingerprint)
+		if f := other.request.Fingerprint; f != 0 && !slices.Contains(n.Fingerprints, f) {
+			n.Fingerprints = append(n.Fingerprints, f)
+			suspects = append(suspects, other.request)
 		}
 	}
 	if len(n.Fingerprints) == 0 {
 		return Notice{}, false
 	}
 	t.addNotice(n)
-	t.recordSuspects(&n, now)
+	t.recordSuspects(n.Server, suspects, now)
 	return n, true
 }
 
@@ -177,12 +179,13 @@
 	}
 }
 
-func (t *Tracker) recordSuspects(n *Notice, now time.Time) {
+// recordSuspects records the requests that were in flight on a crashed server.
+func (t *Tracker) recordSuspects(server string, suspects []Request, now time.Time) {
 	current := t.assess(now)
-	for _, f := range n.Fingerprints {
+	for _, r := range suspects {
 		t.options.Recorder.Record(timeline.Event{
-			Kind: timeline.QuarantineAdded, Record: strconv.FormatUint(f, 16),
-			Server: n.Server, Count: int64(current.crashes[f]),
+			Kind: timeline.QuarantineAdded, Record: formatID(r.Fingerprint), Server: server,
+			Count: int64(current.crashes[r.Fingerprint]), Detail: "parts=" + formatIDs(r.Parts),
 		})
 	}
 }
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -16,9 +16,12 @@
 // later is a time at which all reports of a crash at start have settled.
 var later = start.Add(time.Minute)
 
+// requestOf returns a request without parts.
+func requestOf(fingerprint uint64) Request { return Request{Fingerprint: fingerprint} }
+
 func startRun(t *testing.T, tr *Tracker, fingerprint uint64, server string, epoch uint64, now time.Time) *Run {
 	t.Helper()
-	r, ok := tr.Start(fingerprint, server, epoch, now)
+	r, ok := tr.Start(requestOf(fingerprint), server, epoch, now)
 	if !ok {
 		t.Fatalf("fingerprint %d may not run on %s", fingerprint, server)
 	}
@@ -33,22 +36,22 @@
 	bystander := startRun(t, tr, 2, "s1", 1, start)
 	startRun(t, tr, 1, "s1", 1, start).Crashed(start)
 	bystander.Crashed(start) // second report of the same crash
-	is.True(!tr.Refused(1, later) && !tr.Refused(2, later))
+	is.True(!tr.Refused(requestOf(1), later) && !tr.Refused(requestOf(2), later))
 
 	culprit := startRun(t, tr, 1, "s2", 1, later)
-	is.True(!tr.MayRun(2, "s2", later)) // suspects do not share a server
-	is.True(tr.MayRun(3, "s2", later))  // a fingerprint without a crash may run anywhere
+	is.True(!tr.MayRun(requestOf(2), "s2", later)) // suspects do not share a server
+	is.True(tr.MayRun(requestOf(3), "s2", later))  // a fingerprint without a crash may run anywhere
 	fresh := startRun(t, tr, 3, "s2", 1, later)
 	culprit.Crashed(later)
 	fresh.Crashed(later)
 	settled := later.Add(maxReportDelay)
-	is.True(tr.Refused(1, settled))
-	is.True(!tr.MayRun(1, "s9", settled))
-	is.True(!tr.Refused(2, settled) && !tr.Refused(3, settled))
-	is.True(tr.MayRun(2, "s3", settled)) // the other suspects are cleared
+	is.True(tr.Refused(requestOf(1), settled))
+	is.True(!tr.MayRun(requestOf(1), "s9", settled))
+	is.True(!tr.Refused(requestOf(2), settled) && !tr.Refused(requestOf(3), settled))
+	is.True(tr.MayRun(requestOf(2), "s3", settled)) // the other suspects are cleared
 	startRun(t, tr, 3, "s3", 1, settled)
-	is.True(tr.MayRun(2, "s3", settled))
-	is.True(!tr.Refused(1, settled.Add(defaultRetention))) // the refusal expires
+	is.True(tr.MayRun(requestOf(2), "s3", settled))
+	is.True(!tr.Refused(requestOf(1), settled.Add(defaultRetention))) // the refusal expires
 }
 
 // A suspect that completes is cleared, and other instances are notified. A
@@ -61,7 +64,7 @@
 	startRun(t, tr, 2, "s2", 1, later).Ended(true, later)
 	is.Equal(sent[1].Cleared, uint64(2))
 	startRun(t, tr, 2, "s3", 1, later).Crashed(later)
-	is.True(!tr.Refused(2, later.Add(time.Minute))) // crashes before and after the clearing do not add up
+	is.True(!tr.Refused(requestOf(2), later.Add(time.Minute))) // crashes before and after the clearing do not add up
 }
 
 // A run that was cancelled proves nothing and must not clear a suspect.
@@ -71,7 +74,7 @@
 	startRun(t, tr, 1, "s1", 1, start).Crashed(start)
 	startRun(t, tr, 1, "s2", 1, later).Ended(false, later)
 	startRun(t, tr, 1, "s3", 1, later).Crashed(later)
-	is.True(tr.Refused(1, later.Add(time.Minute)))
+	is.True(tr.Refused(requestOf(1), later.Add(time.Minute)))
 }
 
 // Two crashes of one server within maxClockSkew must count as two if the same
@@ -83,8 +86,8 @@
 	onRestarted := startRun(t, tr, 9, "only", 2, start)
 	again := start.Add(maxClockSkew / 4)
 	startRun(t, tr, 1, "only", 2, again).Crashed(again)
-	is.True(tr.Refused(1, later)) // two crashes, although close together
-	is.True(!tr.Refused(9, later))
+	is.True(tr.Refused(requestOf(1), later)) // two crashes, although close together
+	is.True(!tr.Refused(requestOf(9), later))
 	onRestarted.Ended(true, later)
 }
 
@@ -96,9 +99,9 @@
 	before := startRun(t, tr, 1, "s1", 1, start)
 	startRun(t, tr, 2, "s1", 2, start)
 	before.Crashed(start)
-	is.True(tr.MayRun(1, "s2", start))
+	is.True(tr.MayRun(requestOf(1), "s2", start))
 	startRun(t, tr, 1, "s2", 1, start)
-	is.True(tr.MayRun(2, "s2", start)) // a suspect could not share the server
+	is.True(tr.MayRun(requestOf(2), "s2", start)) // a suspect could not share the server
 }
 
 // A crash notice that arrives after the suspect was cleared must not make it a
@@ -113,7 +116,7 @@
 	crash.Reporter = "c" // a late report of the same crash
 	tr.Apply(crash, later)
 	startRun(t, tr, 2, "s3", 1, later).Crashed(later)
-	is.True(!tr.Refused(2, later.Add(time.Minute)))
+	is.True(!tr.Refused(requestOf(2), later.Add(time.Minute)))
 }
 
 // A server crashes for another reason while one harmless request runs there. A
@@ -124,7 +127,7 @@
 	crash := Notice{Reporter: "b", Server: "s1", SinceMillis: start.UnixMilli(), UnixMillis: start.UnixMilli(), Fingerprints: []uint64{2}}
 	tr.Apply(crash, start)
 	tr.Apply(crash, later)
-	is.True(!tr.Refused(2, later.Add(time.Minute)))
+	is.True(!tr.Refused(requestOf(2), later.Add(time.Minute)))
 	is.Equal(len(tr.Notices(later)), 1)
 }
 
@@ -137,15 +140,15 @@
 	onA, onB := startRun(t, a, 1, "s1", 1, start), startRun(t, b, 1, "s1", 0, start)
 	onA.Crashed(start)
 	onB.Crashed(start.Add(time.Second))
-	is.True(!a.Refused(1, later) && !b.Refused(1, later))
+	is.True(!a.Refused(requestOf(1), later) && !b.Refused(requestOf(1), later))
 	startRun(t, a, 1, "s2", 1, later).Crashed(later)
-	is.True(b.Refused(1, later.Add(time.Minute))) // b received the notices of a
+	is.True(b.Refused(requestOf(1), later.Add(time.Minute))) // b received the notices of a
 	late := New(Options{Instance: "c"})
 	for _, n := range a.Notices(later) {
 		late.Apply(n, later)
 		late.Apply(n, later)
 	}
-	is.True(late.Refused(1, later.Add(time.Minute)))
+	is.True(late.Refused(requestOf(1), later.Add(time.Minute)))
 }
 
 // Two suspects can run on one server only if two instances start them. Such a
@@ -159,15 +162,15 @@
 	bystander.Crashed(start)
 	culprit, other := startRun(t, a, 1, "s2", 1, later), startRun(t, b, 2, "s2", 1, later)
 	culprit.Crashed(later)
-	is.True(!a.Refused(1, later)) // other instances may still report suspects
-	is.True(!a.MayRun(1, "s3", later))
+	is.True(!a.Refused(requestOf(1), later)) // other instances may still report suspects
+	is.True(!a.MayRun(requestOf(1), "s3", later))
 	other.Crashed(later)
 	settled := later.Add(time.Minute)
-	is.True(!a.Refused(1, settled) && !a.Refused(2, settled))
+	is.True(!a.Refused(requestOf(1), settled) && !a.Refused(requestOf(2), settled))
 	startRun(t, b, 1, "s3", 1, settled).Crashed(settled)
 	end := settled.Add(time.Minute)
-	is.True(a.Refused(1, end) && b.Refused(1, end))
-	is.True(!a.Refused(2, end) && !b.Refused(2, end))
+	is.True(a.Refused(requestOf(1), end) && b.Refused(requestOf(1), end))
+	is.True(!a.Refused(requestOf(2), end) && !b.Refused(requestOf(2), end))
 }
 
 func TestNoticeRoundTrip(t *testing.T) {
@@ -193,7 +196,7 @@
 		}
 		tr := New(Options{})
 		tr.Apply(n, start)
-		tr.Refused(1, start)
+		tr.Refused(requestOf(1), start)
 	})
 }
 
@@ -286,7 +289,7 @@
 	t := s.trackers[s.random.IntN(len(s.trackers))]
 	fingerprint := uint64(1 + s.random.IntN(maxFingerprint))
 	server := s.random.IntN(len(s.epochs))
-	if t.Refused(fingerprint, s.now) {
+	if t.Refused(requestOf(fingerprint), s.now) {
 		if fingerprint != culpritFingerprint {
 			return fmt.Sprintf("bystander %d refused", fingerprint)
 		}
@@ -298,7 +301,7 @@
 	if s.now.Before(s.availableAt[server]) || s.isSuspectElsewhere(fingerprint, server) {
 		return "" // at most one instance runs suspects on a server
 	}
-	if r, ok := t.Start(fingerprint, serverName(server), s.epochs[server], s.now); ok {
+	if r, ok := t.Start(requestOf(fingerprint), serverName(server), s.epochs[server], s.now); ok {
 		s.running = append(s.running, activeRun{r, server})
 	}
 	return ""
@@ -309,7 +312,7 @@
 // have arrived.
 func (s *simulation) isSuspectElsewhere(fingerprint uint64, server int) bool {
 	for _, t := range s.trackers {
-		if !t.MayRun(fingerprint, serverName(server), s.now) {
+		if !t.MayRun(requestOf(fingerprint), serverName(server), s.now) {
 			return true
 		}
 	}
@@ -319,7 +322,7 @@
 func (s *simulation) endRun(at int) {
 	ended := s.running[at]
 	s.running = slices.Delete(s.running, at, at+1)
-	if ended.run.fingerprint != culpritFingerprint {
+	if ended.run.request.Fingerprint != culpritFingerprint {
 		ended.run.Ended(true, s.now)
 		return
 	}
@@ -338,7 +341,7 @@
 // isCulpritRunning reports whether the culprit is in flight. Its caller sends
 // it again only after it has failed.
 func (s *simulation) isCulpritRunning() bool {
-	return slices.ContainsFunc(s.running, func(p activeRun) bool { return p.run.fingerprint == culpritFingerprint })
+	return slices.ContainsFunc(s.running, func(p activeRun) bool { return p.run.request.Fingerprint == culpritFingerprint })
 }
 
 func serverName(server int) string { return fmt.Sprintf("s%d", server) }
--- a/internal/reports/hub_test.go
+++ b/internal/reports/hub_test.go
@@ -299,7 +299,7 @@
 	is := is.New(t)
 	h := newTestHub(nil)
 	early := h.subscribe("r", RelationPeer)
-	run, ok := h.tracker.Start(7, "s", 0, time.Now())
+	run, ok := h.tracker.Start(quarantine.Request{Fingerprint: 7}, "s", 0, time.Now())
 	is.True(ok)
 	run.Crashed(time.Now())
 	for _, s := range []*subscriber{early, h.subscribe("f", RelationFollower)} {
@@ -322,7 +322,7 @@
 		n := quarantine.Notice{Reporter: "f", Server: server, UnixMillis: start + int64(i), Fingerprints: []uint64{7}}
 		h.receive("f", RelationFollower, Report{Crashes: []quarantine.Notice{n}})
 	}
-	is.True(h.tracker.Refused(7, time.Now()))
+	is.True(h.tracker.Refused(quarantine.Request{Fingerprint: 7}, time.Now()))
 	r, _ := h.nextReport(reader)
 	is.Equal(len(r.Crashes), 2)
 }
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -31,7 +31,7 @@
 	RecordInserted    Kind = "record.inserted"    // Record, Attempt: the only attempt that may be sent
 	RecordAnswered    Kind = "record.answered"    // Record
 	RecordReleased    Kind = "record.released"    // Record, Attempt: confirmed not run
-	QuarantineAdded   Kind = "quarantine.added"   // Record: fingerprint of the request; Server; Count: crashes observed
+	QuarantineAdded   Kind = "quarantine.added"   // Record: fingerprint of the request; Server; Count: crashes observed; Detail: the prompt's shared parts
 	QuarantineRefused Kind = "quarantine.refused" // Record: fingerprint of the request; Request
 )
 
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 )
 
@@ -45,6 +46,12 @@
 	Gate *result.Gate
 }
 
+// Suspect returns what identifies the request to the crash quarantine. The longest
+// prefix belongs to this request.
+func (r *Request) Suspect() quarantine.Request {
+	return quarantine.Request{Fingerprint: r.Fingerprint, Parts: r.Prefixes[:max(len(r.Prefixes)-1, 0)]}
+}
+
 // Target is the backend server chosen for one attempt.
 type Target struct {
 	Server      string // name of the backend server
