quarantine: refuse a part of prompts that crashes servers

The quarantine knew whole requests only, and each of these was another one.

The deeper part is refused now, and an instance that completed answers on a part before goes on.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -58,6 +58,7 @@
 	duties        *duties
 	balancer      *balance.Balancer
 	gateway       *gateway.Gateway
+	suspects      *quarantine.Tracker
 	listener      *entry.Listener
 	ready         *http.Server
 	readyListener net.Listener
@@ -83,16 +84,16 @@
 		Recorder: e.events,
 	})
 	clock := truetime.New(truetime.Options{})
-	suspects := quarantine.New(quarantine.Options{
+	e.suspects = quarantine.New(quarantine.Options{
 		Instance: s.Instance, Recorder: e.events, Notify: func(n quarantine.Notice) { e.sharing.hub.QueueCrash(n) },
 	})
-	e.sharing = newSharing(s, p, e.balancer, suspects, clock, e.events, logger.Named("sharing"))
+	e.sharing = newSharing(s, p, e.balancer, e.suspects, clock, e.events, logger.Named("sharing"))
 	e.view = newStoreView(p, s.Bounds, e.balancer, e.sharing, clock, e.events)
 	e.members = newMembers(s, p, e.balancer, e.sharing, clock, e.events, logger.Named("members"))
 	e.duties = newDuties(s, p, e.view, e.members, e.balancer, e.sharing, clock, e.events, logger.Named("duties"))
 	e.gateway = gateway.New(gateway.Options{
 		Source: e.view, Balancer: e.balancer, Protocol: p.Protocol, Meter: e.duties.meter,
-		Suspects: dispatch.NewTrackerSuspects(suspects),
+		Suspects: dispatch.NewTrackerSuspects(e.suspects),
 		Recorder: e.events,
 	})
 	return e, e.listen()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
 	"github.com/hawthornwick/hawthornwick/internal/gateway"
@@ -30,7 +32,14 @@
 type plainProtocol struct{}
 
 func (plainProtocol) ReadCallerHead(r *http.Request) gateway.CallerHead {
-	return gateway.CallerHead{Attempt: r.Header.Get("Id"), Key: r.Header.Get("Key"), MaxWait: 5 * time.Second}
+	head := gateway.CallerHead{Attempt: r.Header.Get("Id"), Key: r.Header.Get("Key"), MaxWait: 5 * time.Second}
+	for _, part := range r.Header.Values("Part") {
+		id, err := strconv.ParseUint(part, 10, 64)
+		if err == nil {
+			head.Parts = append(head.Parts, balance.Part{ID: id})
+		}
+	}
+	return head
 }
 
 func (plainProtocol) WriteServerHead(h http.Header, s gateway.ServerHead) {
@@ -82,7 +91,7 @@
 	w.store.Put("op", "config", data)
 }
 
-// poison is the request body that crashes backend servers.
+// poison begins a request body that crashes backend servers.
 const poison = "poison"
 
 // addServer starts a backend server that answers after a delay, and registers it.
@@ -90,7 +99,7 @@
 	w.t.Helper()
 	var server *httptest.Server
 	server = httptest.NewUnstartedServer(http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) {
-		if body, err := io.ReadAll(r.Body); err == nil && string(body) == poison {
+		if body, err := io.ReadAll(r.Body); err == nil && strings.HasPrefix(string(body), poison) {
 			_ = server.Listener.Close()
 			server.CloseClientConnections()
 			return
@@ -227,8 +236,8 @@
 	return r.send(client, id, key, "body")
 }
 
-// send sends a request with a body.
-func (r *testInstance) send(client *http.Client, id, key, body string) (status int, closes bool, err error) {
+// send sends a request with a body and the IDs of the parts of its prompt.
+func (r *testInstance) send(client *http.Client, id, key, body string, parts ...string) (status int, closes bool, err error) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+r.CallerAddress()+"/x", strings.NewReader(body))
 	if err != nil {
 		return 0, false, err
@@ -236,6 +245,7 @@
 	request.Host = "test"
 	request.Header.Set("Id", id)
 	request.Header.Set("Key", key)
+	request.Header["Part"] = parts
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, false, err
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -22,6 +22,7 @@
 	e.members.writeMetrics(w)
 	e.sharing.group.WriteMetrics(w)
 	e.sharing.hub.WriteMetrics(w)
+	e.suspects.WriteMetrics(w)
 	e.sink.WriteMetrics(w)
 }
 
--- a/internal/edge/roster_test.go
+++ b/internal/edge/roster_test.go
@@ -134,3 +134,42 @@
 		r.expect(fmt.Sprint("other-", n), "key", http.StatusOK) // other requests are not quarantined
 	}
 }
+
+// TestDeadlyPartQuarantineShared guards against requests of which no two are alike and
+// that crash one server after the other, because one part of their prompts does.
+func TestDeadlyPartQuarantineShared(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newTestPlatform(t)
+	for n := range 12 {
+		w.addServer(fmt.Sprint("server-", n), 0)
+	}
+	fleet := fleet{w.startReady("0"), w.startReady("1"), w.startReady("2")}
+	for _, r := range fleet {
+		eventually(t, 10*time.Second, "all instances receive each other's reports", func() bool { return r.hasMetric("hawthornwick_loads_heard_instances 2") })
+	}
+	const common, deadly, harmless = "1", "66", "77"
+	crashes, refused := 0, 0
+	for n := range 12 {
+		own := fmt.Sprint(1000 + n)
+		status, _, err := fleet[n%3].send(newClient(t), "deadly-"+own, "key", poison+own, common, deadly, own)
+		is.NoErr(err)
+		switch status {
+		case http.StatusBadGateway:
+			crashes++ // it may have run
+			is.Equal(refused, 0)
+		default:
+			refused++
+			is.Equal(status, http.StatusServiceUnavailable)
+		}
+		for i, r := range fleet {
+			own := fmt.Sprint(2000 + 10*n + i)
+			status, _, err := r.send(newClient(t), "sound-"+own, "key", own, common, harmless, own)
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	is.True(crashes <= 6) // three crashes, and those until all instances know of them
+	is.True(refused > 0)
+}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -28,6 +28,8 @@
 	minRecordedWait = 5 * time.Millisecond
 )
 
+var errQuarantined = errors.New("backend servers crashed while they ran this request or others that share a part of its prompt")
+
 // failure describes why an attempt did not deliver the complete answer.
 type failure struct {
 	code    result.Code
@@ -41,11 +43,11 @@
 
 // tryServers makes attempts until the caller has the answer or no retry is allowed.
 func (x *exchange) tryServers() {
-	if x.gateway.options.Suspects.Refused(x.suspect, time.Now()) {
-		x.refuse(newRefusal(result.RequestQuarantined, "backend servers crashed while they ran this request"))
-		return
-	}
 	for tries := 1; ; tries++ {
+		if x.gateway.options.Suspects.Refused(x.suspect, time.Now()) {
+			x.refuse(x.newResult(result.RequestQuarantined, errQuarantined))
+			return
+		}
 		assignment, err := x.acquire(tries)
 		if err != nil {
 			x.refuse(x.noServerResult(err))
--- a/internal/quarantine/apply.go
+++ b/internal/quarantine/apply.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
 // Apply applies a notice of another instance and reports whether it is news. Applying a
@@ -19,21 +21,24 @@
 		t.cleared[n.Cleared] = n.at()
 		news = true
 	}
-	if n.Server != "" && t.addNotice(n) {
+	if t.clearParts(n.ClearedParts, n.at()) {
+		news = true
+	}
+	if n.Server != "" && t.addNotice(n, now) {
 		news = true
 	}
 	return news
 }
 
 // Notices returns the crash reports that an instance needs when it starts or
-// resynchronises.
+// resynchronises. They name only those that are still suspects.
 func (t *Tracker) Notices(now time.Time) []Notice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.assess(now) // drops expired incidents
 	var notices []Notice
-	for _, in := range t.incidents {
-		notices = append(notices, in.reports...)
+	for i := range t.incidents {
+		notices = append(notices, t.incidents[i].notices()...)
 	}
 	return notices
 }
@@ -41,15 +46,16 @@
 // addNotice merges the notice into the incident that it reports, or into a new
 // one. It returns false for a notice that was added before or whose suspects are
 // cleared.
-func (t *Tracker) addNotice(n Notice) bool {
+func (t *Tracker) addNotice(n Notice, now time.Time) bool {
 	if slices.ContainsFunc(t.incidents, func(in incident) bool { return in.containsReport(&n) }) {
 		return false
 	}
-	n.Fingerprints = slices.DeleteFunc(slices.Clone(n.Fingerprints), func(f uint64) bool {
-		cleared, ok := t.cleared[f]
-		return ok && !cleared.Before(n.at())
+	n.Fingerprints = uncleared(n.Fingerprints, t.cleared, n.at())
+	n.Parts = slices.DeleteFunc(slices.Clone(n.Parts), func(p Part) bool {
+		at, ok := t.clearedParts[p.ID]
+		return ok && !at.Before(n.at())
 	})
-	if len(n.Fingerprints) == 0 {
+	if len(n.Fingerprints)+len(n.Parts) == 0 {
 		return false
 	}
 	t.stale = true
@@ -59,13 +65,21 @@
 			return true
 		}
 	}
-	t.incidents = append(t.incidents, newIncident(n))
+	t.incidents = append(t.incidents, newIncident(n, now))
 	if len(t.incidents) > maxIncidents {
 		t.incidents = slices.Delete(t.incidents, 0, 1)
 	}
 	return true
 }
 
+// uncleared returns the suspects of a crash that were not cleared after it.
+func uncleared(suspects []uint64, cleared map[uint64]time.Time, crash time.Time) []uint64 {
+	return slices.DeleteFunc(slices.Clone(suspects), func(id uint64) bool {
+		at, ok := cleared[id]
+		return ok && !at.Before(crash)
+	})
+}
+
 // clear removes a fingerprint whose request was completed from all
 // incidents up to the given time. It reports whether there was one.
 func (t *Tracker) clear(fingerprint uint64, until time.Time) bool {
@@ -90,14 +104,17 @@
 // added, has settled or has expired.
 func (t *Tracker) assess(now time.Time) assessment {
 	before := len(t.incidents)
-	maps.DeleteFunc(t.cleared, func(_ uint64, at time.Time) bool { return now.Sub(at) >= t.options.Retention })
+	isOld := func(_ uint64, at time.Time) bool { return now.Sub(at) >= t.options.Retention }
+	maps.DeleteFunc(t.cleared, isOld)
+	maps.DeleteFunc(t.clearedParts, isOld)
 	t.incidents = slices.DeleteFunc(t.incidents, func(in incident) bool {
-		return now.Sub(in.at) >= t.options.Retention || len(in.suspects) == 0
+		return now.Sub(in.at) >= t.options.Retention || !in.hasSuspects()
 	})
 	if t.stale || len(t.incidents) != before || t.hasNewlySettled(now) {
-		t.assessed = assess(t.incidents, now)
-		t.assessedAt = now
-		t.stale = false
+		rule := partRule{crashes: t.outcomes.crashesToRefuse(), established: t.established.contains, before: t.assessed.refusedParts}
+		assessed := assess(t.incidents, rule, now)
+		t.recordParts(t.assessed.refusedParts, assessed.refusedParts)
+		t.assessed, t.assessedAt, t.stale = assessed, now, false
 	}
 	return t.assessed
 }
@@ -105,11 +122,29 @@
 // hasNewlySettled reports whether a crash has settled since the last
 // assessment.
 func (t *Tracker) hasNewlySettled(now time.Time) bool {
-	for i := range t.incidents {
-		settles := t.incidents[i].at.Add(maxReportDelay)
-		if settles.After(t.assessedAt) && !settles.After(now) {
-			return true
+	isNew := func(settles time.Time) bool { return settles.After(t.assessedAt) && !settles.After(now) }
+	return slices.ContainsFunc(t.incidents, func(in incident) bool {
+		return isNew(in.at.Add(maxReportDelay)) || isNew(in.knownAt.Add(partSettleTime))
+	})
+}
+
+// recordParts records the parts that are refused from now on, and those that no longer
+// are.
+func (t *Tracker) recordParts(before, after map[uint64]int) {
+	for p, crashes := range after {
+		if before[p] == 0 {
+			t.options.Recorder.Record(timeline.Event{Kind: timeline.QuarantinePart, Subject: formatID(p), State: partRefused, Count: int64(crashes)})
+		}
+	}
+	for p, crashes := range before {
+		if after[p] == 0 {
+			t.options.Recorder.Record(timeline.Event{Kind: timeline.QuarantinePart, Subject: formatID(p), State: partReleased, Count: int64(crashes)})
 		}
 	}
-	return false
 }
+
+// Values of State in QuarantinePart events.
+const (
+	partRefused  = "refused"
+	partReleased = "released"
+)
--- a/internal/quarantine/incident.go
+++ b/internal/quarantine/incident.go
@@ -25,12 +25,14 @@
 	server   string
 	since    time.Time
 	at       time.Time
-	reports  []Notice // unmodified, at most one per instance
-	suspects []uint64 // fingerprints of all reports, without those cleared since
+	reports  []Notice  // unmodified, at most one per instance
+	suspects []uint64  // fingerprints of all reports, without those cleared since
+	parts    []Part    // shared parts of all reports, without those cleared since
+	knownAt  time.Time // when this instance learned of the crash
 }
 
-func newIncident(n Notice) incident {
-	i := incident{server: n.Server, since: n.since(), at: n.at()}
+func newIncident(n Notice, now time.Time) incident {
+	i := incident{server: n.Server, since: n.since(), at: n.at(), knownAt: now}
 	i.merge(n)
 	return i
 }
@@ -60,26 +62,64 @@
 	if n.at().Before(i.at) {
 		i.at = n.at()
 	}
-	for _, fingerprint := range n.Fingerprints {
-		if !slices.Contains(i.suspects, fingerprint) {
-			i.suspects = append(i.suspects, fingerprint)
+	i.suspects = appendMissing(i.suspects, n.Fingerprints)
+	i.parts = appendMissingParts(i.parts, n.Parts)
+}
+
+// notices returns the reports without the suspects that were cleared since.
+func (i *incident) notices() []Notice {
+	var notices []Notice
+	for _, n := range i.reports {
+		n.Fingerprints = intersection(n.Fingerprints, i.suspects)
+		n.Parts = slices.DeleteFunc(slices.Clone(n.Parts), func(p Part) bool { return !i.hasPart(p.ID) })
+		if len(n.Fingerprints)+len(n.Parts) > 0 {
+			notices = append(notices, n)
+		}
+	}
+	return notices
+}
+
+// intersection returns the IDs that are also in the list.
+func intersection(ids, list []uint64) []uint64 {
+	return slices.DeleteFunc(slices.Clone(ids), func(id uint64) bool { return !slices.Contains(list, id) })
+}
+
+// appendMissing appends the IDs that are not in the list yet.
+func appendMissing(list, ids []uint64) []uint64 {
+	for _, id := range ids {
+		if !slices.Contains(list, id) {
+			list = append(list, id)
 		}
 	}
+	return list
 }
 
+// hasSuspects reports whether the crash still has a suspect.
+func (i *incident) hasSuspects() bool { return len(i.suspects)+len(i.parts) > 0 }
+
 // assessment is what a list of incidents shows about fingerprints.
 type assessment struct {
 	crashes map[uint64]int // number of crashes of each suspect that no refused fingerprint explains
 	refused map[uint64]bool
+
+	partCrashes  map[uint64]int // number of crashes of each part
+	refusedParts map[uint64]int // number of crashes of each refused part
+}
+
+// assess determines the fingerprints and the parts of prompts that crash servers.
+func assess(incidents []incident, rule partRule, now time.Time) assessment {
+	a := assessFingerprints(incidents, now)
+	a.partCrashes, a.refusedParts = rule.assess(incidents, now)
+	return a
 }
 
-// assess determines the fingerprints that crash servers. A fingerprint with at
+// assessFingerprints determines the fingerprints that crash servers. A fingerprint with at
 // least refusalCrashCount crashes is refused if one of these crashes has no
 // other suspect with as many. The crashes of a refused fingerprint are
 // attributed to it and do not count against other suspects. A fingerprint with
 // a crash younger than maxReportDelay is not refused yet, because other
 // instances may still report further suspects of that crash.
-func assess(incidents []incident, now time.Time) assessment {
+func assessFingerprints(incidents []incident, now time.Time) assessment {
 	refused := make(map[uint64]bool)
 	for {
 		crashes := countUnexplained(incidents, refused)
--- a/internal/quarantine/notice.go
+++ b/internal/quarantine/notice.go
@@ -13,13 +13,13 @@
 	maxNoticeFields       = 32
 )
 
-// Notice informs other instances of one crash, or of a fingerprint whose
-// request was completed.
+// Notice informs other instances of one crash, or of a suspect whose request was
+// completed.
 type Notice struct {
 	// Reporter is the name of the instance that reports.
 	Reporter string `cbor:"1,keyasint"`
 	// Server is the backend server that crashed; empty in a notice that only
-	// clears a fingerprint.
+	// clears suspects.
 	Server string `cbor:"2,keyasint,omitempty"`
 	// Epoch is the server's restart epoch before the crash; 0 if unknown.
 	Epoch uint64 `cbor:"3,keyasint,omitempty"`
@@ -33,6 +33,18 @@
 	// SinceMillis is the time at which the last of the fingerprints started to
 	// run. The crash happened after it.
 	SinceMillis int64 `cbor:"7,keyasint,omitempty"`
+	// Parts are the shared parts of the prompts of these requests.
+	Parts []Part `cbor:"8,keyasint,omitempty"`
+	// ClearedParts are shared parts of the prompt of a request that was completed.
+	ClearedParts []uint64 `cbor:"9,keyasint,omitempty"`
+}
+
+// Part is a shared part of a prompt.
+type Part struct {
+	_  struct{} `cbor:",toarray"`
+	ID uint64
+	// Depth is the number of parts before it. Fewer requests share a deeper part.
+	Depth int
 }
 
 func (n *Notice) since() time.Time { return time.UnixMilli(n.SinceMillis) }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,4 +1,4 @@
-// Package quarantine finds requests that crash backend servers.
+// Package quarantine finds requests, and parts of prompts, that crash backend servers.
 //
 // All requests that were in flight on a server when it crashed become suspects,
 // identified by their fingerprints. A suspect runs only on a server without
@@ -6,6 +6,9 @@
 // refused on all servers until Options.Retention after its last crash. The
 // others that were in flight at its crashes are no longer suspects, and neither
 // is a suspect whose request completes.
+//
+// The parts that the prompts of these requests share with others are suspects as
+// well; see parts.go. All requests with a refused part are refused.
 package quarantine
 
 import (
@@ -44,6 +47,10 @@
 	stale      bool // incidents changed since assessedAt
 	runs       map[string]map[*Run]struct{}
 	cleared    map[uint64]time.Time // start time of the run that cleared each suspect
+
+	outcomes     runOutcomes
+	established  partSet              // parts on which this instance completed answers
+	clearedParts map[uint64]time.Time // newest complete answer to a request with each part that was a suspect
 }
 
 // Run is one registered execution on a backend server. One of Ended and Crashed
@@ -67,14 +74,15 @@
 	if o.Recorder == nil {
 		o.Recorder = timeline.Discard
 	}
-	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{}), cleared: make(map[uint64]time.Time)}
+	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{}), cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time)}
 }
 
 // Refused reports whether the request is refused on all servers.
 func (t *Tracker) Refused(r Request, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.assess(now).refused[r.Fingerprint]
+	current := t.assess(now)
+	return current.refused[r.Fingerprint] || current.hasRefusedPart(r)
 }
 
 // MayRun reports whether the request may run on the server now. A request that is
@@ -89,7 +97,7 @@
 	current := t.assess(now)
 	fingerprint := r.Fingerprint
 	switch {
-	case current.refused[fingerprint]:
+	case current.refused[fingerprint] || current.hasRefusedPart(r):
 		return false
 	case current.crashes[fingerprint] == 0:
 		return true
@@ -122,16 +130,36 @@
 }
 
 // Ended reports an end without a crash. A complete answer clears the
-// fingerprint.
+// fingerprint and the parts.
 func (r *Run) Ended(complete bool, now time.Time) {
 	t := r.tracker
 	t.mu.Lock()
 	t.removeRun(r)
-	cleared := complete && r.request.Fingerprint != 0 && t.clear(r.request.Fingerprint, r.started)
+	t.outcomes.add(false, now)
+	var n Notice
+	if complete {
+		n = t.clearRun(r, now)
+	}
 	t.mu.Unlock()
-	if cleared {
-		t.options.Notify(Notice{Reporter: t.options.Instance, UnixMillis: now.UnixMilli(), Cleared: r.request.Fingerprint})
+	if n.Cleared != 0 || len(n.ClearedParts) > 0 {
+		t.options.Notify(n)
+	}
+}
+
+// clearRun clears the suspects of a run that was completed. It returns a notice of them.
+func (t *Tracker) clearRun(r *Run, now time.Time) Notice {
+	n := Notice{Reporter: t.options.Instance, UnixMillis: now.UnixMilli()}
+	if f := r.request.Fingerprint; f != 0 && t.clear(f, r.started) {
+		n.Cleared = f
+	}
+	for _, p := range r.request.Parts {
+		t.established.add(p, now)
+	}
+	current := t.assess(now)
+	if parts := current.suspectParts(r.request); t.clearParts(parts, now) {
+		n.ClearedParts = parts
 	}
+	return n
 }
 
 // Crashed reports that the backend server crashed. All runs of this instance
@@ -158,16 +186,18 @@
 			continue // started after the restart
 		}
 		t.removeRun(other)
+		t.outcomes.add(true, now)
 		n.SinceMillis = max(n.SinceMillis, other.started.UnixMilli())
 		if f := other.request.Fingerprint; f != 0 && !slices.Contains(n.Fingerprints, f) {
 			n.Fingerprints = append(n.Fingerprints, f)
 			suspects = append(suspects, other.request)
 		}
+		n.Parts = appendMissingParts(n.Parts, other.request.parts())
 	}
-	if len(n.Fingerprints) == 0 {
+	if len(n.Fingerprints)+len(n.Parts) == 0 {
 		return Notice{}, false
 	}
-	t.addNotice(n)
+	t.addNotice(n, now)
 	t.recordSuspects(n.Server, suspects, now)
 	return n, true
 }
