gateway, dispatch: an error answer does not clear suspects

A request that crashes servers, and its parts, counted as harmless once a server answered it with an error before it ran: a 504 at the deadline in the queue, a 503, a 400. Only a successful answer shows that the request ran to its end.

--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
@@ -39,7 +40,7 @@
 	a.settled = true
 	if err == nil {
 		a.close(errDone)
-		a.settleRun(true)
+		a.settleRun(a.response.StatusCode < http.StatusMultipleChoices)
 		a.record(timeline.AttemptAnswered, 0, "")
 		return false
 	}
@@ -58,6 +59,7 @@
 	return a.crashed
 }
 
+// settleRun ends the run. complete is true if the server ran the request to its end.
 func (a *attempt) settleRun(complete bool) {
 	switch {
 	case a.run == nil: // the run was not registered
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,7 +70,7 @@
 	}
 	if failed == nil {
 		a.assignment.End(a.outcome())
-		run.Ended(true, time.Now())
+		run.Ended(a.succeeded(), time.Now())
 		a.x.gateway.counters.attempt("answered")
 		return
 	}
@@ -101,6 +101,12 @@
 	return a.reason + " "
 }
 
+// succeeded reports whether the relayed answer shows that the server ran the request
+// to its end.
+func (a *attempt) succeeded() bool {
+	return a.response.StatusCode < http.StatusMultipleChoices && !a.answer.NotRun
+}
+
 // outcome returns the outcome that the balancer counts for a relayed answer.
 func (a *attempt) outcome() balance.Outcome {
 	if a.response.StatusCode >= http.StatusInternalServerError {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -100,6 +100,7 @@
 	ring     *timeline.Ring
 	servers  []directory.Server
 	runs     sync.Map // attempt id to *atomic.Int64
+	suspects *recordingSuspects
 }
 
 // newTestStack starts a gateway with the routes /safe/ (idempotent), /once/, /stream/
@@ -118,9 +119,10 @@
 	for i, h := range handlers {
 		s.addServer(strconv.Itoa(i), h)
 	}
+	s.suspects = &recordingSuspects{Suspects: dispatch.NewTrackerSuspects(quarantine.New(quarantine.Options{Instance: "i"}))}
 	s.gateway = New(Options{
 		Source: s.source, Balancer: s.balancer, Protocol: testProtocol{}, Meter: s.meter,
-		Suspects: dispatch.NewTrackerSuspects(quarantine.New(quarantine.Options{Instance: "i"})), Recorder: s.ring,
+		Suspects: s.suspects, Recorder: s.ring,
 	})
 	s.front = httptest.NewServer(s.gateway)
 	t.Cleanup(s.front.Close)
--- /dev/null
+++ b/internal/gateway/suspects_test.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
+)
+
+// recordingSuspects records how the runs of a tracker end.
+type recordingSuspects struct {
+	dispatch.Suspects
+
+	mu   sync.Mutex
+	ends []runEnd
+}
+
+// runEnd is the end of a run.
+type runEnd string
+
+const (
+	runComplete   runEnd = "complete"
+	runIncomplete runEnd = "incomplete"
+	runCrashed    runEnd = "crashed"
+)
+
+// recordingRun is a run of recordingSuspects.
+type recordingRun struct {
+	dispatch.Run
+	suspects *recordingSuspects
+}
+
+func (s *recordingSuspects) Start(r quarantine.Request, server string, epoch uint64, now time.Time) (dispatch.Run, bool) {
+	run, ok := s.Suspects.Start(r, server, epoch, now)
+	return recordingRun{run, s}, ok
+}
+
+func (s *recordingSuspects) record(end runEnd) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends = append(s.ends, end)
+}
+
+func (s *recordingSuspects) recorded() []runEnd {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.ends)
+}
+
+func (r recordingRun) Ended(complete bool, now time.Time) {
+	r.Run.Ended(complete, now)
+	end := runIncomplete
+	if complete {
+		end = runComplete
+	}
+	r.suspects.record(end)
+}
+
+func (r recordingRun) Crashed(now time.Time) {
+	r.Run.Crashed(now)
+	r.suspects.record(runCrashed)
+}
+
+// TestErrorAnswerDoesNotClearSuspects guards against a request that crashes servers and
+// counts as harmless because a server answered it with an error before it ran.
+func TestErrorAnswerDoesNotClearSuspects(t *testing.T) {
+	for name, test := range map[string]struct {
+		handler http.HandlerFunc
+		end     runEnd
+	}{
+		"success":         {answerWith(http.StatusOK, "done"), runComplete},
+		"client error":    {answerWith(http.StatusBadRequest, "no"), runIncomplete},
+		"gateway timeout": {answerWith(http.StatusGatewayTimeout, "late"), runIncomplete},
+		"not run":         {notRun(http.StatusBadRequest), runIncomplete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestStack(t, test.handler)
+			s.call(http.MethodPost, "/once/x", "pay")
+			is.Equal(s.suspects.recorded(), []runEnd{test.end})
+		})
+	}
+}
+
+// notRun returns a handler that states with a status that the request has not run.
+func notRun(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testNotRun, "1")
+		w.WriteHeader(status)
+	}
+}
