gateway: only a refused connection shows that a server crashed

An instance that is cut off from the servers loses its connections to all of them, and probes get no answer. As on the product's own front, only an address that refuses connections shows that the process there ended. A server that does not answer is still left at once.

TestSilentServerIsNoCrash: with every failed dial taken for a crash, as before, its cases 'no answer' and 'no route' fail.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -243,7 +243,7 @@
 func (a *attempt) connectionFailure(err error) *failure {
 	f := &failure{code: result.BackendServerError, cause: err, outcome: balance.Broken, sent: !a.permit.Revoke()}
 	switch cause := context.Cause(a.ctx); {
-	case errors.Is(cause, errNoProgress), errors.Is(cause, errUnreachable):
+	case errors.Is(cause, errNoProgress), errors.Is(cause, errUnreachable), errors.Is(cause, errRefused):
 		a.setUnresponsive(f, cause)
 	case cause != nil:
 		f.code, f.outcome, f.final = codeOf(a.ctx, cause), balance.Abandoned, true
@@ -264,8 +264,8 @@
 // setUnresponsive fills in the failure of an attempt that the watchdog cancelled.
 func (a *attempt) setUnresponsive(f *failure, cause error) {
 	f.code, f.cause, f.outcome = result.AttemptTimeout, cause, balance.Silent
-	f.crashed = errors.Is(cause, errUnreachable)
-	if a.reused && !f.crashed {
+	f.crashed = errors.Is(cause, errRefused)
+	if a.reused && errors.Is(cause, errNoProgress) {
 		f.outcome = balance.Broken // the connection may be at fault
 	}
 }
@@ -276,8 +276,9 @@
 	if a.response != nil {
 		f.code = result.StreamBroken
 	}
-	f.crashed = a.x.gateway.probes.isUnreachable(a.assignment.Address)
-	if f.crashed {
+	found := a.x.gateway.probes.probe(a.assignment.Address)
+	f.crashed = found == refused
+	if found != reachable {
 		f.outcome = balance.Unreached
 	}
 }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -11,25 +13,52 @@
 // probeTimeout bounds the dial that distinguishes a crashed server from a slow one.
 const probeTimeout = 250 * time.Millisecond
 
+// reachability is whether a server accepts connections.
+type reachability int
+
+const (
+	reachable reachability = iota
+	// refused: nothing listens at the address any more, so the server's process ended.
+	refused
+	// silent: the address did not answer. The server, its machine or the network on
+	// the way may be down.
+	silent
+)
+
 // prober checks whether servers still accept connections. Concurrent checks of
 // one address share a dial.
-type prober struct{ group singleflight.Group }
+type prober struct {
+	group singleflight.Group
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+}
 
-func newProber() *prober { return &prober{} }
+func newProber() *prober { return &prober{dial: (&net.Dialer{}).DialContext} }
 
-// isUnreachable reports whether the address does not accept a connection within
-// probeTimeout.
-func (p *prober) isUnreachable(address string) bool {
+// probe connects to the address within probeTimeout.
+func (p *prober) probe(address string) reachability {
 	result, _, _ := p.group.Do(address, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		if err != nil {
-			return true, nil
+		c, err := p.dial(ctx, "tcp", address)
+		if err == nil {
+			_ = c.Close()
 		}
-		_ = c.Close()
-		return false, nil
+		return reachabilityOf(err), nil
 	})
-	unreachable, ok := result.(bool)
-	return ok && unreachable
+	found, ok := result.(reachability)
+	if !ok {
+		return reachable
+	}
+	return found
+}
+
+// reachabilityOf classifies the error of a dial.
+func reachabilityOf(err error) reachability {
+	switch {
+	case err == nil:
+		return reachable
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return refused
+	}
+	return silent
 }
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -95,3 +98,29 @@
 		w.WriteHeader(status)
 	}
 }
+
+// TestSilentServerIsNoCrash guards against requests that are refused for crashes that did
+// not happen: an instance that is cut off from the servers loses all its connections, and
+// new ones get no answer. A crashed server's address refuses them.
+func TestSilentServerIsNoCrash(t *testing.T) {
+	for name, test := range map[string]struct {
+		dialError error
+		end       runEnd
+	}{
+		"refused":          {&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, runCrashed},
+		"no answer":        {context.DeadlineExceeded, runIncomplete},
+		"no route":         {&net.OpError{Op: "dial", Err: syscall.EHOSTUNREACH}, runIncomplete},
+		"accepts them yet": {nil, runIncomplete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestStack(t, abort)
+			s.gateway.probes.dial = func(context.Context, string, string) (net.Conn, error) {
+				here, _ := net.Pipe()
+				return here, test.dialError
+			}
+			s.call(http.MethodPost, "/once/x", "pay")
+			is.Equal(s.suspects.recorded(), []runEnd{test.end})
+		})
+	}
+}
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -11,7 +11,8 @@
 
 var (
 	errNoProgress  = errors.New("the server made no progress within its timeout")
-	errUnreachable = errors.New("the server does not accept connections")
+	errUnreachable = errors.New("the server's address does not answer")
+	errRefused     = errors.New("the server refuses connections")
 )
 
 const (
@@ -32,8 +33,8 @@
 // that, after probeAfter, it probes the server; if the server does not accept
 // connections, the attempt is cancelled at once.
 type watchdog struct {
-	cancel        context.CancelCauseFunc
-	isUnreachable func() bool
+	cancel context.CancelCauseFunc
+	probe  func() reachability
 
 	mu         sync.Mutex
 	timer      *time.Timer
@@ -57,8 +58,8 @@
 	}
 	address := a.assignment.Address
 	a.watchdog = &watchdog{
-		cancel:        a.cancel,
-		isUnreachable: func() bool { return a.x.gateway.probes.isUnreachable(address) },
+		cancel: a.cancel,
+		probe:  func() reachability { return a.x.gateway.probes.probe(address) },
 	}
 	a.watchdog.setLimits(probeAfter, timeout)
 }
@@ -105,15 +106,20 @@
 // probeDue probes the server, and if it is reachable, waits for the rest of the
 // timeout.
 func (w *watchdog) probeDue(generation int) {
-	unreachable := w.isUnreachable()
+	found := w.probe()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || w.generation != generation {
 		return
 	}
-	if unreachable {
+	switch found {
+	case refused:
+		w.cancel(errRefused)
+		return
+	case silent:
 		w.cancel(errUnreachable)
 		return
+	case reachable:
 	}
 	w.timer = time.AfterFunc(w.timeout-w.probeAfter, func() { w.expire(generation) })
 }
