quarantine: keep refused parts in the instances' rows

After all instances were started anew a part that crashes servers was unknown, and crashed three to five more servers before it was refused again.

Each instance publishes the parts that it refuses, with the time of the last crash, in its row, which all instances read when they start and every few seconds. An instance writes its row after it has read all rows (at most 1 s after its start), so that it does not replace what its own row said before. A verdict ages from its last crash, whoever passes it on; who knows that the part was cleared since tells the others again.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -89,7 +89,7 @@
 	})
 	e.sharing = newSharing(s, p, e.balancer, e.suspects, clock, e.events, logger.Named("sharing"))
 	e.view = newStoreView(p, s.Bounds, e.balancer, e.sharing, clock, e.events)
-	e.members = newMembers(s, p, e.balancer, e.sharing, clock, e.events, logger.Named("members"))
+	e.members = newMembers(s, p, e.balancer, e.suspects, e.sharing, clock, e.events, logger.Named("members"))
 	e.duties = newDuties(s, p, e.view, e.members, e.balancer, e.sharing, clock, e.events, logger.Named("duties"))
 	e.gateway = gateway.New(gateway.Options{
 		Source: e.view, Balancer: e.balancer, Protocol: p.Protocol, Meter: e.duties.meter,
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -13,6 +13,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/presence"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/replicas"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -20,13 +21,20 @@
 	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
-const storeCallTimeout = time.Second
+const (
+	storeCallTimeout = time.Second
+	// maxFirstReadWait bounds how long the first write of this instance's row waits for
+	// the first read of all rows, which is checked each firstReadCheckInterval.
+	maxFirstReadWait       = time.Second
+	firstReadCheckInterval = 20 * time.Millisecond
+)
 
 // members publishes this instance's row and follows the rows of the other instances.
 type members struct {
 	settings Settings
 	rows     platform.Table
 	balancer *balance.Balancer
+	suspects *quarantine.Tracker
 	clock    *truetime.Clock
 	recorder timeline.Recorder
 	logger   hclog.Logger
@@ -42,9 +50,9 @@
 	names []string
 }
 
-func newMembers(s Settings, p Platform, b *balance.Balancer, h *sharing, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *members {
+func newMembers(s Settings, p Platform, b *balance.Balancer, suspects *quarantine.Tracker, h *sharing, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *members {
 	m := &members{
-		settings: s, rows: h.sharedTable(p.InstanceRows, instancesTable), balancer: b, clock: clock, recorder: recorder, logger: logger, board: presence.NewRegistry(),
+		settings: s, rows: h.sharedTable(p.InstanceRows, instancesTable), balancer: b, suspects: suspects, clock: clock, recorder: recorder, logger: logger, board: presence.NewRegistry(),
 		sharing: h,
 	}
 	m.follower = tablefeed.New(h.sharedOptions(tablefeed.Options{
@@ -80,6 +88,7 @@
 // publishLoop writes this instance's row until ctx ends. The interval grows with the
 // number of known members, so the first writes follow each other soon.
 func (m *members) publishLoop(ctx context.Context) {
+	m.awaitRows(ctx)
 	for {
 		demand := m.balancer.TakeDemand()
 		m.publish(ctx, demand)
@@ -89,6 +98,17 @@
 	}
 }
 
+// awaitRows waits until the rows were read once, at most maxFirstReadWait. The first
+// write replaces this instance's row of before its start, whose verdicts would be lost
+// otherwise.
+func (m *members) awaitRows(ctx context.Context) {
+	for end := time.Now().Add(maxFirstReadWait); m.follower.CurrentAsOf().IsZero() && time.Now().Before(end); {
+		if wait.For(ctx, firstReadCheckInterval) != nil {
+			return
+		}
+	}
+}
+
 // awaitPublish waits until this instance's row is due again. It returns early if the
 // demand has grown beyond the published one. It returns the error of ctx if that ends.
 func (m *members) awaitPublish(ctx context.Context, published map[string]presence.Demand) error {
@@ -109,6 +129,7 @@
 		m.logger.Error("cannot decode the row of an instance; ignoring it", "error", err)
 	}
 	m.setLive(m.board.Live(boottime.Now()))
+	m.suspects.Restore(m.board.Verdicts(), time.Now())
 }
 
 // publish writes this instance's row and applies the live rows of the others.
@@ -119,6 +140,7 @@
 	m.sequence++
 	row := presence.Row{
 		Zone: m.settings.Zone, Draining: m.leaving.Load(), Demand: demand, Sequence: m.sequence,
+		Quarantine: m.suspects.Verdicts(time.Now()),
 	}
 	m.sharing.setContact(&row)
 	if offset, ok := m.clock.Offset(); ok {
--- a/internal/edge/roster_test.go
+++ b/internal/edge/roster_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/fanout"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/reports"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -136,7 +138,8 @@
 }
 
 // TestDeadlyPartQuarantineShared guards against requests of which no two are alike and
-// that crash one server after the other, because one part of their prompts does.
+// that crash one server after the other, because one part of their prompts does, also
+// after all instances were started anew.
 func TestDeadlyPartQuarantineShared(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -172,4 +175,29 @@
 	}
 	is.True(crashes <= 6) // three crashes, and those until all instances know of them
 	is.True(refused > 0)
+
+	published := func() bool {
+		rows, err := w.store.Table("instances").List(t.Context(), "", "", 10)
+		is.NoErr(err)
+		return slices.ContainsFunc(rows, func(r platform.Row) bool { return strings.Contains(string(r.Value), `"quarantine":[{"part":66,`) })
+	}
+	eventually(t, 10*time.Second, "the part is kept in the store", published)
+	for _, r := range fleet {
+		r.stop()
+	}
+	for _, r := range fleet {
+		<-r.done
+		r.done <- nil
+	}
+	for n := range 3 { // all instances are started anew
+		r := w.startReady(fmt.Sprint(n))
+		eventually(t, time.Second, "the part is known", func() bool { return r.hasMetric(`hawthornwick_quarantine_refused{kind="part"} 1`) })
+		own := fmt.Sprint(3000 + n)
+		status, _, err := r.send(newClient(t), "deadly-"+own, "key", poison+own, common, deadly, own)
+		is.NoErr(err)
+		is.Equal(status, http.StatusServiceUnavailable)
+		status, _, err = r.send(newClient(t), "sound-"+own, "key", own, common, harmless, own)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+	}
 }
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
 
@@ -34,6 +35,9 @@
 	Address string  `json:"address,omitempty"`
 	Token   string  `json:"token,omitempty"`
 	Cores   float64 `json:"cores,omitempty"`
+	// Quarantine holds the parts of prompts that the instance refuses because they
+	// crash backend servers. It outlives the instance.
+	Quarantine []quarantine.Verdict `json:"quarantine,omitempty"`
 	// Sequence increases with each write, so that each write is a change.
 	Sequence uint64 `json:"sequence"`
 }
@@ -161,6 +165,17 @@
 	return offsets
 }
 
+// Verdicts returns the verdicts in all rows, also of instances that are no longer live.
+func (b *Registry) Verdicts() []quarantine.Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var verdicts []quarantine.Verdict
+	for _, s := range b.rows {
+		verdicts = append(verdicts, s.row.Quarantine...)
+	}
+	return verdicts
+}
+
 // TotalDemand returns the total demand of all instances for a service.
 func TotalDemand(rows map[string]Row, service string) Demand {
 	var total Demand
--- a/internal/quarantine/apply.go
+++ b/internal/quarantine/apply.go
@@ -113,6 +113,7 @@
 	if t.stale || len(t.incidents) != before || t.hasNewlySettled(now) {
 		rule := partRule{crashes: t.outcomes.crashesToRefuse(), established: t.established.contains, before: t.assessed.refusedParts}
 		assessed := assess(t.incidents, rule, now)
+		t.addRestored(assessed.refusedParts, now)
 		t.recordParts(t.assessed.refusedParts, assessed.refusedParts)
 		t.assessed, t.assessedAt, t.stale = assessed, now, false
 	}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -123,11 +123,12 @@
 	return slices.ContainsFunc(r.Parts, func(p uint64) bool { return a.refusedParts[p] > 0 })
 }
 
-// suspectParts returns the request's parts that were in flight at a crash.
+// suspectParts returns the request's parts that were in flight at a crash or are
+// refused.
 func (a *assessment) suspectParts(r Request) []uint64 {
 	var suspects []uint64
 	for _, p := range r.Parts {
-		if a.partCrashes[p] > 0 {
+		if a.partCrashes[p] > 0 || a.refusedParts[p] > 0 {
 			suspects = append(suspects, p)
 		}
 	}
@@ -146,10 +147,13 @@
 	return news
 }
 
-// clearPart removes a part from all incidents up to the given time. It reports whether
-// there was one.
+// clearPart removes a part from all incidents and verdicts up to the given time. It
+// reports whether there was one.
 func (t *Tracker) clearPart(part uint64, until time.Time) bool {
-	cleared := false
+	v, cleared := t.restored[part]
+	if cleared = cleared && !v.at().After(until); cleared {
+		delete(t.restored, part)
+	}
 	for i := range t.incidents {
 		in := &t.incidents[i]
 		if !in.hasPart(part) || in.at.After(until) {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -50,6 +50,7 @@
 
 	outcomes     runOutcomes
 	established  partSet              // parts on which this instance completed answers
+	restored     map[uint64]Verdict   // verdicts of other instances, by part
 	clearedParts map[uint64]time.Time // newest complete answer to a request with each part that was a suspect
 }
 
@@ -74,7 +75,7 @@
 	if o.Recorder == nil {
 		o.Recorder = timeline.Discard
 	}
-	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{}), cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time)}
+	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{}), cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time), restored: make(map[uint64]Verdict)}
 }
 
 // Refused reports whether the request is refused on all servers.
