--- a/internal/quarantine/apply.go
+++ b/internal/quarantine/apply.go
@@ -110,7 +110,7 @@
 	t.incidents = slices.DeleteFunc(t.incidents, func(in incident) bool {
 		return now.Sub(in.at) >= t.options.Retention || !in.hasSuspects()
 	})
-	if t.stale || len(t.incidents) != before || t.hasNewlySettled(now) {
+	if t.stale || len(t.incidents) != before || t.hasNewlySettled(now) || t.hasAgedVerdict(now) {
 		rule := partRule{crashes: t.outcomes.crashesToRefuse(), established: t.established.contains, before: t.assessed.refusedParts}
 		assessed := assess(t.incidents, rule, now)
 		t.addRestored(assessed.refusedParts, now)
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -64,7 +65,7 @@
 		known, found := t.restored[v.Part]
 		cleared, isCleared := t.clearedParts[v.Part]
 		switch {
-		case now.Sub(v.at()) >= t.options.Retention, found && known.UnixMillis >= v.UnixMillis:
+		case t.hasAged(v, now), found && known.UnixMillis >= v.UnixMillis:
 		case isCleared && !cleared.Before(v.at()):
 			stale = append(stale, v.Part)
 		case found || len(t.restored) < maxVerdicts:
@@ -75,13 +76,26 @@
 	return stale
 }
 
-// addRestored adds the verdicts of others that have not aged to the refused parts.
+// hasAged reports whether a verdict no longer counts.
+func (t *Tracker) hasAged(v Verdict, now time.Time) bool {
+	return now.Sub(v.at()) >= t.options.Retention
+}
+
+// hasAgedVerdict reports whether a restored verdict no longer counts.
+func (t *Tracker) hasAgedVerdict(now time.Time) bool {
+	for _, v := range t.restored {
+		if t.hasAged(v, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// addRestored drops restored verdicts that have aged and adds the others to the refused
+// parts.
 func (t *Tracker) addRestored(refused map[uint64]int, now time.Time) {
+	maps.DeleteFunc(t.restored, func(_ uint64, v Verdict) bool { return t.hasAged(v, now) })
 	for p, v := range t.restored {
-		if now.Sub(v.at()) >= t.options.Retention {
-			delete(t.restored, p)
-			continue
-		}
 		refused[p] = max(refused[p], v.Crashes)
 	}
 }
