advisory: read from answers that their server leaves or wants a pause, and log it

Nothing is decided by it yet.

Informational answers are limited to 8 for each attempt: the transport stops limiting them once they are read.

--- /dev/null
+++ b/internal/balance/answer.go
@@ -0,0 +1,64 @@
+package balance
+
+import (
+	"fmt"
+
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
+	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+// Answer is what the head of an answer to an assigned request says about its server.
+type Answer struct {
+	// Request is the id of the request, for the timeline.
+	Request string
+	// Status is the HTTP status.
+	Status int
+	// Misdirected is true when another server than the assigned one answered at its
+	// address.
+	Misdirected bool
+	Advisory    advisory.Advisory
+}
+
+// String returns the source of an advisory as key=value pairs.
+func (a Answer) String() string { return fmt.Sprintf("request=%s status=%d", a.Request, a.Status) }
+
+// Observe applies the head of an answer, also if the answer is not used or the
+// assignment has ended.
+func (a *Assignment) Observe(answer Answer) {
+	b := a.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := a.server
+	if answer.Misdirected {
+		s = b.ownerOf(a.Address, a.Server)
+	}
+	if s != nil {
+		b.observe(b.now(), s, answer)
+	}
+}
+
+// ownerOf returns the listed server at an address whose ID differs from the given one,
+// or nil.
+func (b *Balancer) ownerOf(address, otherThan string) *server {
+	for id, s := range b.servers {
+		if s.Address == address && id != otherThan {
+			return s
+		}
+	}
+	return nil
+}
+
+// observe applies an answer to the state of the server that sent it.
+func (b *Balancer) observe(now boottime.Instant, s *server, answer Answer) {
+	changed := s.stated.Observe(now, answer.Advisory)
+	if changed.Leaving {
+		b.record(s, timeline.Event{Kind: timeline.ServerLeaving, Detail: answer.String()})
+	}
+	if changed.Paused {
+		b.record(s, timeline.Event{Kind: timeline.ServerPaused, Duration: answer.Advisory.Pause, Detail: answer.String()})
+	}
+	if changed.Malformed {
+		b.record(s, timeline.Event{Kind: timeline.ServerMalformed, Detail: answer.String() + " " + answer.Advisory.Err.Error()})
+	}
+}
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
 )
@@ -32,6 +33,7 @@
 type server struct {
 	directory.Server
 	zoneDrained bool
+	stated      advisory.State[boottime.Instant] // by the server's answers
 
 	inFlight       int // this instance's requests
 	pendingPrefill int // prompt tokens of this instance's requests whose first event has not arrived
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
@@ -51,6 +52,10 @@
 	return gateway.AnswerHead{Attempt: r.Header.Get("Id"), Signed: r.Header.Get("Signed") != ""}
 }
 
+func (plainProtocol) ReadAdvisory(status int, h http.Header) advisory.Advisory {
+	return advisory.Read(advisory.Fields{Leaving: "Leaving"}, status, h, time.Now())
+}
+
 // testPlatform is a store with backend servers. It records the orders and usage reports
 // that it receives.
 type testPlatform struct {
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -25,6 +25,9 @@
 	// RecordHeader carries the id of a non-idempotent request's idempotency record:
 	// the digest of organisation and idempotency key.
 	RecordHeader = "Hawthornwick-Record"
+	// LeavingHeader is "1" in the responses of an engine that stops soon and wants no
+	// further requests.
+	LeavingHeader = "Hawthornwick-Leaving"
 )
 
 // Paths that engines serve in addition to the OpenAI API.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -34,6 +34,8 @@
 		return "trust in " + e.Server
 	case timeline.ServerCold:
 		return "warmth of " + e.Server
+	case timeline.ServerLeaving, timeline.ServerPaused:
+		return string(e.Kind) + " " + e.Server
 	}
 	return ""
 }
@@ -88,20 +90,25 @@
 
 // stateEvents returns state events of the instances that handled the request: the
 // last event for each state key before the request arrived, and all events until it
-// ended. Events of backend servers that the request was not sent to are omitted.
+// ended. Events of backend servers that the request was not sent to are omitted, unless
+// they tell why a server of the request's service got no requests.
 func (s *History) stateEvents() []timeline.Event {
 	start, end := s.events[0].Time, s.events[len(s.events)-1].Time
-	instances, servers := map[string]bool{}, map[string]bool{}
+	instances, servers, services := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, e := range s.events {
 		instances[e.Instance] = true
 		servers[e.Server] = true
+		services[e.Service] = true
+	}
+	concerns := func(e timeline.Event) bool {
+		return e.Server == "" || servers[e.Server] || excludesServer(e) && services[e.Service]
 	}
 	before := map[string]map[string]timeline.Event{} // by instance and state key
 	var during []timeline.Event
 	for _, e := range s.states {
 		key := stateKey(e)
 		switch {
-		case !instances[e.Instance] || e.Time.After(end) || e.Server != "" && !servers[e.Server]:
+		case !instances[e.Instance] || e.Time.After(end) || !concerns(e):
 		case !e.Time.Before(start):
 			during = append(during, e)
 		case key != "":
@@ -118,6 +125,11 @@
 	return timeline.Merge(all, during)
 }
 
+// excludesServer reports whether an event says that a backend server gets no requests.
+func excludesServer(e timeline.Event) bool {
+	return e.Kind == timeline.ServerLeaving || e.Kind == timeline.ServerPaused
+}
+
 // writeEvent writes one line with the time since start, the instance, the kind and the
 // fields that are set.
 func writeEvent(w io.Writer, start time.Time, e timeline.Event) {
@@ -156,6 +168,7 @@
 	add("peer", e.Peer, e.Peer != "")
 	add("count", e.Count, e.Count > 0)
 	add("state", e.State, e.State != "")
+	add("for", e.Duration, e.Kind == timeline.ServerPaused)
 	return list
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -25,6 +25,8 @@
 {"time":"2026-12-04T07:00:02Z","instance":"edge-1","sequence":7,"kind":"request.received","request":"r2"}
 {"time":"2026-12-04T07:00:02.9Z","instance":"edge-1","sequence":11,"kind":"server.suspect","server":"s1","zone":"z","state":"unreached"}
 {"time":"2026-12-04T07:00:02.95Z","instance":"edge-1","sequence":12,"kind":"usage.reported","window":"12","organisation":"org","duty":"control","token":3}
+{"time":"2026-12-04T07:00:01.2Z","instance":"edge-1","sequence":14,"kind":"server.paused","server":"s2","zone":"z","service":"svc","duration":2000000000,"detail":"request=r0 status=503"}
+{"time":"2026-12-04T07:00:01.3Z","instance":"edge-1","sequence":15,"kind":"server.leaving","server":"s3","zone":"z","service":"another","detail":"request=r0 status=200"}
 {"time":"2026-12-04T07:00:09Z","instance":"edge-1","sequence":13,"kind":"server.state","server":"s1","state":"gone"}
 `
 
@@ -44,6 +46,7 @@
 state then:
     -1.800s  edge-1  instance.started  zone z
     -1.000s  edge-1  config.applied  version 7  routes=3
+    -0.800s  edge-1  server.paused  server s2  zone z  for 2s  request=r0 status=503
     -0.500s  edge-1  server.state  server s1  zone z  state seen  cold=0s
     -0.200s  edge-1  table.lost  table operators  refused
     +0.900s  edge-1  server.suspect  server s1  zone z  state unreached
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"net/url"
 	"time"
 
@@ -38,6 +39,8 @@
 	reused     bool
 	response   *http.Response
 	answer     AnswerHead
+	// informational is the number of informational answers received.
+	informational int
 }
 
 // attempt sends the request to the server and relays its answer. It returns nil
@@ -124,6 +127,7 @@
 	}
 	a.response = response
 	a.answer = a.x.gateway.options.Protocol.ReadAnswerHead(response)
+	a.observe(response.StatusCode, response.Header, a.answer.Misdirected)
 	if failed := a.checkHead(); failed != nil {
 		return failed
 	}
@@ -133,6 +137,31 @@
 	return a.relayBuffered()
 }
 
+// observe reports what the head of an answer states about the server that sent it.
+// misdirected is true if that is not the assigned one.
+func (a *attempt) observe(status int, h http.Header, misdirected bool) {
+	a.assignment.Observe(balance.Answer{
+		Request: a.x.head.Attempt, Status: status, Misdirected: misdirected,
+		Advisory: a.x.gateway.options.Protocol.ReadAdvisory(status, h),
+	})
+}
+
+// maxInformational bounds the informational answers before the final one.
+const maxInformational = 8
+
+var errInformational = errors.New("the server sends informational answers without end")
+
+// observeInformational reports what the head of an informational answer states. It
+// limits their number, which the transport leaves to its user.
+func (a *attempt) observeInformational(status int, h textproto.MIMEHeader) error {
+	a.informational++
+	if a.informational > maxInformational {
+		return errInformational
+	}
+	a.observe(status, http.Header(h), false)
+	return nil
+}
+
 // maySend decides right before the first byte of the request is written whether it
 // may still be sent.
 func (a *attempt) maySend() bool {
@@ -153,7 +182,7 @@
 // request builds the request for the server.
 func (a *attempt) request() *http.Request {
 	x := a.x
-	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: a.observeInformational})
 	r := (&http.Request{
 		Method: x.r.Method, URL: a.url(), Host: x.r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -120,3 +120,35 @@
 	}
 	is.Equal(p.describe(start), "first_event_ms=40 longest_pause_ms=340 pause_ended_ms=400")
 }
+
+// TestServerStatementsAreLogged guards against answers that say that their server leaves
+// or wants a pause, while the log does not tell so.
+func TestServerStatementsAreLogged(t *testing.T) {
+	is := is.New(t)
+	early := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testLeaving, "1")
+		w.WriteHeader(http.StatusEarlyHints)
+		w.Header().Del(testLeaving)
+		answerWith(http.StatusOK, "x")(w, r)
+	}
+	s := newTestStack(t, early)
+	s.call(http.MethodPost, "/once/x", "pay")
+	s.addServer("1", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Retry-After", "0.2")
+		w.Header().Set(testLeaving, "never")
+		overloaded(w, r)
+	})
+	s.servers[0].Draining = true
+	s.balancer.SetServers(s.servers)
+	s.call(http.MethodPost, "/once/x", "pay", testAttempt, "b")
+	states := map[timeline.Kind]timeline.Event{}
+	events, _ := s.ring.Snapshot()
+	for _, e := range events {
+		states[e.Kind] = e
+	}
+	is.Equal(states[timeline.ServerLeaving].Server, "0")
+	is.Equal(states[timeline.ServerLeaving].Detail, "request=a status=103")
+	is.Equal(states[timeline.ServerPaused].Server, "1")
+	is.Equal(states[timeline.ServerPaused].Duration, 200*time.Millisecond)
+	is.Equal(states[timeline.ServerMalformed].Server, "1")
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
@@ -33,6 +34,7 @@
 	testSigned  = "Test-Signed"
 	testNotRun  = "Test-Not-Run"
 	testLeft    = "Test-Left"
+	testLeaving = "Test-Leaving"
 )
 
 type testProtocol struct{}
@@ -66,6 +68,10 @@
 	}
 }
 
+func (testProtocol) ReadAdvisory(status int, h http.Header) advisory.Advisory {
+	return advisory.Read(advisory.Fields{Leaving: testLeaving}, status, h, time.Now())
+}
+
 // testSource is a Source that tests control.
 type testSource struct {
 	table      *routes.Table
@@ -112,7 +118,7 @@
 	s.source.keysProved.Store(true)
 	s.source.current.Store(true)
 	s.balancer = balance.New(balance.Options{
-		Instance: "i", Retries: balance.RetryLimit{Window: 10 * time.Second, Ratio: 0.2, Slack: 100},
+		Instance: "i", Retries: balance.RetryLimit{Window: 10 * time.Second, Ratio: 0.2, Slack: 100}, Recorder: s.ring,
 	})
 	s.balancer.SetTable(s.source.table)
 	s.balancer.SetMembers([]string{"i"})
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 )
 
@@ -68,4 +69,7 @@
 	WriteServerHead(h http.Header, s ServerHead)
 	// ReadAnswerHead reads the fields of a backend server's answer.
 	ReadAnswerHead(r *http.Response) AnswerHead
+	// ReadAdvisory reads what the head of an answer, which may be informational (1xx),
+	// states about the server that sent it.
+	ReadAdvisory(status int, h http.Header) advisory.Advisory
 }
--- a/internal/gatewayfile/protocol.go
+++ b/internal/gatewayfile/protocol.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 	"github.com/hawthornwick/hawthornwick/internal/gateway"
 )
@@ -64,3 +65,8 @@
 		NotRun: r.Header.Get(notRunHeader) != "" || misdirected,
 	}
 }
+
+// ReadAdvisory implements gateway.Protocol.
+func (protocol) ReadAdvisory(status int, h http.Header) advisory.Advisory {
+	return advisory.Read(advisory.Fields{Leaving: engineapi.LeavingHeader}, status, h, time.Now())
+}
