--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -157,8 +158,12 @@
 }
 
 // addServer starts a backend server that counts its runs and echoes attempt ids.
-func (s *testStack) addServer(id string, h http.HandlerFunc) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+func (s *testStack) addServer(id string, h http.HandlerFunc) { s.addServerWith(id, h, nil) }
+
+// addServerWith is like addServer, with a hook for the states of connections, which may
+// be nil.
+func (s *testStack) addServerWith(id string, h http.HandlerFunc, connState func(net.Conn, http.ConnState)) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(testAttempt, r.Header.Get(testAttempt))
 		w.Header().Set(testSigned, id)
 		h(w, r)
@@ -167,6 +172,8 @@
 			count.(*atomic.Int64).Add(1)
 		}
 	}))
+	server.Config.ConnState = connState
+	server.Start()
 	s.t.Cleanup(server.Close)
 	s.addAddress(id, strings.TrimPrefix(server.URL, "http://"))
 }
