balance, gateway: a server that states that it leaves gets no more requests

What callers saw: requests went to a server for seconds after its answers had said that it stops, and were cut when it did (DRAIN).

Cause: an answer said something about its server, and no part of the code had a place for it; only the server's row could take it out of use. Rows lag, some servers never write 'draining', and an instance that cannot reach the store reads none.

Fix: what answers state is kept for each incarnation (id, start time, address) in the balancer, also while its row is not listed, so that it cannot be lost by a lapse, a reread table or an outage; a row cannot take it back. The pure choice leaves such servers out, the last check before a request's first byte asks again, and connections without a request are closed.

--- a/internal/balance/answer.go
+++ b/internal/balance/answer.go
@@ -38,6 +38,17 @@
 	}
 }
 
+// Leaving reports whether the assigned server stops soon.
+func (a *Assignment) Leaving() bool {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	return a.server.leaving()
+}
+
+// MaySend reports whether the request may still be sent to the assigned server, which may
+// have stated since the assignment that it wants no more requests.
+func (a *Assignment) MaySend() bool { return !a.Leaving() }
+
 // ownerOf returns the listed server at an address whose ID differs from the given one,
 // or nil.
 func (b *Balancer) ownerOf(address, otherThan string) *server {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hawthornwick/hawthornwick/internal/admission"
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
 	"github.com/hawthornwick/hawthornwick/internal/retrybudget"
@@ -66,6 +67,7 @@
 	table        *routes.Table
 	pools        map[string]*pool
 	servers      map[string]*server
+	unlisted     advisory.Memory[incarnation, boottime.Instant]
 	members      []string // sorted; empty until the first list was read
 	drainedZones map[string]bool
 	timerArmed   bool
@@ -152,8 +154,12 @@
 	for _, entry := range list {
 		listed[entry.ID] = true
 		s := b.servers[entry.ID]
-		if s == nil || s.StartedMillis != entry.StartedMillis || s.Address != entry.Address {
-			s = newServer()
+		if s != nil && incarnationOf(s.Server) != incarnationOf(entry) {
+			b.forget(now, s)
+			s = nil
+		}
+		if s == nil {
+			s = newServer(b.unlisted.Take(incarnationOf(entry)))
 			b.servers[entry.ID] = s
 		}
 		s.Server = entry
@@ -161,9 +167,9 @@
 		p := b.pool(entry.Service)
 		p.servers = append(p.servers, s)
 	}
-	for id := range b.servers {
+	for id, s := range b.servers {
 		if !listed[id] {
-			delete(b.servers, id)
+			b.forget(now, s)
 		}
 	}
 	for _, p := range b.pools {
@@ -172,6 +178,13 @@
 	}
 }
 
+// forget removes a server that is no longer listed. What it has stated is kept, in case
+// its row returns.
+func (b *Balancer) forget(now boottime.Instant, s *server) {
+	delete(b.servers, s.ID)
+	b.unlisted.Keep(now, incarnationOf(s.Server), s.stated)
+}
+
 // SetDrainedZones sets the availability zones that operators have drained. When a zone
 // returns, its servers count as cold.
 func (b *Balancer) SetDrainedZones(zones []string) {
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -55,7 +55,7 @@
 }
 
 // ZoneCount is the number of a service's servers in one availability zone, not
-// counting servers that are draining.
+// counting servers that leave.
 type ZoneCount struct {
 	Zone                 string
 	Regular, Preemptible int
@@ -72,7 +72,7 @@
 		return zones
 	}
 	for _, s := range p.servers {
-		if s.Draining {
+		if s.leaving() {
 			continue
 		}
 		z := zones[s.Zone]
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -29,11 +29,25 @@
 	partTTL = 30 * time.Second
 )
 
+// statements are what a server has stated in its answers.
+type statements = advisory.State[boottime.Instant]
+
+// incarnation identifies one run of a server's process.
+type incarnation struct {
+	id, address   string
+	startedMillis int64
+}
+
+// incarnationOf returns the incarnation that a row describes.
+func incarnationOf(s directory.Server) incarnation {
+	return incarnation{id: s.ID, address: s.Address, startedMillis: s.StartedMillis}
+}
+
 // server is this instance's view of one backend server.
 type server struct {
 	directory.Server
 	zoneDrained bool
-	stated      advisory.State[boottime.Instant] // by the server's answers
+	stated      *statements
 
 	inFlight       int // this instance's requests
 	pendingPrefill int // prompt tokens of this instance's requests whose first event has not arrived
@@ -50,10 +64,16 @@
 	outcomes            [len(outcomeNames)]uint64   // finished attempts by outcome
 }
 
-func newServer() *server { return &server{parts: map[uint64]boottime.Instant{}} }
+func newServer(stated *statements) *server {
+	return &server{stated: stated, parts: map[uint64]boottime.Instant{}}
+}
 
 // usable reports whether the server accepts new work at all.
-func (s *server) usable() bool { return !s.Draining && !s.zoneDrained }
+func (s *server) usable() bool { return !s.leaving() && !s.zoneDrained }
+
+// leaving reports whether the server stops soon, according to its row or its answers. A
+// row cannot take back what an answer has stated.
+func (s *server) leaving() bool { return s.Draining || s.stated.Leaving() }
 
 // cold reports whether the server's request rate is limited.
 func (s *server) cold(now boottime.Instant) bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,7 @@
 	errIsolated       = errors.New("the server runs another request that is suspected of crashing servers")
 	errAnswerMismatch = errors.New("the answer does not match the request sent to the server")
 	errNotSigned      = errors.New("the answer carries no signature of the server")
+	errUnwanted       = errors.New("the server stated after it was chosen that it wants no requests")
 )
 
 // attempt is one attempt to run a request on one backend server.
@@ -39,6 +40,9 @@
 	reused     bool
 	response   *http.Response
 	answer     AnswerHead
+	// unwanted is true if the server has stated since the assignment that it wants no
+	// requests. It is set before the permit is denied.
+	unwanted bool
 	// informational is the number of informational answers received.
 	informational int
 }
@@ -71,6 +75,10 @@
 		a.cancel(errEnded)
 		_ = a.response.Body.Close()
 	}
+	a.permit.End()
+	if a.assignment.Leaving() {
+		a.x.gateway.transports.closeUnused(a.assignment.Address)
+	}
 	if failed == nil {
 		a.assignment.End(a.outcome())
 		run.Ended(a.succeeded(), time.Now())
@@ -168,6 +176,10 @@
 	if a.ctx.Err() != nil || !a.x.maySend() {
 		return false
 	}
+	if !a.assignment.MaySend() {
+		a.unwanted = true
+		return false
+	}
 	a.record(timeline.AttemptSent, 0, a.reason)
 	return true
 }
@@ -277,6 +289,8 @@
 	case cause != nil:
 		f.code, f.outcome, f.final = codeOf(a.ctx, cause), balance.Abandoned, true
 		f.cause = cause
+	case a.permit.Denied() && a.unwanted:
+		f.code, f.outcome, f.cause = result.NoBackendServer, balance.Abandoned, errUnwanted
 	case a.permit.Denied():
 		f.code, f.outcome, f.final = result.ConfigurationStale, balance.Abandoned, true
 	case !f.sent:
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -26,12 +26,18 @@
 	// fresh opens a connection for each request, so that a request that must
 	// not be retried cannot fail on a stale idle connection.
 	fresh *http.Transport
+	conns guardconn.Conns // of pooled
 }
 
 func newTransports() *transports {
-	return &transports{pooled: newTransport(true), fresh: newTransport(false)}
+	t := &transports{pooled: newTransport(true), fresh: newTransport(false)}
+	t.pooled.DialContext = t.conns.Dial(t.pooled.DialContext)
+	return t
 }
 
+// closeUnused closes the idle connections to the address of a server that leaves.
+func (c *transports) closeUnused(address string) { c.conns.CloseUnused(address) }
+
 func newTransport(pooled bool) *http.Transport {
 	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
--- a/internal/guardconn/guardconn.go
+++ b/internal/guardconn/guardconn.go
@@ -21,7 +21,16 @@
 // writes fail with ErrNotPermitted.
 type Conn struct {
 	net.Conn
-	permit atomic.Pointer[Permit]
+	permit  atomic.Pointer[Permit]
+	onClose func() // nil if the connection is not tracked
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	if c.onClose != nil {
+		c.onClose()
+	}
+	return c.Conn.Close()
 }
 
 // Write implements net.Conn.
@@ -40,6 +49,7 @@
 	decide  func() bool
 	granted atomic.Bool
 	denied  atomic.Bool
+	ended   atomic.Bool
 }
 
 // NewPermit returns a permit that calls decide before the first write.
@@ -57,6 +67,9 @@
 	return !p.granted.Load()
 }
 
+// End records that the attempt has ended: it neither writes nor reads any more.
+func (p *Permit) End() { p.ended.Store(true) }
+
 // Denied reports whether the first write was rejected.
 func (p *Permit) Denied() bool { return p.denied.Load() }
 
