balance, gateway: a server gets no requests in the pause that it asks for

What callers saw: a server that had answered 503 with Retry-After got a request every 100 ms from each instance with work waiting (BUDGET); each used up a retry of the service's limit, and callers were told to return after 0.3 s.

Cause: as for servers that leave, the answer's statement had no place; the refusal was the outcome Full with a fixed time.

Fix: the pause is kept for the incarnation, the longest holds, and the choice and the last check before the first byte leave the server out. When the pauses of all servers outlast a request's wait it is refused at once, not run, with a Retry-After of the first end, at most half of the caller's time.

--- a/internal/advisory/state.go
+++ b/internal/advisory/state.go
@@ -14,6 +14,7 @@
 type State[T Clock[T]] struct {
 	leaving     bool
 	pausedUntil T
+	trial       bool // no answer has come since the last pause
 	malformed   bool // a malformed field was reported
 }
 
@@ -32,14 +33,19 @@
 	if until := now.Add(a.Pause); a.Pause > 0 && s.pausedUntil.Before(until) {
 		s.pausedUntil, c.Paused = until, true
 	}
+	s.trial = a.Pause > 0 || s.trial && s.Paused(now)
 	return c
 }
 
 // Leaving reports whether the server stops soon.
 func (s *State[T]) Leaving() bool { return s.leaving }
 
+// Paused reports whether the server wants no requests now.
+func (s *State[T]) Paused(now T) bool { return now.Before(s.pausedUntil) }
+
 // PausedUntil returns the end of the last pause. It is zero if there was none.
 func (s *State[T]) PausedUntil() T { return s.pausedUntil }
 
-// Paused reports whether the server wants no requests now.
-func (s *State[T]) Paused(now T) bool { return now.Before(s.pausedUntil) }
+// OnTrial reports whether the server should get one request at a time: it has asked for a
+// pause, and no answer without one has come after its end.
+func (s *State[T]) OnTrial() bool { return s.trial }
--- a/internal/balance/acquire.go
+++ b/internal/balance/acquire.go
@@ -26,12 +26,18 @@
 	Waited  time.Duration
 	// Down is true when the service has no usable server at all.
 	Down bool
+	// RetryAfter is the time until the first server is out of its pause, if all servers
+	// have asked for one. Zero means that some have not.
+	RetryAfter time.Duration
 }
 
 // Error implements the error interface.
 func (e *NoServerError) Error() string {
-	if e.Down {
+	switch {
+	case e.Down:
 		return fmt.Sprintf("service %q has no usable backend server", e.Service)
+	case e.RetryAfter > 0:
+		return fmt.Sprintf("all backend servers of service %q have asked for a pause, of which the first ends in %v", e.Service, e.RetryAfter)
 	}
 	return fmt.Sprintf("no backend server of service %q had a free slot within %v", e.Service, e.Waited)
 }
@@ -60,6 +66,9 @@
 		return a, nil
 	default:
 	}
+	if ticket.waitsInVain() {
+		return ticket.AssignNow()
+	}
 	b.armTimer()
 	return b.wait(ctx, ticket, ready)
 }
@@ -102,6 +111,15 @@
 	t.dequeue()
 }
 
+// waitsInVain reports whether the pauses of all servers outlast the request's wait.
+func (t *Ticket) waitsInVain() bool {
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	return t.pool.pauses(now, t.query).outlast(now, t.query.MaxWait)
+}
+
 func (t *Ticket) dequeue() {
 	if t.entry != nil {
 		t.pool.waiting.Remove(t.entry)
@@ -120,7 +138,10 @@
 	if s := b.choose(now, t.pool, t.query); s != nil {
 		return b.assign(now, t.pool, s, t.query), nil
 	}
-	return nil, &NoServerError{Service: t.pool.name, Waited: now.Sub(t.submittedAt), Down: t.pool.hasNoUsableServer()}
+	return nil, &NoServerError{
+		Service: t.pool.name, Waited: now.Sub(t.submittedAt), Down: t.pool.hasNoUsableServer(),
+		RetryAfter: t.pool.pauses(now, t.query).retryAfter(now),
+	}
 }
 
 // Dispatch assigns waiting requests to servers that have become available.
@@ -190,12 +211,14 @@
 		b.queueSent(s, q.Parts)
 	}
 	s.inFlight++
+	trial := s.stated.OnTrial()
+	s.trialRunning = s.trialRunning || trial
 	s.pendingPrefill += uncached
 	p.tokens.prompt += uncached
 	p.tokens.output += q.OutputTokens
 	return &Assignment{
 		Server: s.ID, Address: s.Address, Zone: s.Zone, Cold: cold, OnAffinityServer: onAffinity, InFlight: inFlight, Others: others,
-		Uncached: uncached, balancer: b, server: s, pool: p, assignedAt: now,
+		Uncached: uncached, balancer: b, server: s, pool: p, assignedAt: now, trial: trial,
 		expectedMillis: minFirstEventMillis + float64(s.pendingPrefill+others.PendingPrefill)/prefillTokensPerMilli,
 	}
 }
--- a/internal/balance/answer.go
+++ b/internal/balance/answer.go
@@ -46,8 +46,13 @@
 }
 
 // MaySend reports whether the request may still be sent to the assigned server, which may
-// have stated since the assignment that it wants no more requests.
-func (a *Assignment) MaySend() bool { return !a.Leaving() }
+// have stated since the assignment that it wants no more requests, or none for now.
+func (a *Assignment) MaySend() bool {
+	b := a.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !a.server.leaving() && !a.server.stated.Paused(b.now())
+}
 
 // ownerOf returns the listed server at an address whose ID differs from the given one,
 // or nil.
@@ -67,6 +72,7 @@
 		b.record(s, timeline.Event{Kind: timeline.ServerLeaving, Detail: answer.String()})
 	}
 	if changed.Paused {
+		s.pauses++
 		b.record(s, timeline.Event{Kind: timeline.ServerPaused, Duration: answer.Advisory.Pause, Detail: answer.String()})
 	}
 	if changed.Malformed {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,13 +47,11 @@
 
 // eligible reports whether the server can accept the request now.
 func (b *Balancer) eligible(now boottime.Instant, p *pool, s *server, q *Query) bool {
-	if !s.usable() || now.Before(s.fullUntil) || s.inFlight >= b.inFlightLimit(p, s) {
+	if !s.usable() || s.paused(now) || now.Before(s.fullUntil) || s.inFlight >= b.inFlightLimit(p, s) {
 		return false
 	}
-	for _, tried := range q.Tried {
-		if tried == s.ID {
-			return false
-		}
+	if slices.Contains(q.Tried, s.ID) {
+		return false
 	}
 	return !s.cold(now) || s.coldRateAllows(now, b.coldShare(p, s))
 }
--- a/internal/balance/server.go
+++ b/internal/balance/server.go
@@ -49,8 +49,9 @@
 	zoneDrained bool
 	stated      *statements
 
-	inFlight       int // this instance's requests
-	pendingPrefill int // prompt tokens of this instance's requests whose first event has not arrived
+	inFlight       int  // this instance's requests
+	trialRunning   bool // one of them is the trial after a pause
+	pendingPrefill int  // prompt tokens of this instance's requests whose first event has not arrived
 	others         othersLoad
 
 	slowdown            slowdown
@@ -62,6 +63,7 @@
 	coldSends           []boottime.Instant
 	parts               map[uint64]boottime.Instant // prompt parts by time of last use
 	outcomes            [len(outcomeNames)]uint64   // finished attempts by outcome
+	pauses              uint64                      // pauses that the server asked for
 }
 
 func newServer(stated *statements) *server {
--- a/internal/balance/types.go
+++ b/internal/balance/types.go
@@ -116,6 +116,7 @@
 	assignedAt     boottime.Instant
 	expectedMillis float64 // expected time to the first event, without a relative slowdown
 	prefilled      bool    // the first event arrived, so prefill is done
+	trial          bool    // the server's trial after a pause
 	ended          bool
 }
 
@@ -154,6 +155,9 @@
 	a.ended = true
 	a.prefillDone()
 	a.server.inFlight--
+	if a.trial {
+		a.server.trialRunning = false
+	}
 	now := b.now()
 	previousFailures := a.server.consecutiveFailures
 	a.server.recordOutcome(now, o)
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -24,6 +24,9 @@
 	firstWaitFraction = 0.5
 	retryWaitFraction = 0.25
 	minWait           = 50 * time.Millisecond
+	// maxRetryAfterFraction is the fraction of the caller's remaining time after which
+	// it is asked to return at the latest.
+	maxRetryAfterFraction = 0.5
 	// minRecordedWait is the shortest wait for a server that is recorded as an event.
 	minRecordedWait = 5 * time.Millisecond
 )
@@ -94,8 +97,9 @@
 	if !errors.As(err, &none) {
 		return x.newResult(codeOf(x.ctx, err), err)
 	}
-	if none.Down {
-		return x.newResult(result.NoBackendServer, err)
+	if none.Down || none.RetryAfter > 0 {
+		after := min(none.RetryAfter, time.Duration(maxRetryAfterFraction*float64(x.timeLeft())))
+		return x.newResult(result.NoBackendServer, err).WithRetryAfter(after)
 	}
 	return x.newResult(result.QueueTimeout, err)
 }
