dispatch, routing: the product's own listener obeys leaving and pausing servers too

The same habit elsewhere: the product's own front read neither field. Three 503s with Retry-After made an engine suspect, with probes at times that it had not asked for, and a request in the time between was a failure. Statements now go through package advisory on both fronts: read from the head of every answer as soon as it arrives, kept for each restart epoch, also while the engine is not listed, asked for in the filters, in the number of slots and right before the first byte. A refusal with a pause is no fault of the engine.

Where restarts cannot be told apart (plain services of the configuration, servers of a gateway file) 'leaving' counts as a pause of a minute, since it would hold for the successor at the same address.

--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -22,6 +22,18 @@
 	Err error
 }
 
+// leavingPause is the pause of a server that leaves and whose restart would go unnoticed.
+const leavingPause = time.Minute
+
+// WithoutIncarnation returns the advisory of a server whose restarts cannot be detected. A
+// statement that it leaves would hold for its successor too, so it counts as a pause.
+func (a Advisory) WithoutIncarnation() Advisory {
+	if a.Leaving {
+		a.Leaving, a.Pause = false, max(a.Pause, leavingPause)
+	}
+	return a
+}
+
 // Fields are the names of the header fields that differ between protocols.
 type Fields struct {
 	// Leaving is the name of the field in which a server states that it stops soon.
--- /dev/null
+++ b/internal/advisory/informational.go
@@ -0,0 +1,27 @@
+package advisory
+
+import (
+	"errors"
+	"net/http"
+	"net/textproto"
+)
+
+// maxInformational bounds the informational (1xx) answers before the final one.
+const maxInformational = 8
+
+var errInformational = errors.New("the server sends informational answers without end")
+
+// Informational returns a hook for httptrace.ClientTrace.Got1xxResponse that passes the
+// head of each informational answer to observe. It limits their number, which the
+// transport leaves to such a hook.
+func Informational(observe func(status int, h http.Header)) func(int, textproto.MIMEHeader) error {
+	count := 0
+	return func(status int, h textproto.MIMEHeader) error {
+		count++
+		if count > maxInformational {
+			return errInformational
+		}
+		observe(status, http.Header(h))
+		return nil
+	}
+}
--- a/internal/advisory/parse_test.go
+++ b/internal/advisory/parse_test.go
@@ -72,3 +72,12 @@
 		}
 	})
 }
+
+// TestLeavingWithoutIncarnationEnds guards against a server that is excluded for good by
+// what its predecessor at the same address has stated.
+func TestLeavingWithoutIncarnationEnds(t *testing.T) {
+	is := is.New(t)
+	a := Advisory{Leaving: true, Pause: time.Second}.WithoutIncarnation()
+	is.Equal(a, Advisory{Pause: leavingPause})
+	is.Equal(Advisory{Pause: time.Second}.WithoutIncarnation(), Advisory{Pause: time.Second})
+}
--- a/internal/balance/answer.go
+++ b/internal/balance/answer.go
@@ -5,7 +5,6 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
-	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
 // Answer is what the head of an answer to an assigned request says about its server.
@@ -67,15 +66,14 @@
 
 // observe applies an answer to the state of the server that sent it.
 func (b *Balancer) observe(now boottime.Instant, s *server, answer Answer) {
-	changed := s.stated.Observe(now, answer.Advisory)
-	if changed.Leaving {
-		b.record(s, timeline.Event{Kind: timeline.ServerLeaving, Detail: answer.String()})
+	if s.StartedMillis == 0 {
+		answer.Advisory = answer.Advisory.WithoutIncarnation()
 	}
+	changed := s.stated.Observe(now, answer.Advisory)
 	if changed.Paused {
 		s.pauses++
-		b.record(s, timeline.Event{Kind: timeline.ServerPaused, Duration: answer.Advisory.Pause, Detail: answer.String()})
 	}
-	if changed.Malformed {
-		b.record(s, timeline.Event{Kind: timeline.ServerMalformed, Detail: answer.String() + " " + answer.Advisory.Err.Error()})
+	for _, e := range changed.Events(answer.Advisory, answer.String()) {
+		b.record(s, e)
 	}
 }
--- a/internal/balance/answer_test.go
+++ b/internal/balance/answer_test.go
@@ -38,7 +38,7 @@
 }
 
 func withID(id string) func(*directory.Server) {
-	return func(s *directory.Server) { s.ID, s.Address = id, "a:1" }
+	return func(s *directory.Server) { s.ID, s.Address, s.StartedMillis = id, "a:1", 5 }
 }
 
 // TestLeavingServerGetsNoRequests guards against requests to a server that has stated that
@@ -70,7 +70,7 @@
 	knownred.Skip(t)
 	is := is.New(t)
 	b := newTestBalancer(t, "i", "i")
-	b.add("plain", "a", nil)
+	b.add("plain", "a", func(s *directory.Server) { s.StartedMillis = 5 })
 	a := b.mustAcquire(plainQuery())
 	b.SetServers(nil)
 	a.Observe(leavingAnswer)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
 	"github.com/hawthornwick/hawthornwick/internal/result"
@@ -38,6 +39,8 @@
 	body           *bufio.Reader
 	relaying       bool // its answer is being relayed to the caller
 	draining       bool // only the bytes after the terminal event are still read
+	unwanted       bool // the server wants no requests any more; set before the permit is denied
+	paused         bool // the server has refused the request and asked for a pause
 	settled        bool
 	crashed        bool
 	firstToken     time.Duration
@@ -92,6 +95,10 @@
 	if !latest.IsZero() && (now.After(latest) || now.Round(0).After(latest.Round(0))) {
 		return false
 	}
+	if !a.x.call.Targets.Wanted(a.target) {
+		a.unwanted = true
+		return false
+	}
 	if a.ctx.Err() != nil || !a.x.gate.Open() {
 		return false
 	}
@@ -119,6 +126,7 @@
 	}
 	a.response = response
 	a.updateEpoch()
+	a.paused = a.state(response.StatusCode, response.Header).Pause > 0
 	if err := a.checkAttemptID(); err != nil {
 		return err
 	}
@@ -149,7 +157,9 @@
 func (a *attempt) newRequest() *http.Request {
 	c := &a.x.call
 	ctx := guardconn.WithConnectTimeout(a.ctx, c.Timeouts.Connect)
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: a.gotConn, Got1xxResponse: advisory.Informational(func(status int, h http.Header) { a.state(status, h) }),
+	})
 	request := (&http.Request{
 		Method: c.Method, URL: a.url(), Host: a.target.Address,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -167,14 +177,32 @@
 }
 
 func (a *attempt) updateEpoch() {
-	epoch, err := strconv.ParseUint(a.response.Header.Get(engineapi.EpochHeader), 10, 64)
-	if err != nil {
+	epoch, ok := epochOf(a.response.Header)
+	if !ok {
 		return
 	}
 	a.epoch = epoch
 	a.x.d.epochs.update(a.target.Server, epoch)
 }
 
+// epochOf returns the restart epoch in the head of an answer.
+func epochOf(h http.Header) (uint64, bool) {
+	epoch, err := strconv.ParseUint(h.Get(engineapi.EpochHeader), 10, 64)
+	return epoch, err == nil
+}
+
+// state reports and returns what the head of an answer, which may be informational, states
+// about the server.
+func (a *attempt) state(status int, h http.Header) advisory.Advisory {
+	s := traffic.Statement{
+		Target: a.target, Request: a.x.call.Request.ID, Status: status,
+		Advisory: advisory.Read(advisory.Fields{Leaving: engineapi.LeavingHeader}, status, h, time.Now()),
+	}
+	s.Epoch, _ = epochOf(h)
+	a.x.call.Targets.Stated(s)
+	return s.Advisory
+}
+
 // close closes the attempt's connection unless the answer was read to its end.
 func (a *attempt) close(cause error) {
 	a.watchdog.disarm()
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -18,6 +18,7 @@
 	errDeadline   = errors.New("the request's deadline passed")
 	errDone       = errors.New("the exchange has ended")
 	errCallerGone = errors.New("the caller has disconnected")
+	errUnwanted   = errors.New("the server stated after it was chosen that it wants no requests")
 )
 
 // attemptError describes why an attempt failed.
@@ -50,6 +51,9 @@
 	if refusal := a.x.gate.Refusal(); refusal != nil && a.permit.Denied() {
 		return &attemptError{code: refusal.Code, cause: refusal, final: true}
 	}
+	if a.permit.Denied() && a.unwanted {
+		return &attemptError{code: result.NoBackendServer, cause: errUnwanted}
+	}
 	if a.permit.Denied() {
 		return &attemptError{code: result.DeadlineHopeless, cause: guardconn.ErrNotPermitted, final: true}
 	}
@@ -135,7 +139,7 @@
 // failure describes the error for Targets.
 func (a *attempt) failure(err *attemptError, crashed bool) *traffic.Failure {
 	return &traffic.Failure{
-		Target: a.target, Code: err.code, Sent: !a.revokeSend(), Crashed: crashed,
+		Target: a.target, Code: err.code, Sent: !a.revokeSend(), Paused: a.paused, Crashed: crashed,
 		Reused: a.reused && !a.fresh,
 	}
 }
--- a/internal/dispatch/helpers_test.go
+++ b/internal/dispatch/helpers_test.go
@@ -26,6 +26,9 @@
 	handedOut int
 	preempted chan struct{}
 	hedges    int
+
+	statements []traffic.Statement
+	unwanted   string // server that wants no requests
 }
 
 func (l *targetList) First() traffic.Target { return l.advance() }
@@ -59,6 +62,14 @@
 	l.observed = append(l.observed, o)
 }
 
+func (l *targetList) Stated(s traffic.Statement) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.statements = append(l.statements, s)
+}
+
+func (l *targetList) Wanted(t traffic.Target) bool { return t.Server != l.unwanted }
+
 func (l *targetList) Preempted() <-chan struct{} { return l.preempted }
 
 // wasted returns the number of tokens that were not relayed to the caller.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,10 +8,10 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/textproto"
 	"net/url"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
@@ -43,8 +43,6 @@
 	// unwanted is true if the server has stated since the assignment that it wants no
 	// requests. It is set before the permit is denied.
 	unwanted bool
-	// informational is the number of informational answers received.
-	informational int
 }
 
 // attempt sends the request to the server and relays its answer. It returns nil
@@ -154,22 +152,6 @@
 	})
 }
 
-// maxInformational bounds the informational answers before the final one.
-const maxInformational = 8
-
-var errInformational = errors.New("the server sends informational answers without end")
-
-// observeInformational reports what the head of an informational answer states. It
-// limits their number, which the transport leaves to its user.
-func (a *attempt) observeInformational(status int, h textproto.MIMEHeader) error {
-	a.informational++
-	if a.informational > maxInformational {
-		return errInformational
-	}
-	a.observe(status, http.Header(h), false)
-	return nil
-}
-
 // maySend decides right before the first byte of the request is written whether it
 // may still be sent.
 func (a *attempt) maySend() bool {
@@ -194,7 +176,8 @@
 // request builds the request for the server.
 func (a *attempt) request() *http.Request {
 	x := a.x
-	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: a.observeInformational})
+	informational := advisory.Informational(func(status int, h http.Header) { a.observe(status, h, false) })
+	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: informational})
 	r := (&http.Request{
 		Method: x.r.Method, URL: a.url(), Host: x.r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -180,7 +180,7 @@
 
 func (s *testStack) addAddress(id, address string) {
 	s.servers = append(s.servers, directory.Server{Entry: directory.Entry{
-		ID: id, Service: "s", Address: address, Zone: "z", Capacity: 8,
+		ID: id, Service: "s", Address: address, Zone: "z", Capacity: 8, StartedMillis: 1,
 	}})
 	s.balancer.SetServers(s.servers)
 }
--- a/internal/placement/finish.go
+++ b/internal/placement/finish.go
@@ -92,9 +92,10 @@
 }
 
 // serverFault reports whether a failure is attributed to the backend server. A
-// timeout on a reused connection is attributed to the connection alone.
+// timeout on a reused connection is attributed to the connection alone, and a refusal
+// with a pause to nobody.
 func serverFault(f *traffic.Failure) bool {
-	if f.Reused && f.Code == result.AttemptTimeout {
+	if f.Paused || f.Reused && f.Code == result.AttemptTimeout {
 		return false
 	}
 	switch f.Code {
@@ -109,7 +110,7 @@
 func (e *Engine) release(now time.Time, j *Job, i int) {
 	h := j.held[i]
 	j.held = append(j.held[:i], j.held[i+1:]...)
-	h.candidate.Live.EndAttempt()
+	h.candidate.Live.EndAttempt(h.trial)
 	p := j.pool
 	p.free++
 	p.use.add(h.candidate, j.tier(), -1)
--- a/internal/placement/job.go
+++ b/internal/placement/job.go
@@ -48,6 +48,7 @@
 	target    traffic.Target
 	candidate *routing.Candidate
 	started   time.Time
+	trial     bool // see routing.LiveState.StartAttempt
 }
 
 // Request returns the job's request.
--- a/internal/placement/start.go
+++ b/internal/placement/start.go
@@ -142,8 +142,8 @@
 		Cold:        c.Live.Cold(),
 		Preemptible: c.Preemptible,
 	}
-	c.Live.StartAttempt(now)
-	j.held = append(j.held, heldTarget{target: target, candidate: c, started: now})
+	trial := c.Live.StartAttempt(now)
+	j.held = append(j.held, heldTarget{target: target, candidate: c, started: now, trial: trial})
 	j.attempts++
 	j.chosen = nil
 	j.pool.free--
--- a/internal/placement/submit.go
+++ b/internal/placement/submit.go
@@ -97,7 +97,7 @@
 		e.shed(now, victim.Value)
 	}
 	e.dispatch(now, p)
-	if !j.entry.Waiting() {
+	if !j.entry.Waiting() || e.refusePaused(now, j) {
 		return
 	}
 	if e.hopeless(now, j, p.predictWait(now, j)) {
@@ -160,6 +160,9 @@
 // refuse ends a job's wait with a refusal.
 func (e *Engine) refuse(now time.Time, j *Job, code result.Code, format string, args ...any) {
 	wait := j.pool.predictWait(now, j)
+	if end, all := j.pool.firstPauseEnd(now); all {
+		wait = max(wait, end.Sub(now))
+	}
 	j.pool.queue.Remove(&j.entry)
 	refusal := j.request.Gate.Refuse(code, format, args...)
 	j.listener.Refused(refusal.WithRetryAfter(e.retryAfter(wait)))
@@ -189,6 +192,7 @@
 		e.refuse(now, j, result.NoBackendServer, "%q has no backend server", j.pool.name)
 	case !now.Before(j.waitDeadline):
 		e.refuse(now, j, result.QueueTimeout, "class %q waits no longer than %v", j.class.spec.Name, j.class.queueLimit())
+	case e.refusePaused(now, j):
 	case e.hopeless(now, j, 0):
 		e.refuse(now, j, result.DeadlineHopeless, "the target of class %q has passed", j.class.spec.Name)
 	default:
--- a/internal/routing/coldlimit_test.go
+++ b/internal/routing/coldlimit_test.go
@@ -76,7 +76,7 @@
 			pending = append(pending, end)
 			continue
 		}
-		l.EndAttempt()
+		l.EndAttempt(false)
 		s.running--
 	}
 	i.endTimes = pending
--- a/internal/routing/filters.go
+++ b/internal/routing/filters.go
@@ -15,7 +15,7 @@
 // There is no filter by model because a pool contains only servers of its
 // model.
 func Filters() []Filter {
-	return []Filter{zoneActive{}, running{}, preemptibleAllowed{}, untried{}, freeSlot{}}
+	return []Filter{zoneActive{}, running{}, wanted{}, preemptibleAllowed{}, untried{}, freeSlot{}}
 }
 
 // zoneActive drops servers in drained availability zones.
@@ -30,6 +30,13 @@
 // Keep implements Filter.
 func (running) Keep(_ *Query, c *Candidate) bool { return c.State == platform.ServerRunning }
 
+// wanted drops servers that have stated that they stop soon, or that they want no requests
+// now.
+type wanted struct{}
+
+// Keep implements Filter.
+func (wanted) Keep(q *Query, c *Candidate) bool { return c.Live.Wanted(q.Now) }
+
 // preemptibleAllowed drops preemptible servers for requests that may not use
 // them, and in zones whose loss the other servers could not absorb. It drops
 // on-demand servers while their last free slots are reserved for higher tiers.
--- a/internal/routing/livestate.go
+++ b/internal/routing/livestate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/admission"
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 )
 
@@ -21,8 +22,10 @@
 	health         health
 	latency        latency
 	load           loadView
-	hintGeneration uint32 // generation of prefix hints; hints of older ones are invalid
-	lastEvent      uint64 // sequence number of the last cache event
+	stated         *advisory.State[time.Time] // by the server's answers since its last restart
+	trialRunning   bool                       // an attempt is the trial after a pause
+	hintGeneration uint32                     // generation of prefix hints; hints of older ones are invalid
+	lastEvent      uint64                     // sequence number of the last cache event
 	// hitShare is the share of the prompt that the server probably has cached.
 	// It is valid for the decision hitDecision only.
 	hitDecision uint64
@@ -33,6 +36,18 @@
 // server.
 func (l *LiveState) Outstanding() int { return l.outstanding }
 
+// Leaving reports whether the server has stated that it stops soon.
+func (l *LiveState) Leaving() bool { return l.stated.Leaving() }
+
+// PausedUntil returns the end of the pause that the server has asked for. The result is
+// false if the server wants requests now.
+func (l *LiveState) PausedUntil(now time.Time) (time.Time, bool) {
+	return l.stated.PausedUntil(), l.stated.Paused(now)
+}
+
+// Wanted reports whether the server wants requests now, according to its answers.
+func (l *LiveState) Wanted(now time.Time) bool { return !l.stated.Leaving() && !l.stated.Paused(now) }
+
 // Cold reports whether the server is still ramping up.
 func (l *LiveState) Cold() bool { return !l.plain && !l.ramp.Warm() }
 
@@ -42,19 +57,43 @@
 // Epoch returns the newest restart epoch observed.
 func (l *LiveState) Epoch() uint64 { return l.ramp.epoch }
 
-// StartAttempt counts an attempt that this instance starts on the server.
-func (l *LiveState) StartAttempt(now time.Time) {
+// StartAttempt counts an attempt that this instance starts on the server. It reports
+// whether the attempt is the trial after a pause, which must be passed to EndAttempt.
+func (l *LiveState) StartAttempt(now time.Time) (trial bool) {
 	l.outstanding++
+	if l.stated.OnTrial() {
+		trial, l.trialRunning = true, true
+	}
 	if l.health.suspect() {
 		l.health.recordProbe(now)
 	}
+	return trial
 }
 
 // EndAttempt counts the end of an attempt.
-func (l *LiveState) EndAttempt() { l.outstanding-- }
+func (l *LiveState) EndAttempt(trial bool) {
+	l.outstanding--
+	if trial {
+		l.trialRunning = false
+	}
+}
 
 // Slots returns how many requests this instance may have in flight on the server.
 func (l *LiveState) Slots(now time.Time, m *Membership) int {
+	slots := l.slots(now, m)
+	switch {
+	case !l.Wanted(now):
+		return 0
+	case l.stated.OnTrial() && l.trialRunning:
+		return min(slots, l.outstanding)
+	case l.stated.OnTrial():
+		return min(slots, l.outstanding+1)
+	}
+	return slots
+}
+
+// slots is Slots, apart from what the server has stated.
+func (l *LiveState) slots(now time.Time, m *Membership) int {
 	if l.health.suspect() {
 		return l.health.probeSlots(now)
 	}
@@ -97,9 +136,23 @@
 		return false
 	}
 	l.resetCache()
+	l.stated, l.trialRunning = &advisory.State[time.Time]{}, false
 	return true
 }
 
+// ObserveStatement applies what an answer of the given restart epoch, 0 if unknown, states
+// about the server.
+func (l *LiveState) ObserveStatement(now time.Time, epoch uint64, a advisory.Advisory) advisory.Change {
+	l.ObserveEpoch(now, epoch)
+	switch {
+	case l.Epoch() == 0:
+		a = a.WithoutIncarnation()
+	case epoch != 0 && epoch < l.Epoch():
+		return advisory.Change{} // from before the restart
+	}
+	return l.stated.Observe(now, a)
+}
+
 // TurnCold returns a server to the first step of its ramp.
 func (l *LiveState) TurnCold(now time.Time) {
 	l.ramp.Restart(now)
--- a/internal/routing/livestate_test.go
+++ b/internal/routing/livestate_test.go
@@ -93,7 +93,7 @@
 	is.Equal(l.Free(probe, s.Members), 1)
 	l.StartAttempt(probe)
 	is.Equal(l.Free(probe, s.Members), 0)
-	l.EndAttempt()
+	l.EndAttempt(false)
 	l.Observe(probe, Outcome{Failed: true})
 	is.Equal(l.Free(probe.Add(minProbeInterval), s.Members), 0) // the probe interval doubles
 	l.Observe(probe, Outcome{Complete: true})
--- a/internal/routing/snapshot.go
+++ b/internal/routing/snapshot.go
@@ -136,7 +136,7 @@
 // Usable reports whether the server accepts new requests, apart from free
 // slots.
 func (c *Candidate) Usable() bool {
-	return c.State == platform.ServerRunning && !c.ZoneDrained
+	return c.State == platform.ServerRunning && !c.ZoneDrained && !c.Live.Leaving()
 }
 
 func orDefault(value, fallback int) int {
--- a/internal/routing/store.go
+++ b/internal/routing/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/admission"
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 )
@@ -18,6 +19,7 @@
 	config      *config.Snapshot
 	servers     []platform.Server
 	lives       map[string]*LiveState
+	unlisted    advisory.Memory[incarnation, time.Time]
 	maxDeadline time.Duration
 	// membersSince is when the members last changed. It is zero before the
 	// first list.
@@ -27,6 +29,12 @@
 	firstList bool
 }
 
+// incarnation identifies one run of a server's process.
+type incarnation struct {
+	server string
+	epoch  uint64
+}
+
 // NewStore returns a store without configuration and servers.
 func NewStore(self string, timing Timing) *Store {
 	return &Store{
@@ -94,14 +102,16 @@
 		used[server.Name] = l
 		return l
 	})
-	s.evict(used)
+	s.evict(now, used)
 }
 
 // evict drops the state of servers that are no longer listed and have no
-// requests of this instance in flight.
-func (s *Store) evict(used map[string]*LiveState) {
+// requests of this instance in flight. What they have stated is kept, in case they are
+// listed again.
+func (s *Store) evict(now time.Time, used map[string]*LiveState) {
 	for name, l := range s.lives {
 		if used[name] == nil && l.outstanding == 0 {
+			s.unlisted.Keep(now, incarnation{server: name, epoch: l.Epoch()}, l.stated)
 			l.ramp.Remove()
 			delete(s.lives, name)
 		}
@@ -112,6 +122,7 @@
 	l, ok := s.lives[server.Name]
 	if !ok {
 		l = &LiveState{name: server.Name, plain: p.Plain}
+		l.stated = s.unlisted.Take(incarnation{server: server.Name, epoch: server.Epoch})
 		l.ramp = NewRamp(now, server.Epoch, p.ColdLimit, p.WarmLimit)
 		if s.firstList {
 			l.ramp.SetEstablished()
--- a/internal/scheduler/ticket.go
+++ b/internal/scheduler/ticket.go
@@ -105,6 +105,22 @@
 	})
 }
 
+// Stated implements traffic.Targets.
+func (t *ticket) Stated(s traffic.Statement) {
+	t.scheduler.do(func(now time.Time) {
+		t.scheduler.engine.Stated(now, s)
+	})
+}
+
+// Wanted implements traffic.Targets.
+func (t *ticket) Wanted(target traffic.Target) bool {
+	wanted := false
+	t.scheduler.do(func(now time.Time) {
+		wanted = t.scheduler.engine.Wanted(now, target)
+	})
+	return wanted
+}
+
 // Preempted implements traffic.Targets.
 func (t *ticket) Preempted() <-chan struct{} { return t.preempted }
 
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/result"
@@ -68,6 +70,9 @@
 	Code   result.Code
 	// Sent is true if a byte may have been written to the connection.
 	Sent bool
+	// Paused is true if the backend server refused the attempt and asked for a pause,
+	// which is no fault of the server.
+	Paused bool
 	// Crashed is true if the backend server probably crashed during the attempt.
 	Crashed bool
 	// Reused is true if the connection had served an earlier request. A missing response
@@ -75,6 +80,18 @@
 	Reused bool
 }
 
+// Statement is what the head of an answer states about the backend server that sent it.
+type Statement struct {
+	Target   Target
+	Epoch    uint64 // restart epoch in the answer; 0 if there was none
+	Advisory advisory.Advisory
+	Request  string // id of the request
+	Status   int    // HTTP status of the answer
+}
+
+// String describes the answer as key=value pairs.
+func (s Statement) String() string { return fmt.Sprintf("request=%s status=%d", s.Request, s.Status) }
+
 // Observation is the result of one attempt, as reported to the scheduler.
 type Observation struct {
 	Target            Target
@@ -101,6 +118,12 @@
 	// Observe reports the result of an attempt and frees its slot. It must be called
 	// exactly once per returned target.
 	Observe(o Observation)
+	// Stated reports what the head of an answer states about its server. It is called
+	// as soon as the head arrives.
+	Stated(s Statement)
+	// Wanted reports whether the target's server still wants requests. It is called right
+	// before the first byte of an attempt is sent.
+	Wanted(t Target) bool
 	// Preempted returns a channel that is closed if a request of a higher tier takes the
 	// slot. Only idempotent, resumable requests of a lower tier are preempted.
 	Preempted() <-chan struct{}
