soak: servers state that they leave or want a pause

The checker sees from what callers and servers saw whether a request reached a server too late: instances that were restarted or frozen since are excused.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -42,6 +42,7 @@
 	highestToken  uint64
 	stops         []interval // planned stops
 	faults        []interval // injected faults that may cut off a response
+	statements    statements
 	violations    []string
 }
 
@@ -64,6 +65,7 @@
 	return &Checker{
 		revocation: revocation, runs: map[string][]time.Time{}, serverAborts: map[string]int{}, keys: map[string]string{},
 		withdrawn: map[string]time.Time{}, usageByWindow: map[int64]string{}, holderByToken: map[uint64]string{},
+		statements: newStatements(),
 	}
 }
 
@@ -177,6 +179,7 @@
 			}
 		}
 	}
+	c.checkStatements()
 	if afterFaults > 0 {
 		s.EndAnswered = float64(answeredAfterFaults) / float64(afterFaults)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,8 @@
 	WithdrawKey    FaultKind = "a key is withdrawn"
 	ServerDraining FaultKind = "a backend server leaves"
 	ReloadSettings FaultKind = "an instance is told to read its settings again"
+	ServerLeaves   FaultKind = "a backend server states that it leaves, and is replaced at its address"
+	ServerPauses   FaultKind = "a backend server refuses requests and asks for pauses"
 )
 
 var faultKinds = []FaultKind{
@@ -34,6 +36,9 @@
 	StoreCompact, ServerReset, ServerSilent, ServerSlow, WithdrawKey, ServerDraining, ReloadSettings,
 }
 
+// statementKinds are the faults in which backend servers state something about themselves.
+var statementKinds = []FaultKind{ServerLeaves, ServerPauses}
+
 // Fault is one fault of a plan.
 type Fault struct {
 	At, Duration time.Duration
@@ -52,20 +57,31 @@
 	quietEnd   = 8 * time.Second
 	// meanFaultInterval is the mean time between the starts of two faults.
 	meanFaultInterval = 700 * time.Millisecond
-	maxFaultDuration  = 4 * time.Second
+	// meanStatementInterval is the same for faults of statementKinds.
+	meanStatementInterval = 2 * time.Second
+	maxFaultDuration      = 4 * time.Second
 )
 
 // NewPlan generates the faults of a run from its seed, in order of time. The intervals
-// between their starts are exponentially distributed, so that faults overlap.
+// between their starts are exponentially distributed, so that faults overlap. Statements of
+// backend servers have random numbers of their own, which leaves the other faults of a seed
+// as they are.
 func NewPlan(seed uint64, length time.Duration, instances, servers int) []Fault {
-	random := rand.New(rand.NewPCG(seed, seed))
-	var plan []Fault
-	for at := quietStart; at < length-quietEnd; at += time.Duration(random.ExpFloat64() * float64(meanFaultInterval)) {
-		plan = append(plan, Fault{
+	targets := max(instances, servers)
+	plan := randomFaults(rand.New(rand.NewPCG(seed, seed)), length, meanFaultInterval, faultKinds, targets)
+	stated := randomFaults(rand.New(rand.NewPCG(seed, ^seed)), length, meanStatementInterval, statementKinds, targets)
+	plan = append(plan, stated...)
+	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
+	return plan
+}
+
+func randomFaults(random *rand.Rand, length, meanInterval time.Duration, kinds []FaultKind, targets int) []Fault {
+	var faults []Fault
+	for at := quietStart; at < length-quietEnd; at += time.Duration(random.ExpFloat64() * float64(meanInterval)) {
+		faults = append(faults, Fault{
 			At: at, Duration: time.Duration(random.Float64() * float64(maxFaultDuration)),
-			Kind: faultKinds[random.IntN(len(faultKinds))], Target: random.IntN(max(instances, servers)),
+			Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(targets),
 		})
 	}
-	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
-	return plan
+	return faults
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,6 +29,12 @@
 	AddServer(wrap func(address string) (string, error)) error
 	// SetDraining marks a backend server as draining, or as ready again.
 	SetDraining(server int, draining bool)
+	// SetLeaving makes a backend server state that it leaves, or replaces it by another
+	// one at the same address.
+	SetLeaving(server int, leaving bool)
+	// SetPausing makes a backend server refuse requests and ask for pauses, or accept them
+	// again.
+	SetPausing(server int, pausing bool)
 	// WithdrawKey withdraws one more API key. It does nothing if only one is left.
 	WithdrawKey()
 	// Call sends one request to an instance and records its outcome with the checker.
@@ -200,6 +206,12 @@
 		apply(func() { serverLink.SetDelay(slowLinkDelay) }, func() { serverLink.SetDelay(0) })
 	case WithdrawKey:
 		r.site.WithdrawKey()
+	case ServerLeaves:
+		server := f.Target % len(r.servers)
+		apply(func() { r.site.SetLeaving(server, true) }, func() { r.site.SetLeaving(server, false) })
+	case ServerPauses:
+		server := f.Target % len(r.servers)
+		apply(func() { r.site.SetPausing(server, true) }, func() { r.site.SetPausing(server, false) })
 	case ServerDraining:
 		server := f.Target % len(r.servers)
 		apply(func() { r.site.SetDraining(server, true) }, func() { r.site.SetDraining(server, false) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,6 +60,18 @@
 			c.RecordFault("b", now, now.Add(time.Second))
 			c.RecordOutcome(Outcome{ID: "x", Instance: "a", Sent: now, Ended: now.Add(time.Second)})
 		},
+		"had told a that it leaves": func(c *Checker) {
+			c.RecordLeaving("a", "s")
+			c.statements.instances["x"], c.statements.sent["x"] = "a", now.Add(drainTimeout+time.Second)
+			c.RecordArrival("x", "s")
+		},
+		"in a pause of": func(c *Checker) {
+			c.RecordSent("x", "a")
+			c.RecordPause("x", "s", 3*time.Second)
+			for range maxPauseArrivals + 1 {
+				c.statements.arrivals = append(c.statements.arrivals, arrival{"x", "s", now.Add(pauseSlack + time.Second)})
+			}
+		},
 		"after the troubles": func(c *Checker) {
 			for range 100 {
 				c.RecordOutcome(Outcome{ID: "x", Idempotent: true, Sent: now, Status: 502})
@@ -109,7 +121,7 @@
 			is.True(fault.At >= quietStart && fault.At < time.Minute-quietEnd)
 		}
 	}
-	is.Equal(len(seen), len(faultKinds))
+	is.Equal(len(seen), len(faultKinds)+len(statementKinds))
 }
 
 func TestProxyInjectsFaults(t *testing.T) {
