faultmatrix: servers that state that they leave or ask for a pause

A non-idempotent request that a plain service turns away gets that refusal, which is its one stored answer, and later requests go elsewhere.

--- a/internal/faultmatrix/cell.go
+++ b/internal/faultmatrix/cell.go
@@ -69,6 +69,8 @@
 	ColdTurn      Fault = "cold turn"
 	Reclaim       Fault = "reclaim"
 	CrashRequest  Fault = "crash-causing request"
+	ServerLeaves  Fault = "server states that it leaves"
+	ServerPauses  Fault = "server asks for a pause"
 )
 
 // Groups of steps.
@@ -89,6 +91,7 @@
 var allFaults = []Fault{
 	InstanceCrash, InstancePause, ServerCrash, Silence, Slow, LostReply, Duplicate, CrossedAnswer,
 	StoreDown, StoreSlow, LeaseLapse, Race, KeyWithdrawn, ZoneOut, ColdTurn, Reclaim, CrashRequest,
+	ServerLeaves, ServerPauses,
 }
 
 // Cell is one fault, or a pair of faults, at one step.
--- a/internal/faultmatrix/site_test.go
+++ b/internal/faultmatrix/site_test.go
@@ -213,6 +213,10 @@
 		s.switches().Set(fault.Settings{SlowFactor: 10})
 	case LostReply:
 		s.switches().Set(fault.Settings{BreakAfter: 1, MaxBreaks: 1, Truncated: s.cell.Step == EndOfStream})
+	case ServerLeaves:
+		s.switches().Set(fault.Settings{Leaving: true})
+	case ServerPauses:
+		s.switches().Set(fault.Settings{Pause: time.Second})
 	case CrossedAnswer:
 		s.switches().Set(fault.Settings{Crossed: true})
 	case StoreDown:
@@ -394,6 +398,9 @@
 	if a.code == 0 && a.cut != nil && s.has(InstanceCrash) {
 		return // the crash of the instance closed the connection
 	}
+	if a.code == 0 && a.status == http.StatusServiceUnavailable && s.has(ServerPauses) && s.probe.idempotencyKey != "" {
+		return // the refusal of the backend server, which is the request's one answer
+	}
 	codes := s.cell.Codes
 	if s.probe.idempotencyKey != "" {
 		codes = slices.Concat(codes, creditCodes)
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -34,6 +34,10 @@
 	e.setHeaders(w.Header(), g, previous)
 	e.received(r, g)
 	defer e.inFlight.Add(-1)
+	if e.State(w.Header()) {
+		e.writeError(w, http.StatusServiceUnavailable, "the engine wants a pause")
+		return
+	}
 	if e.Poisoned(body) {
 		e.ran(g)
 		e.Crash()
--- a/internal/standin/fault/switches.go
+++ b/internal/standin/fault/switches.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
@@ -27,6 +30,11 @@
 	// Late repeats the response to each non-streamed request when the next request
 	// arrives on the same connection.
 	Late bool
+	// Leaving makes responses state that the server stops soon.
+	Leaving bool
+	// Pause refuses requests and asks for a pause of that length. Zero means that it does
+	// not.
+	Pause time.Duration
 	// Poison is a marker: a request whose body contains it crashes the server.
 	// Empty means no request does.
 	Poison string
@@ -83,6 +91,20 @@
 	return marker != "" && bytes.Contains(body, []byte(marker))
 }
 
+// State sets the header fields in which the server states that it leaves or wants a pause.
+// It reports whether the request is to be refused with status 503.
+func (s *Switches) State(h http.Header) (refuse bool) {
+	settings := s.Get()
+	if settings.Leaving {
+		h.Set(engineapi.LeavingHeader, "1")
+	}
+	if settings.Pause <= 0 {
+		return false
+	}
+	h.Set("Retry-After", strconv.FormatFloat(settings.Pause.Seconds(), 'f', -1, 64))
+	return true
+}
+
 // Delay waits for d, multiplied by the slow-down factor, and then while the server
 // is paused. It returns ctx.Err() if ctx ends first.
 func (s *Switches) Delay(ctx context.Context, d time.Duration) error {
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -118,6 +118,11 @@
 	}
 	s.received(r)
 	defer s.inFlight.Add(-1)
+	if s.State(w.Header()) {
+		s.setHeaders(w.Header(), r)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	ctx := r.Context()
 	if err := s.Delay(ctx, 0); err != nil {
 		panic(http.ErrAbortHandler)
