--- a/internal/advisory/advisory.go
+++ b/internal/advisory/advisory.go
@@ -17,6 +17,10 @@
 	// Pause is how long the server wants no requests from this instance, at most
 	// MaxPause. Zero means that it asked for no pause.
 	Pause time.Duration
+	// RateLimit is the number of requests per second that the server takes from all
+	// instances together, from MinRateLimit to MaxRateLimit. Zero means that it names no
+	// limit.
+	RateLimit float64
 	// Err is a *FieldError for a field that was left out or bounded. Nil means that
 	// there was none.
 	Err error
@@ -38,6 +42,9 @@
 type Fields struct {
 	// Leaving is the name of the field in which a server states that it stops soon.
 	Leaving string
+	// RateLimit is the name of the field in which a server names the requests per second
+	// that it takes from all instances together.
+	RateLimit string
 }
 
 // Read reads an answer's head, informational answers included. now is the time of day,
@@ -49,6 +56,13 @@
 		a.Leaving = a.Leaving || leaving
 		a.report(f.Leaving, value, err)
 	}
+	for _, value := range h.Values(f.RateLimit) {
+		limit, err := parseRateLimit(value)
+		if a.RateLimit == 0 || limit > 0 && limit < a.RateLimit {
+			a.RateLimit = limit
+		}
+		a.report(f.RateLimit, value, err)
+	}
 	if status != http.StatusServiceUnavailable {
 		return a
 	}
--- a/internal/advisory/memory_test.go
+++ b/internal/advisory/memory_test.go
@@ -13,7 +13,7 @@
 	var m Memory[string, time.Time]
 	s := m.Take("a")
 	m.Keep(now, "a", s)
-	s.Observe(now, Advisory{Leaving: true}) // an answer that arrives late
+	s.Observe(Heard[time.Time]{Advisory: Advisory{Leaving: true}, To: now}) // an answer that arrives late
 	m.Keep(now.Add(retention), "b", &State[time.Time]{})
 	is.True(m.Take("a").Leaving())
 	is.True(!m.Take("a").Leaving()) // was taken
--- a/internal/advisory/parse.go
+++ b/internal/advisory/parse.go
@@ -12,6 +12,11 @@
 const (
 	// MaxPause bounds a pause, so that a mistaken value cannot exclude a server for good.
 	MaxPause = 5 * time.Minute
+	// MinRateLimit and MaxRateLimit bound the rate limit that a server names, in requests
+	// per second. With MinRateLimit it still gets the requests that show when its limit
+	// has ended.
+	MinRateLimit = 0.1
+	MaxRateLimit = 100_000
 	// maxDecimalBytes bounds the length of a number.
 	maxDecimalBytes = 32
 )
@@ -42,6 +47,22 @@
 	return time.Duration(seconds * float64(time.Second)), nil
 }
 
+// parseRateLimit parses the requests per second that a server takes. The result is from
+// MinRateLimit to MaxRateLimit, and 0 for a malformed value. The error is set for a value
+// that is malformed or out of these bounds.
+func parseRateLimit(value string) (float64, error) {
+	rate, err := parseDecimal(value)
+	switch {
+	case err != nil:
+		return 0, err
+	case rate < MinRateLimit:
+		return MinRateLimit, errOutOfBounds
+	case rate > MaxRateLimit:
+		return MaxRateLimit, errOutOfBounds
+	}
+	return rate, nil
+}
+
 // parseDecimal parses a number that consists of digits and at most one point. It may
 // exceed the range of float64, in which case it is infinite.
 func parseDecimal(value string) (float64, error) {
--- a/internal/advisory/parse_test.go
+++ b/internal/advisory/parse_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 )
 
-var testFields = Fields{Leaving: "Leaving"}
+var testFields = Fields{Leaving: "Leaving", RateLimit: "Limit"}
 
 const day = "Sat, 05 Dec 2026 10:00:00 GMT"
 
@@ -46,6 +46,20 @@
 		Advisory{Leaving: true, Pause: 3 * time.Second})
 }
 
+func TestReadRateLimit(t *testing.T) {
+	for value, want := range map[string]float64{
+		"1": 1, "0.3": 0.3, " 2.50 ": 2.5, "0": MinRateLimit, "0.0001": MinRateLimit, "99999999999999999999": MaxRateLimit,
+		"": 0, "-1": 0, "Inf": 0, "NaN": 0, "1e2": 0, "0x2": 0, "one": 0, "1,5": 0,
+	} {
+		t.Run(value, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Read(testFields, http.StatusOK, http.Header{"Limit": {value}}, time.Time{}).RateLimit, want)
+		})
+	}
+	is := is.New(t)
+	is.Equal(Read(testFields, http.StatusOK, http.Header{"Limit": {"3", "1", "x"}}, time.Time{}).RateLimit, 1.0)
+}
+
 func TestMalformedFieldReported(t *testing.T) {
 	is := is.New(t)
 	a := Read(testFields, http.StatusServiceUnavailable, http.Header{"Leaving": {"perhaps"}, "Retry-After": {"-3"}}, time.Time{})
@@ -55,18 +69,21 @@
 	is.Equal(malformed.Field, "Leaving") // the first one
 }
 
-// FuzzRead checks that no head can exclude a server for longer than MaxPause.
+// FuzzRead checks that no head can exclude a server for longer than MaxPause or for good.
 func FuzzRead(f *testing.F) {
-	f.Add("1", "1.5", day)
-	f.Add("true", "Sat, 05 Dec 2026 10:00:03 GMT", day)
-	f.Add("0", "-1", "")
-	f.Add("x", "1e999", "y")
-	f.Fuzz(func(t *testing.T, leaving, retryAfter, date string) {
-		h := http.Header{"Leaving": {leaving}, "Retry-After": {retryAfter}, "Date": {date}}
+	f.Add("1", "1.5", day, "1")
+	f.Add("true", "Sat, 05 Dec 2026 10:00:03 GMT", day, "0.3")
+	f.Add("0", "-1", "", "-2")
+	f.Add("x", "1e999", "y", "Inf")
+	f.Fuzz(func(t *testing.T, leaving, retryAfter, date, limit string) {
+		h := http.Header{"Leaving": {leaving}, "Retry-After": {retryAfter}, "Date": {date}, "Limit": {limit}}
 		a := Read(testFields, http.StatusServiceUnavailable, h, time.Unix(0, 0))
 		if a.Pause < 0 || a.Pause > MaxPause {
 			t.Errorf("pause of %v for %q", a.Pause, retryAfter)
 		}
+		if a.RateLimit != 0 && !(a.RateLimit >= MinRateLimit && a.RateLimit <= MaxRateLimit) {
+			t.Errorf("rate limit of %v for %q", a.RateLimit, limit)
+		}
 		if a.Err != nil && a.Err.Error() == "" {
 			t.Error("error without a text")
 		}
--- a/internal/balance/answer.go
+++ b/internal/balance/answer.go
@@ -16,7 +16,10 @@
 	// Misdirected is true when another server than the assigned one answered at its
 	// address.
 	Misdirected bool
-	Advisory    advisory.Advisory
+	// Partial is true for the head of an informational answer, and for that of an answer
+	// to another request; see advisory.Heard.
+	Partial  bool
+	Advisory advisory.Advisory
 }
 
 // String returns the source of an advisory as key=value pairs.
@@ -33,7 +36,7 @@
 		s = b.ownerOf(a.Address, a.Server)
 	}
 	if s != nil {
-		b.observe(b.now(), s, answer)
+		b.observe(s, a.assignedAt, b.now(), answer)
 	}
 }
 
@@ -64,12 +67,15 @@
 	return nil
 }
 
-// observe applies an answer to the state of the server that sent it.
-func (b *Balancer) observe(now boottime.Instant, s *server, answer Answer) {
+// observe applies an answer, to a request sent at from, to the state of the server that
+// sent it.
+func (b *Balancer) observe(s *server, from, now boottime.Instant, answer Answer) {
 	if s.StartedMillis == 0 {
 		answer.Advisory = answer.Advisory.WithoutIncarnation()
 	}
-	changed := s.stated.Observe(now, answer.Advisory)
+	changed := s.stated.Observe(advisory.Heard[boottime.Instant]{
+		Advisory: answer.Advisory, From: from, To: now, Partial: answer.Partial,
+	})
 	if changed.Paused {
 		s.pauses++
 	}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -126,7 +126,8 @@
 	}
 	a.response = response
 	a.updateEpoch()
-	a.paused = a.state(response.StatusCode, response.Header).Pause > 0
+	partial := response.Header.Get(engineapi.AttemptHeader) != a.id
+	a.paused = a.state(response.StatusCode, response.Header, partial).Pause > 0
 	if err := a.checkAttemptID(); err != nil {
 		return err
 	}
@@ -158,7 +159,7 @@
 	c := &a.x.call
 	ctx := guardconn.WithConnectTimeout(a.ctx, c.Timeouts.Connect)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: a.gotConn, Got1xxResponse: advisory.Informational(func(status int, h http.Header) { a.state(status, h) }),
+		GotConn: a.gotConn, Got1xxResponse: advisory.Informational(func(status int, h http.Header) { a.state(status, h, true) }),
 	})
 	request := (&http.Request{
 		Method: c.Method, URL: a.url(), Host: a.target.Address,
@@ -191,12 +192,12 @@
 	return epoch, err == nil
 }
 
-// state reports and returns what the head of an answer, which may be informational, states
-// about the server.
-func (a *attempt) state(status int, h http.Header) advisory.Advisory {
+// state reports and returns what the head of an answer states about the server. partial is
+// true for an informational answer and for the answer to another attempt.
+func (a *attempt) state(status int, h http.Header, partial bool) advisory.Advisory {
 	s := traffic.Statement{
-		Target: a.target, Request: a.x.call.Request.ID, Status: status,
-		Advisory: advisory.Read(advisory.Fields{Leaving: engineapi.LeavingHeader}, status, h, time.Now()),
+		Target: a.target, SentAt: a.started, Partial: partial, Request: a.x.call.Request.ID, Status: status,
+		Advisory: advisory.Read(advisory.Fields{Leaving: engineapi.LeavingHeader, RateLimit: engineapi.RateLimitHeader}, status, h, time.Now()),
 	}
 	s.Epoch, _ = epochOf(h)
 	a.x.call.Targets.Stated(s)
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -28,6 +28,9 @@
 	// LeavingHeader is "1" in the responses of an engine that stops soon and wants no
 	// further requests.
 	LeavingHeader = "Hawthornwick-Leaving"
+	// RateLimitHeader carries the requests per second that the engine takes from all
+	// instances together, as a decimal number, for as long as responses carry it.
+	RateLimitHeader = "Hawthornwick-Rate-Limit"
 )
 
 // Paths that engines serve in addition to the OpenAI API.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -34,7 +34,7 @@
 		return "trust in " + e.Server
 	case timeline.ServerCold:
 		return "warmth of " + e.Server
-	case timeline.ServerLeaving, timeline.ServerPaused:
+	case timeline.ServerLeaving, timeline.ServerPaused, timeline.ServerRateLimit:
 		return string(e.Kind) + " " + e.Server
 	}
 	return ""
@@ -125,9 +125,10 @@
 	return timeline.Merge(all, during)
 }
 
-// excludesServer reports whether an event says that a backend server gets no requests.
+// excludesServer reports whether an event says why a backend server gets no or few
+// requests.
 func excludesServer(e timeline.Event) bool {
-	return e.Kind == timeline.ServerLeaving || e.Kind == timeline.ServerPaused
+	return e.Kind == timeline.ServerLeaving || e.Kind == timeline.ServerPaused || e.Kind == timeline.ServerRateLimit
 }
 
 // writeEvent writes one line with the time since start, the instance, the kind and the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -133,7 +133,9 @@
 	}
 	a.response = response
 	a.answer = a.x.gateway.options.Protocol.ReadAnswerHead(response)
-	a.observe(response.StatusCode, response.Header, a.answer.Misdirected)
+	a.observe(balance.Answer{
+		Status: response.StatusCode, Misdirected: a.answer.Misdirected, Partial: a.answer.Attempt != a.x.head.Attempt,
+	}, response.Header)
 	if failed := a.checkHead(); failed != nil {
 		return failed
 	}
@@ -144,12 +146,15 @@
 }
 
 // observe reports what the head of an answer states about the server that sent it.
-// misdirected is true if that is not the assigned one.
-func (a *attempt) observe(status int, h http.Header, misdirected bool) {
-	a.assignment.Observe(balance.Answer{
-		Request: a.x.head.Attempt, Status: status, Misdirected: misdirected,
-		Advisory: a.x.gateway.options.Protocol.ReadAdvisory(status, h),
-	})
+func (a *attempt) observe(answer balance.Answer, h http.Header) {
+	answer.Request = a.x.head.Attempt
+	answer.Advisory = a.x.gateway.options.Protocol.ReadAdvisory(answer.Status, h)
+	a.assignment.Observe(answer)
+}
+
+// observeInformational is observe for informational answers.
+func (a *attempt) observeInformational(status int, h http.Header) {
+	a.observe(balance.Answer{Status: status, Partial: true}, h)
 }
 
 // maySend decides right before the first byte of the request is written whether it
@@ -176,8 +181,9 @@
 // request builds the request for the server.
 func (a *attempt) request() *http.Request {
 	x := a.x
-	informational := advisory.Informational(func(status int, h http.Header) { a.observe(status, h, false) })
-	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn, Got1xxResponse: informational})
+	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{
+		GotConn: a.gotConn, Got1xxResponse: advisory.Informational(a.observeInformational),
+	})
 	r := (&http.Request{
 		Method: x.r.Method, URL: a.url(), Host: x.r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -36,6 +36,8 @@
 	testNotRun  = "Test-Not-Run"
 	testLeft    = "Test-Left"
 	testLeaving = "Test-Leaving"
+
+	testRateLimit = "Test-Rate-Limit"
 )
 
 type testProtocol struct{}
@@ -70,7 +72,7 @@
 }
 
 func (testProtocol) ReadAdvisory(status int, h http.Header) advisory.Advisory {
-	return advisory.Read(advisory.Fields{Leaving: testLeaving}, status, h, time.Now())
+	return advisory.Read(advisory.Fields{Leaving: testLeaving, RateLimit: testRateLimit}, status, h, time.Now())
 }
 
 // testSource is a Source that tests control.
--- a/internal/gatewayfile/protocol.go
+++ b/internal/gatewayfile/protocol.go
@@ -68,5 +68,5 @@
 
 // ReadAdvisory implements gateway.Protocol.
 func (protocol) ReadAdvisory(status int, h http.Header) advisory.Advisory {
-	return advisory.Read(advisory.Fields{Leaving: engineapi.LeavingHeader}, status, h, time.Now())
+	return advisory.Read(advisory.Fields{Leaving: engineapi.LeavingHeader, RateLimit: engineapi.RateLimitHeader}, status, h, time.Now())
 }
--- a/internal/placement/statement.go
+++ b/internal/placement/statement.go
@@ -14,7 +14,7 @@
 		return
 	}
 	e.recordStateChange(l, func() {
-		for _, event := range l.ObserveStatement(now, s.Epoch, s.Advisory).Events(s.Advisory, s.String()) {
+		for _, event := range l.ObserveStatement(s.Epoch, s.Heard(now)).Events(s.Advisory, s.String()) {
 			event.Server, event.Zone = s.Target.Server, s.Target.Zone
 			e.recorder.Record(event)
 		}
--- a/internal/routing/livestate.go
+++ b/internal/routing/livestate.go
@@ -142,15 +142,15 @@
 
 // ObserveStatement applies what an answer of the given restart epoch, 0 if unknown, states
 // about the server.
-func (l *LiveState) ObserveStatement(now time.Time, epoch uint64, a advisory.Advisory) advisory.Change {
-	l.ObserveEpoch(now, epoch)
+func (l *LiveState) ObserveStatement(epoch uint64, h advisory.Heard[time.Time]) advisory.Change {
+	l.ObserveEpoch(h.To, epoch)
 	switch {
 	case l.Epoch() == 0:
-		a = a.WithoutIncarnation()
+		h.Advisory = h.WithoutIncarnation()
 	case epoch != 0 && epoch < l.Epoch():
 		return advisory.Change{} // from before the restart
 	}
-	return l.stated.Observe(now, a)
+	return l.stated.Observe(h)
 }
 
 // TurnCold returns a server to the first step of its ramp.
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -78,6 +78,7 @@
 	ServerRecovered  Kind = "server.trusted"   // Server, Zone, Service; a suspect server responded and is used again
 	ServerLeaving    Kind = "server.leaving"   // Server, Zone, Service; Detail: the answer in which the server stated that it stops soon
 	ServerPaused     Kind = "server.paused"    // Server, Zone, Service, Duration: time for which the server wants no requests from this instance; Detail: the answer
+	ServerRateLimit  Kind = "server.rate"      // Server, Zone, Service; Detail: requests per second that the server takes from all instances together, 0 if it names no limit any more; the answer
 	ServerMalformed  Kind = "server.malformed" // Server, Zone, Service; Detail: a field of an answer that was left out or bounded
 	ServerCold       Kind = "server.cold"      // Server, Zone, Service, Duration: time it counts as cold, since its zone was restored
 	ServersExpired   Kind = "servers.lapsed"   // Count: servers removed because they did not register again after an outage
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -85,8 +85,15 @@
 	Target   Target
 	Epoch    uint64 // restart epoch in the answer; 0 if there was none
 	Advisory advisory.Advisory
-	Request  string // id of the request
-	Status   int    // HTTP status of the answer
+	SentAt   time.Time // when the attempt started
+	Partial  bool      // the head need not state everything; see advisory.Heard
+	Request  string    // id of the request
+	Status   int       // HTTP status of the answer
+}
+
+// Heard returns the advisory of an answer whose head arrived at the given time.
+func (s Statement) Heard(at time.Time) advisory.Heard[time.Time] {
+	return advisory.Heard[time.Time]{Advisory: s.Advisory, From: s.SentAt, To: at, Partial: s.Partial}
 }
 
 // String describes the answer as key=value pairs.
