--- a/internal/balanceexp/call.go
+++ b/internal/balanceexp/call.go
@@ -52,6 +52,7 @@
 // arrive starts a call for a request.
 func (w *world) arrive(a *arrival) {
 	w.result.recordRequest(a)
+	a.instance = w.liveInstance(a.instance)
 	c := &call{arrival: a, world: w, balancer: w.balancers[a.instance]}
 	c.query = balance.Query{
 		Service: service, Priority: a.kind.Priority, Organisation: a.organisation, OutputTokens: a.kind.Output,
@@ -113,6 +114,7 @@
 		return
 	}
 	c.attempts++
+	w.recordArrival(c.server, c.instance)
 	if c.server.grey && w.random.Float64() < greyFailureRate {
 		w.runAt(w.now+greyFailureDelay, func() { c.serverFailed(generation) })
 		return
@@ -153,7 +155,9 @@
 	if c.done {
 		return
 	}
-	c.assignment.PrefillDone()
+	if c.assignment.PrefillDone() {
+		c.state()
+	}
 	if !last {
 		return
 	}
--- a/internal/balanceexp/day.go
+++ b/internal/balanceexp/day.go
@@ -24,6 +24,13 @@
 	// CrashedShare is the share of servers that crash. Instances learn of it after
 	// a second.
 	CrashedShare float64
+	// LimitedShare is the share of servers that name a rate limit of Limit requests per
+	// second. With LimitFalls the limit halves in steps.
+	LimitedShare, Limit float64
+	LimitFalls          bool
+	// RestartEvery is the interval at which instances restart in turn. Zero means that
+	// none does.
+	RestartEvery time.Duration
 	// MemoryFactor multiplies the engines' memory during the whole run. Zero means
 	// 1.
 	MemoryFactor float64
@@ -36,7 +43,7 @@
 
 // Days returns all simulated days.
 func Days() []Day {
-	return []Day{
+	return append([]Day{
 		{Name: "calm"},
 		{Name: "burst", BurstFactor: 1.7},
 		{Name: "hot organisation", HotOrganisationFactor: 7.5},
@@ -46,7 +53,7 @@
 		{Name: "grey servers", GreyShare: 0.2},
 		{Name: "lost servers", CrashedShare: 0.3},
 		{Name: "small memory", MemoryFactor: 0.2},
-	}
+	}, limitDays()...)
 }
 
 // DayNamed returns the day with the given name, and false if there is none.
--- a/internal/balanceexp/result.go
+++ b/internal/balanceexp/result.go
@@ -32,6 +32,10 @@
 	PrefilledTokens, PromptTokens, Preempted int
 	// Retries is the number of sends after the first of a request.
 	Retries int
+	// LimitExcess is the largest number of requests by which a server that named a rate
+	// limit got more in limitWindow than is tolerated, counting instances that knew of it.
+	// LimitedRequests is the number of all requests to servers while they named one.
+	LimitExcess, LimitedRequests int
 
 	firstEvents []time.Duration // times to first event of answered requests
 }
@@ -109,14 +113,14 @@
 }
 
 // Header is the heading of Row's columns.
-const Header = "day               policy           value  aim%  late%  refused%  failed%  worst kind  worst org  read%  preempted  repeats  first p50 p99 ms"
+const Header = "day               policy           value  aim%  late%  refused%  failed%  worst kind  worst org  read%  preempted  repeats  limited  excess  first p50 p99 ms"
 
 // Row formats the result as a table row.
 func (r *Result) Row() string {
 	share := func(n int) float64 { return 100 * float64(n) / float64(max(r.Total.Requests, 1)) }
 	t := &r.Total
-	return fmt.Sprintf("%-17s %-16s %.3f %5.1f %6.1f %9.2f %8.2f %11.3f %10.3f %6.1f %10d %8d %10d %d",
+	return fmt.Sprintf("%-17s %-16s %.3f %5.1f %6.1f %9.2f %8.2f %11.3f %10.3f %6.1f %10d %8d %8d %7d %10d %d",
 		r.Experiment.Day.Name, r.Experiment.Policy, t.Value(), share(t.InTarget), share(t.Late), share(t.Rejected), share(t.Failed),
-		r.WorstKind(), r.WorstOrganisation(), 100*r.PrefillShare(), r.Preempted, r.Retries,
+		r.WorstKind(), r.WorstOrganisation(), 100*r.PrefillShare(), r.Preempted, r.Retries, r.LimitedRequests, r.LimitExcess,
 		r.FirstEventQuantile(0.5).Milliseconds(), r.FirstEventQuantile(0.99).Milliseconds())
 }
--- a/internal/balanceexp/world.go
+++ b/internal/balanceexp/world.go
@@ -39,6 +39,7 @@
 	servers    []*server
 	byID       map[string]*server
 	balancers  []*balance.Balancer
+	away       map[int]bool // instances that restart now
 	result     *Result
 	// deferred are actions that call the balancers. They are queued while a
 	// balancer or engine calls back, and run once the current event has been
@@ -54,12 +55,16 @@
 	grey    bool
 	crashed bool
 	calls   map[*enginesim.Request]*call
+
+	limit   float64               // requests per second that it names now; 0 if none
+	toldAt  map[int]time.Duration // when an instance learned of the limit from an answer
+	limited []limitedArrival
 }
 
 // Run simulates the experiment to its end.
 func (x Experiment) Run() *Result {
 	x = x.withDefaults()
-	w := &world{experiment: x, random: rand.New(rand.NewPCG(x.Seed, 7)), byID: map[string]*server{}, result: newResult(x)}
+	w := &world{experiment: x, random: rand.New(rand.NewPCG(x.Seed, 7)), byID: map[string]*server{}, away: map[int]bool{}, result: newResult(x)}
 	w.addServers()
 	w.addBalancers()
 	w.schedule()
@@ -67,6 +72,7 @@
 	for _, s := range w.servers {
 		w.result.PrefilledTokens += s.engine.PrefilledTokens
 		w.result.Preempted += s.engine.Preempted
+		w.result.recordLimits(s)
 	}
 	return w.result
 }
@@ -103,7 +109,7 @@
 	spec := engine
 	spec.MemoryTokens = int(float64(spec.MemoryTokens) * w.experiment.Day.MemoryFactor)
 	for i := range w.experiment.Servers {
-		s := &server{engine: enginesim.New(spec), calls: map[*enginesim.Request]*call{}}
+		s := &server{engine: enginesim.New(spec), calls: map[*enginesim.Request]*call{}, toldAt: map[int]time.Duration{}}
 		s.entry = directory.Server{Entry: directory.Entry{
 			ID: fmt.Sprintf("s%03d", i), Service: service, Address: fmt.Sprintf("s%03d:1", i), Zone: zones[i%len(zones)],
 			Capacity: spec.MaxBatch, Preemptible: i%preemptibleEvery == 0, StartedMillis: 1,
@@ -114,28 +120,33 @@
 }
 
 func (w *world) addBalancers() {
+	for i := range w.experiment.Instances {
+		w.balancers = append(w.balancers, w.newBalancer(i))
+	}
+	for _, b := range w.balancers {
+		b.SetMembers(w.liveNames())
+	}
+	w.listServers()
+}
+
+func instanceName(i int) string { return fmt.Sprintf("i%d", i) }
+
+// newBalancer returns the balancer of an instance that has just started.
+func (w *world) newBalancer(i int) *balance.Balancer {
 	table, err := routes.Compile(routes.Config{Version: 1, Services: []routes.Service{
 		{Name: service, Engine: &routes.Engine{Slots: engine.MaxBatch}, ColdTime: 3 * time.Second, ColdRate: 6.7},
 	}})
 	if err != nil {
 		panic(err) // the configuration is constant
 	}
-	var names []string
-	for i := range w.experiment.Instances {
-		names = append(names, fmt.Sprintf("i%d", i))
-	}
-	for i, name := range names {
-		b := balance.New(balance.Options{
-			Instance: name, Zone: zones[i%len(zones)], ColdOvershoot: 1.5, ColdTolerance: 5, Now: w.clock,
-			Retries:       balance.RetryLimit{Window: 10 * time.Second, Ratio: 0.2, Slack: 56},
-			Scorer:        w.experiment.Policy.scorer(w.random),
-			HoldThreshold: w.experiment.Policy.holdThreshold(),
-		})
-		b.SetTable(table)
-		b.SetMembers(names)
-		w.balancers = append(w.balancers, b)
-	}
-	w.listServers()
+	b := balance.New(balance.Options{
+		Instance: instanceName(i), Zone: zones[i%len(zones)], ColdOvershoot: 1.5, ColdTolerance: 5, Now: w.clock,
+		Retries:       balance.RetryLimit{Window: 10 * time.Second, Ratio: 0.2, Slack: 56},
+		Scorer:        w.experiment.Policy.scorer(w.random),
+		HoldThreshold: w.experiment.Policy.holdThreshold(),
+	})
+	b.SetTable(table)
+	return b
 }
 
 // listServers gives the balancers the list of running servers.
@@ -177,6 +188,8 @@
 	}
 	w.runAt(x.Day.from, w.startDisturbance)
 	w.runAt(x.Day.to, w.endDisturbance)
+	w.scheduleLimits()
+	w.scheduleRestarts()
 }
 
 func (w *world) addArrival(a arrival) { w.runAt(a.at, func() { w.arrive(&a) }) }
