balance: the time of a server that names a limit is nobody else's

Cause: with half of the servers limited to a third of their even share, what they allow was not used (7 instances 277 of 315 requests, 95 instances 136 of 315), while the others were late. Prefilling anew weighs the more the busier the pool is, since it takes time from other requests; on a server that takes few requests that time is free, so long prompts never went there.

The weight falls towards 1 with how much less than its even share the server takes, and is 1 where most instances have no share of the limit, since what the others leave is lost.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -88,6 +88,7 @@
 
 	median      slowdown // median slowdown of the servers
 	meanPrefill meanPrefill
+	even        evenRate
 
 	retriesAllowed, retriesDenied uint64
 	excessLoads                   uint64 // reported loads beyond what a server can hold
--- a/internal/balance/reserve.go
+++ b/internal/balance/reserve.go
@@ -42,13 +42,12 @@
 	a.at = now
 }
 
-// moreUrgent returns the rate per second at which requests arrive that are more urgent than
-// the given priority.
-func (a *arrivals) moreUrgent(now boottime.Instant, priority int) float64 {
+// rate returns the requests per second that arrive of the most urgent tiers.
+func (a *arrivals) rate(now boottime.Instant, tiers int) float64 {
 	a.decay(now)
 	sum := 0.0
-	for i := range tierOf(priority) - 1 {
-		sum += a.weights[i]
+	for _, weight := range a.weights[:tiers] {
+		sum += weight
 	}
 	return sum / max(a.time, minMeasuredSeconds)
 }
@@ -57,14 +56,15 @@
 // urgent ones: all usable servers are limited, and if it took one of this instance's shares,
 // these would not last for the more urgent requests that are expected until they renew.
 func (b *Balancer) reserved(now boottime.Instant, p *pool, q *Query) bool {
-	if tierOf(q.Priority) == 1 {
+	moreUrgent := tierOf(q.Priority) - 1
+	if moreUrgent == 0 {
 		return false
 	}
 	shares, ok := b.limitedShares(now, p)
 	if !ok {
 		return false
 	}
-	rate := p.arrivals.moreUrgent(now, q.Priority)
+	rate := p.arrivals.rate(now, moreUrgent)
 	if shares.free < 1 || rate > shares.perSecond {
 		return true
 	}
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -11,6 +11,9 @@
 	// RateLimited is true when the server's request rate is limited, since it is cold or
 	// names a limit.
 	RateLimited bool
+	// Scarcity is how much less than its even share of the requests the server takes, by a
+	// limit that it names, from 0 to 1.
+	Scarcity float64
 	// InFlight is the number of requests on the server, as far as this instance
 	// knows.
 	InFlight int
@@ -74,8 +77,8 @@
 	// request, relative to a token that is already pending on the server. It is
 	// above 1 because recomputing cached tokens also takes server time from other
 	// requests. The weight grows with the mean pending prefill of the pool: the
-	// busier the servers, the more requests wait for that time. Zero means
-	// DefaultRecomputeWeight.
+	// busier the servers, the more requests wait for that time. It is less, down to 1, for
+	// a server that names a limit. Zero means DefaultRecomputeWeight.
 	RecomputeWeight float64
 }
 
@@ -93,6 +96,9 @@
 	}
 	millis := minFirstEventMillis + engineInFlightMillis*float64(c.InFlight)
 	recompute := e.recomputeWeight() * (1 + c.MeanPrefillMillis/doublingPrefillMillis)
+	if recompute > 1 { // the time of a server that takes few requests is nobody else's
+		recompute = 1 + (recompute-1)*(1-c.Scarcity)
+	}
 	millis += (float64(c.PendingPrefill) + recompute*c.Uncached) / prefillTokensPerMilli
 	return cost + c.RelativeSlowdown*millis
 }
@@ -117,6 +123,7 @@
 	load := s.load(now)
 	c := Candidate{
 		Engine: p.engine, SameZone: s.Zone == b.options.Zone, RateLimited: s.cold(now) || s.stated.NamesLimit(now),
+		Scarcity: b.scarcity(now, p, s),
 		InFlight: load.InFlight, PendingPrefill: load.PendingPrefill, FailureRate: s.failureRate,
 		RelativeSlowdown: s.relativeSlowdown(now, p.medianSlowdown(now)), MeanPrefillMillis: p.meanPrefillMillis(now),
 	}
--- a/internal/balanceexp/balanceexp_test.go
+++ b/internal/balanceexp/balanceexp_test.go
@@ -131,6 +131,7 @@
 		{RecomputeUnweighted, "hot organisation", 12},
 		{NoAffinity, "calm", 12},
 		{NoAffinity, "burst", 18},
+		{IgnoreScarcity, "several limits", 12},
 	})
 }
 
--- a/internal/balanceexp/experiment.go
+++ b/internal/balanceexp/experiment.go
@@ -21,13 +21,14 @@
 	NoAffinity          Policy = "no homes"        // prefixes are used only where they are known to have been sent
 	NoSharing           Policy = "unshared"        // instances do not exchange reports
 	IgnorePoolLoad      Policy = "no pressure"     // the weight of recomputing a token does not depend on the pool's load
+	IgnoreScarcity      Policy = "no scarcity"     // the time of a server that names a limit is as dear as any
 	LeastInFlight       Policy = "least in flight" // counts this instance's requests only
 	Random              Policy = "random"
 )
 
 // Policies returns all policies.
 func Policies() []Policy {
-	return []Policy{Full, RecomputeUnweighted, IgnoreSlowdown, NoHolding, NoAffinity, NoSharing, IgnorePoolLoad, LeastInFlight, Random}
+	return []Policy{Full, RecomputeUnweighted, IgnoreSlowdown, NoHolding, NoAffinity, NoSharing, IgnorePoolLoad, IgnoreScarcity, LeastInFlight, Random}
 }
 
 // holdThreshold returns the backlog above which requests are held. Zero means the
@@ -50,6 +51,8 @@
 		return noAffinity{}
 	case IgnorePoolLoad:
 		return ignorePoolLoad{}
+	case IgnoreScarcity:
+		return ignoreScarcity{}
 	case LeastInFlight:
 		return leastInFlight{}
 	case Random:
@@ -82,6 +85,14 @@
 	return e.Estimate.Cost(q, c)
 }
 
+type ignoreScarcity struct{ balance.Estimate }
+
+// Cost implements balance.Scorer.
+func (e ignoreScarcity) Cost(q *balance.Query, c balance.Candidate) float64 {
+	c.Scarcity = 0
+	return e.Estimate.Cost(q, c)
+}
+
 type leastInFlight struct{}
 
 // Cost implements balance.Scorer.
