routing: the product's own listener keeps to rate limits that engines name

The same mechanism on both fronts: shares are those of sharedlimit, by the ranking of the members that cold engines have; a request more than the share finds no free slot. Instances learn of a limit from their own answers here, which reach all of them within a request each.

TestEngineRateLimitIsShared (1, 7 and 20 instances: at most 4 requests in any 4 s at 1/s). The test of the shares' sum moved to sharedlimit with the function.

--- a/internal/balance/reserve.go
+++ b/internal/balance/reserve.go
@@ -97,9 +97,8 @@
 		}
 		limit := sharedlimit.PerSecond(rate)
 		share := b.namedShare(s, limit)
-		free := 0
-		free, p.renewals = s.sends.Free(now, limit.Window, share, p.renewals)
-		shares.free += free
+		shares.free += s.sends.Free(now, limit.Window, share)
+		p.renewals = s.sends.AppendRenewals(p.renewals, now, limit.Window, share)
 		shares.perSecond += float64(share) / limit.Window.Seconds()
 		limited = true
 	}
--- a/internal/placement/engine_test.go
+++ b/internal/placement/engine_test.go
@@ -50,9 +50,14 @@
 // newRig returns an engine with the given servers, each with the given warm
 // limit and ramped up to it.
 func newRig(t *testing.T, warm int, servers ...platform.Server) *rig {
+	return newRigOf(t, "i0", warm, servers...)
+}
+
+// newRigOf is newRig for the engine of the named instance.
+func newRigOf(t *testing.T, instance string, warm int, servers ...platform.Server) *rig {
 	zero := 0.0
 	classes := append(testClasses(), config.Class{Name: "once", Tier: 2, RetryBudget: &zero})
-	r := &rig{t: t, engine: New(Options{Instance: "i0", Zone: "a"}), now: origin}
+	r := &rig{t: t, engine: New(Options{Instance: instance, Zone: "a"}), now: origin}
 	r.config = config.NewSnapshot(1, "", config.Config{
 		Classes: classes,
 		Models:  []config.Model{{Name: "m", Class: "draft", WarmLimit: warm}},
@@ -62,7 +67,7 @@
 		Zones: []config.Zone{{Name: "a"}, {Name: "b"}},
 	}, nil, nil)
 	r.engine.SetConfig(r.now, r.config)
-	r.engine.SetMembers(r.now, []string{"i0"}, r.now)
+	r.engine.SetMembers(r.now, []string{instance}, r.now)
 	r.engine.SetServers(r.now, servers)
 	for range 16 {
 		r.now = r.now.Add(time.Second)
--- a/internal/placement/statement_test.go
+++ b/internal/placement/statement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -83,3 +84,44 @@
 	is.Equal(h.refusal.Code, result.NoBackendServer)
 	is.True(h.refusal.RetryAfter >= 2*time.Minute)
 }
+
+// TestEngineRateLimitIsShared guards against engines that get more requests than the rate
+// limit that they name, summed over the instances.
+func TestEngineRateLimitIsShared(t *testing.T) {
+	for _, instances := range []int{1, 7, 20} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			is := is.New(t)
+			const rate = 1.0
+			window, allowed := 4*time.Second, 4
+			var names []string
+			var rigs []*rig
+			for i := range instances {
+				names = append(names, fmt.Sprint("i", i))
+				rigs = append(rigs, newRigOf(t, names[i], 1000, onDemandServer(0)))
+			}
+			for _, r := range rigs {
+				r.engine.SetMembers(r.now, names, r.now)
+				r.engine.Stated(r.now, traffic.Statement{
+					Target: traffic.Target{Server: "s0"}, Epoch: 1, SentAt: r.now, Advisory: advisory.Advisory{RateLimit: rate},
+				})
+			}
+			var sent []time.Time
+			for range 300 {
+				for _, r := range rigs {
+					r.now = r.now.Add(100 * time.Millisecond)
+					h := r.submit("draft")
+					if h.waits() {
+						r.engine.Abandon(r.now, h.job)
+						continue
+					}
+					sent = append(sent, r.now)
+					r.answer(h, time.Millisecond)
+				}
+			}
+			for i := allowed; i < len(sent); i++ {
+				is.True(sent[i].Sub(sent[i-allowed]) >= window)
+			}
+			is.True(len(sent) >= 15) // of 30
+		})
+	}
+}
--- a/internal/routing/livestate.go
+++ b/internal/routing/livestate.go
@@ -6,6 +6,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/admission"
 	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/sharedlimit"
 )
 
 // LiveState is what this instance observes of one backend server. It outlives
@@ -24,8 +25,9 @@
 	load           loadView
 	stated         *advisory.State[time.Time] // by the server's answers since its last restart
 	trialRunning   bool                       // an attempt is the trial after a pause
-	hintGeneration uint32                     // generation of prefix hints; hints of older ones are invalid
-	lastEvent      uint64                     // sequence number of the last cache event
+	sends          sharedlimit.Sends[time.Time]
+	hintGeneration uint32 // generation of prefix hints; hints of older ones are invalid
+	lastEvent      uint64 // sequence number of the last cache event
 	// hitShare is the share of the prompt that the server probably has cached.
 	// It is valid for the decision hitDecision only.
 	hitDecision uint64
@@ -61,6 +63,8 @@
 // whether the attempt is the trial after a pause, which must be passed to EndAttempt.
 func (l *LiveState) StartAttempt(now time.Time) (trial bool) {
 	l.outstanding++
+	_, share := l.rateShare(now)
+	l.sends.Add(now, share)
 	if l.stated.OnTrial() {
 		trial, l.trialRunning = true, true
 	}
@@ -81,6 +85,9 @@
 // Slots returns how many requests this instance may have in flight on the server.
 func (l *LiveState) Slots(now time.Time, m *Membership) int {
 	slots := l.slots(now, m)
+	if limit, share := l.rateShare(now); limit.Total > 0 {
+		slots = min(slots, l.outstanding+l.sends.Free(now, limit.Window, share))
+	}
 	switch {
 	case !l.Wanted(now):
 		return 0
@@ -92,6 +99,17 @@
 	return slots
 }
 
+// rateShare returns the rate limit that the server names and this instance's share of it.
+// Both are zero if it names none.
+func (l *LiveState) rateShare(now time.Time) (sharedlimit.Limit, int) {
+	rate := l.stated.RateLimit(now)
+	if rate == 0 {
+		return sharedlimit.Limit{}, 0
+	}
+	limit := sharedlimit.PerSecond(rate)
+	return limit, l.ownership.Share(limit.Total)
+}
+
 // slots is Slots, apart from what the server has stated.
 func (l *LiveState) slots(now time.Time, m *Membership) int {
 	if l.health.suspect() {
--- a/internal/routing/ownership.go
+++ b/internal/routing/ownership.go
@@ -1,17 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
 
-// share returns how many of total slots belong to the member with the given
-// rank. The shares of all members sum to total. Increasing total never
-// decreases a share.
-func share(total, rank, members int) int {
-	n := total / members
-	if rank < total%members {
-		n++
-	}
-	return n
-}
+	"github.com/hawthornwick/hawthornwick/internal/sharedlimit"
+)
 
 // Ownership is this instance's share of one server's slots. Slots lost by a
 // membership change are lost immediately. Slots gained on a cold server count
@@ -60,4 +53,4 @@
 }
 
 // Share returns this instance's share of total slots.
-func (o *Ownership) Share(total int) int { return share(total, o.rank, o.members) }
+func (o *Ownership) Share(total int) int { return sharedlimit.Share(total, o.rank, o.members) }
--- a/internal/routing/ownership_test.go
+++ b/internal/routing/ownership_test.go
@@ -11,24 +11,6 @@
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 )
 
-func TestShareSumAndMonotonicity(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		members := rapid.IntRange(1, 40).Draw(t, "members")
-		total := rapid.IntRange(0, 100).Draw(t, "total")
-		sum := 0
-		for rank := range members {
-			n := share(total, rank, members)
-			if share(total+1, rank, members) < n {
-				t.Fatalf("rank %d of %d loses a slot when the total grows to %d", rank, members, total+1)
-			}
-			sum += n
-		}
-		if sum != total {
-			t.Fatalf("shares of %d members sum to %d, want %d", members, sum, total)
-		}
-	})
-}
-
 // The rank is updated from the members added and removed. It must equal the
 // rank computed from the whole list.
 func TestIncrementalRank(t *testing.T) {
--- a/internal/sharedlimit/sends.go
+++ b/internal/sharedlimit/sends.go
@@ -47,17 +47,26 @@
 	return share > 0 && !now.Before(s.AllowedAt(now, window, share))
 }
 
-// Free returns how many more requests keep this instance within its share of a window. It
-// appends the times at which each of the others will be free again to freed.
-func (s *Sends[T]) Free(now T, window time.Duration, share int, freed []T) (int, []T) {
-	for used := range share {
+// Free returns how many more requests keep this instance within its share of a window.
+func (s *Sends[T]) Free(now T, window time.Duration, share int) int {
+	used := 0
+	for used < share {
 		last, ok := s.latest(used + 1)
 		if !ok || !now.Before(last.Add(window)) {
-			return share - used, freed
+			break
 		}
-		freed = append(freed, last.Add(window))
+		used++
 	}
-	return 0, freed
+	return share - used
+}
+
+// AppendRenewals appends the times at which each used part of the share will be free again.
+func (s *Sends[T]) AppendRenewals(times []T, now T, window time.Duration, share int) []T {
+	for used := range share - s.Free(now, window, share) {
+		last, _ := s.latest(used + 1)
+		times = append(times, last.Add(window))
+	}
+	return times
 }
 
 // AllowedAt returns the time from which Allow is true without further requests. share must
--- a/internal/sharedlimit/sharedlimit_test.go
+++ b/internal/sharedlimit/sharedlimit_test.go
@@ -18,12 +18,17 @@
 	is.Equal(PerSecond(2.6), Limit{10, rateWindow})
 }
 
-func TestSharesSumToTotal(t *testing.T) {
+func TestShareSumAndMonotonicity(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		total, members := rapid.IntRange(0, 500).Draw(t, "total"), rapid.IntRange(1, 100).Draw(t, "members")
+		members := rapid.IntRange(1, 40).Draw(t, "members")
+		total := rapid.IntRange(0, 100).Draw(t, "total")
 		sum := 0
 		for rank := range members {
-			sum += Share(total, rank, members)
+			n := Share(total, rank, members)
+			if Share(total+1, rank, members) < n {
+				t.Fatalf("rank %d of %d loses a slot when the total grows to %d", rank, members, total+1)
+			}
+			sum += n
 		}
 		if sum != total {
 			t.Fatalf("shares of %d members sum to %d, want %d", members, sum, total)
@@ -42,8 +47,11 @@
 		for _, gap := range gaps {
 			now = now.Add(time.Duration(gap) * time.Millisecond)
 			allowed := s.Allow(now, rateWindow, share)
-			if allowed != !s.AllowedAt(now, rateWindow, share).After(now) {
-				t.Fatal("Allow and AllowedAt disagree")
+			if allowed != !s.AllowedAt(now, rateWindow, share).After(now) || allowed != (s.Free(now, rateWindow, share) > 0) {
+				t.Fatal("Allow, AllowedAt and Free disagree")
+			}
+			if used := len(s.AppendRenewals(nil, now, rateWindow, share)); used+s.Free(now, rateWindow, share) != share {
+				t.Fatalf("%d renewals and %d free of %d", used, s.Free(now, rateWindow, share), share)
 			}
 			if allowed {
 				s.Add(now, share)
