soak: servers name rate limits

The checker counts, in any 4 s from 3 s after the first answer that names it, the requests of instances that passed such an answer on half a second before, and have not been stopped or faulty since.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,6 +29,7 @@
 	ReloadSettings FaultKind = "an instance is told to read its settings again"
 	ServerLeaves   FaultKind = "a backend server states that it leaves, and is replaced at its address"
 	ServerPauses   FaultKind = "a backend server refuses requests and asks for pauses"
+	ServerLimits   FaultKind = "a backend server names a rate limit"
 )
 
 var faultKinds = []FaultKind{
@@ -37,7 +38,7 @@
 }
 
 // statementKinds are the faults in which backend servers state something about themselves.
-var statementKinds = []FaultKind{ServerLeaves, ServerPauses}
+var statementKinds = []FaultKind{ServerLeaves, ServerPauses, ServerLimits}
 
 // Fault is one fault of a plan.
 type Fault struct {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,8 @@
 	// SetPausing makes a backend server refuse requests and ask for pauses, or accept them
 	// again.
 	SetPausing(server int, pausing bool)
+	// SetLimited makes a backend server name a rate limit, or none again.
+	SetLimited(server int, limited bool)
 	// WithdrawKey withdraws one more API key. It does nothing if only one is left.
 	WithdrawKey()
 	// Call sends one request to an instance and records its outcome with the checker.
@@ -212,6 +214,10 @@
 	case ServerPauses:
 		server := f.Target % len(r.servers)
 		apply(func() { r.site.SetPausing(server, true) }, func() { r.site.SetPausing(server, false) })
+	case ServerLimits:
+		server := f.Target % len(r.servers)
+		f.Duration += minLimitTime
+		apply(func() { r.site.SetLimited(server, true) }, func() { r.site.SetLimited(server, false) })
 	case ServerDraining:
 		server := f.Target % len(r.servers)
 		apply(func() { r.site.SetDraining(server, true) }, func() { r.site.SetDraining(server, false) })
@@ -240,6 +246,7 @@
 	stopTimeout     = 9 * time.Second
 	minReloadUptime = 3 * time.Second // a process that has just started does not handle SIGHUP yet
 	slowLinkDelay   = 150 * time.Millisecond
+	minLimitTime    = 6 * time.Second // a limit binds only some seconds after it was named
 )
 
 // restart starts a process again after it has exited.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,13 +63,21 @@
 		"had told a that it leaves": func(c *Checker) {
 			c.RecordLeaving("a", "s")
 			c.statements.instances["x"], c.statements.sent["x"] = "a", now.Add(drainTimeout+time.Second)
-			c.RecordArrival("x", "s")
+			c.RecordArrival("x", "s", 0)
+		},
+		"had named a limit of 1.000 a second": func(c *Checker) {
+			c.RecordSent("x", "a")
+			c.RecordLimit("a", "s", 1)
+			c.RecordArrival("x", "s", 1)
+			for range 12 {
+				c.statements.arrivals = append(c.statements.arrivals, arrival{"x", "s", 1, now.Add(limitDelay + time.Second)})
+			}
 		},
 		"in a pause of": func(c *Checker) {
 			c.RecordSent("x", "a")
 			c.RecordPause("x", "s", 3*time.Second)
 			for range maxPauseArrivals + 1 {
-				c.statements.arrivals = append(c.statements.arrivals, arrival{"x", "s", now.Add(pauseSlack + time.Second)})
+				c.statements.arrivals = append(c.statements.arrivals, arrival{"x", "s", 0, now.Add(pauseSlack + time.Second)})
 			}
 		},
 		"after the troubles": func(c *Checker) {
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -13,6 +13,12 @@
 	// pauseSlack is the time for which requests that are on their way may still reach a
 	// server that has asked for a pause.
 	pauseSlack = 500 * time.Millisecond
+	// A server that names a rate limit may get limitFactor times as many requests in
+	// limitWindow, and limitSlack more, once limitDelay has passed since it first did.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitDelay  = 3 * time.Second
 	// maxPauseArrivals is the number of requests that may reach a server in its pause.
 	maxPauseArrivals = 2
 )
@@ -24,15 +30,25 @@
 	sent      map[string]time.Time
 	arrivals  []arrival
 	leaving   map[link]time.Time // when a caller first saw the statement
+	limits    map[namedLimit]time.Time
+	named     map[namedLimit]time.Time // by server alone: when it first named the limit
 	pauses    []pause
 }
 
+// namedLimit is a rate limit, in requests per second, that a server has named. Each one has
+// another rate.
+type namedLimit struct {
+	link
+	rate float64
+}
+
 // link is the path from an instance to an incarnation of a backend server.
 type link struct{ instance, server string }
 
 // arrival is one request that has reached a backend server.
 type arrival struct {
 	request, server string
+	rate            float64 // the rate limit that the server names; 0 if none
 	at              time.Time
 }
 
@@ -43,7 +59,8 @@
 }
 
 func newStatements() statements {
-	return statements{instances: map[string]string{}, sent: map[string]time.Time{}, leaving: map[link]time.Time{}}
+	return statements{instances: map[string]string{}, sent: map[string]time.Time{}, leaving: map[link]time.Time{},
+		limits: map[namedLimit]time.Time{}, named: map[namedLimit]time.Time{}}
 }
 
 // RecordSent records that a caller is about to send a request to an instance.
@@ -54,11 +71,28 @@
 	c.statements.sent[request] = time.Now()
 }
 
-// RecordArrival records that a request has reached a backend server that it is meant for.
-func (c *Checker) RecordArrival(request, server string) {
+// RecordArrival records that a request has reached a backend server that it is meant for,
+// and the rate limit that this server names, 0 if none.
+func (c *Checker) RecordArrival(request, server string, rate float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.statements.arrivals = append(c.statements.arrivals, arrival{request, server, time.Now()})
+	now := time.Now()
+	c.statements.arrivals = append(c.statements.arrivals, arrival{request, server, rate, now})
+	recordFirst(c.statements.named, namedLimit{link{server: server}, rate}, now)
+}
+
+// RecordLimit records that an instance has passed on an answer in which a server names a
+// rate limit.
+func (c *Checker) RecordLimit(instance, server string, rate float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	recordFirst(c.statements.limits, namedLimit{link{instance, server}, rate}, time.Now())
+}
+
+func recordFirst[K comparable](times map[K]time.Time, key K, now time.Time) {
+	if times[key].IsZero() {
+		times[key] = now
+	}
 }
 
 // RecordLeaving records that an instance has passed on an answer in which a server states
@@ -66,10 +100,7 @@
 func (c *Checker) RecordLeaving(instance, server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := link{instance, server}
-	if c.statements.leaving[l].IsZero() {
-		c.statements.leaving[l] = time.Now()
-	}
+	recordFirst(c.statements.leaving, link{instance, server}, time.Now())
 }
 
 // RecordPause records that a server refuses a request and asks for a pause.
@@ -77,14 +108,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	c.statements.pauses = append(c.statements.pauses, pause{arrival{request, server, now}, now.Add(d)})
+	c.statements.pauses = append(c.statements.pauses, pause{arrival{request, server, 0, now}, now.Add(d)})
 }
 
 // checkStatements finds the requests at servers that had stated to their instance that
 // they want none.
 func (c *Checker) checkStatements() {
-	for _, a := range c.statements.arrivals {
+	for i, a := range c.statements.arrivals {
 		c.checkLeaving(a)
+		c.checkLimit(c.statements.arrivals[i:])
 	}
 	for _, p := range c.statements.pauses {
 		c.checkPause(p)
@@ -100,6 +132,35 @@
 	c.addViolation("request %s reached %s %v after that had told %s that it leaves", a.request, a.server, sent.Sub(stated), instance)
 }
 
+// checkLimit checks the window that begins with the first of the arrivals, which are in
+// order of time.
+func (c *Checker) checkLimit(arrivals []arrival) {
+	first := arrivals[0]
+	named := c.statements.named[namedLimit{link{server: first.server}, first.rate}]
+	if first.rate == 0 || first.at.Before(named.Add(limitDelay)) {
+		return
+	}
+	count := 0
+	for _, a := range arrivals {
+		if !a.at.Before(first.at.Add(limitWindow)) {
+			break
+		}
+		if a.server == first.server && a.rate == first.rate && c.knewLimit(a) {
+			count++
+		}
+	}
+	if allowed := limitFactor*first.rate*limitWindow.Seconds() + limitSlack; float64(count) > allowed {
+		c.addViolation("%d requests reached %s in %v, which had named a limit of %.3f a second", count, first.server, limitWindow, first.rate)
+	}
+}
+
+// knewLimit reports whether the instance that sent a request knew of the server's limit.
+func (c *Checker) knewLimit(a arrival) bool {
+	instance := c.statements.instances[a.request]
+	told, ok := c.statements.limits[namedLimit{link{instance, a.server}, a.rate}]
+	return ok && a.at.After(told.Add(pauseSlack)) && !c.restarted(instance, told, a.at)
+}
+
 func (c *Checker) checkPause(p pause) {
 	instance := c.statements.instances[p.request]
 	from := p.at.Add(pauseSlack)
