dispatch: the test of random faults counts a request's own attempts

The events show two attempts with ids of their own, 1 ms apart: the hedge of request 99, started 5 ms after its first attempt and cancelled when that one answered, reached its engine after the count for request 100 had begun. No request ran twice; the check counted what engines received in a span of time.

It now counts the attempts of the request itself, and once more for all requests after the last one, so that a late receipt counts where it belongs, which the check before could miss.

--- a/internal/dispatch/property_test.go
+++ b/internal/dispatch/property_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/standin/engine"
 	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
 )
 
 const randomRequests = 120
@@ -48,18 +50,18 @@
 	random  *rand.Rand
 	engines []*engine.Engine
 	d       *Dispatcher
-	ring    *timeline.Ring
-	want    string // content of the complete answer
+	ring    *timeline.Ring // of the engines and of d
+	want    string         // content of the complete answer
 }
 
 func newFaultHarness(t *testing.T) *faultHarness {
-	s := &faultHarness{t: t, random: rand.New(rand.NewPCG(4, 2)), ring: timeline.NewRing("engines", 1<<17, nil)}
+	s := &faultHarness{t: t, random: rand.New(rand.NewPCG(4, 2)), ring: timeline.NewRing("all", 1<<17, nil)}
 	for i := range 3 {
 		s.engines = append(s.engines, startEngine(t, engine.Options{
 			Name: fmt.Sprint(i), Recorder: s.ring, BetweenTokens: 200 * time.Microsecond, IgnoresResume: i == 2,
 		}))
 	}
-	s.d = newDispatcher(t, Options{Suspects: NewTrackerSuspects(quarantine.New(quarantine.Options{}))})
+	s.d = newDispatcher(t, Options{Suspects: NewTrackerSuspects(quarantine.New(quarantine.Options{})), Recorder: s.ring})
 	s.want = joinContents(expectedAnswer(t, streamBody, engine.Options{}))
 	return s
 }
@@ -110,12 +112,14 @@
 func TestRandomFaults(t *testing.T) {
 	s := newFaultHarness(t)
 	answered := 0
+	var done []finishedRequest
 	for number := range randomRequests {
 		s.injectFaults()
-		before := countEvents(s.ring, timeline.BackendReceived)
+		first := len(s.attempts())
 		c, out, written := s.sendRandom(number)
-		received := countEvents(s.ring, timeline.BackendReceived) - before
-		if fault := s.check(c, out, written, received); fault != "" {
+		f := finishedRequest{c.Request, out, s.attempts()[first:]}
+		done = append(done, f)
+		if fault := s.check(c, f, written); fault != "" {
 			t.Fatalf("request %d (stream %v, idempotent %v, attempts %d, error %v): %s\n%s",
 				number, c.Request.Stream, c.Request.Idempotent, out.Attempts, out.Err, fault, written)
 		}
@@ -126,18 +130,69 @@
 	if answered < randomRequests/3 {
 		t.Fatalf("only %d of %d requests were answered", answered, randomRequests)
 	}
+	for number, f := range done {
+		if fault := s.checkReceipts(f); fault != "" {
+			t.Errorf("request %d, after the last request: %s", number, fault)
+		}
+	}
+}
+
+// finishedRequest is a request with its outcome and the ids of its attempts.
+type finishedRequest struct {
+	request  *traffic.Request
+	outcome  Outcome
+	attempts []string
+}
+
+// attempts returns the ids of all attempts of all requests until now, in order.
+func (s *faultHarness) attempts() (ids []string) {
+	events, _ := s.ring.Snapshot()
+	for _, e := range events {
+		if e.Kind == timeline.AttemptStarted {
+			ids = append(ids, e.Attempt)
+		}
+	}
+	return ids
+}
+
+// receipts returns how often engines have received one of the attempts.
+func (s *faultHarness) receipts(attempts []string) (n int) {
+	events, _ := s.ring.Snapshot()
+	for _, e := range events {
+		if e.Kind == timeline.BackendReceived && slices.Contains(attempts, e.Attempt) {
+			n++
+		}
+	}
+	return n
 }
 
-func (s *faultHarness) check(c Call, out Outcome, written string, received int) (fault string) {
+// An engine may receive an attempt after its request has ended, for example a hedge
+// that was cancelled, so each request counts its own attempts only.
+func (s *faultHarness) checkReceipts(f finishedRequest) (fault string) {
+	received := s.receipts(f.attempts)
+	switch {
+	case f.outcome.Err != nil && f.outcome.Err.NotRun() && received > 0:
+		return fmt.Sprintf("reported as not run, but engines received it %d times", received)
+	case !f.request.Idempotent && received > 1:
+		return fmt.Sprintf("non-idempotent request received %d times", received)
+	case f.outcome.Err == nil && received == 0:
+		return "answered, but no engine received it"
+	}
+	return ""
+}
+
+func (s *faultHarness) check(c Call, f finishedRequest, written string) (fault string) {
 	l := c.Targets.(*targetList)
+	out := f.outcome
 	text := joinContents(written)
+	if fault := s.checkReceipts(f); fault != "" {
+		return fault
+	}
 	switch {
 	case len(l.observed) != l.handedOut:
 		return fmt.Sprintf("%d of %d targets observed", len(l.observed), l.handedOut)
-	case out.Err != nil && out.Err.NotRun() && (received > 0 || written != ""):
-		return fmt.Sprintf("reported as not run, but engines received it %d times", received)
-	case !c.Request.Idempotent && received > 1:
-		return fmt.Sprintf("non-idempotent request received %d times", received)
+	case out.Err != nil && out.Err.NotRun() && written != "":
+		return "reported as not run, but an answer was written"
 	case out.Err == nil && c.Request.Stream && (text != s.want || !strings.HasSuffix(written, "[DONE]\n\n")):
 		return fmt.Sprintf("answer is not complete, want %q", s.want)
 	case out.Err == nil && !c.Request.Stream && !strings.Contains(written, s.want):
