faultmatrix: servers that name a rate limit

One fault more at each step of the request path that involves a backend server: 7 cells run, 18 cannot occur.

--- a/internal/faultmatrix/cell.go
+++ b/internal/faultmatrix/cell.go
@@ -71,6 +71,7 @@
 	CrashRequest  Fault = "crash-causing request"
 	ServerLeaves  Fault = "server states that it leaves"
 	ServerPauses  Fault = "server asks for a pause"
+	ServerLimits  Fault = "server names a rate limit"
 )
 
 // Groups of steps.
@@ -91,7 +92,7 @@
 var allFaults = []Fault{
 	InstanceCrash, InstancePause, ServerCrash, Silence, Slow, LostReply, Duplicate, CrossedAnswer,
 	StoreDown, StoreSlow, LeaseLapse, Race, KeyWithdrawn, ZoneOut, ColdTurn, Reclaim, CrashRequest,
-	ServerLeaves, ServerPauses,
+	ServerLeaves, ServerPauses, ServerLimits,
 }
 
 // Cell is one fault, or a pair of faults, at one step.
--- a/internal/faultmatrix/site_test.go
+++ b/internal/faultmatrix/site_test.go
@@ -215,6 +215,8 @@
 		s.switches().Set(fault.Settings{BreakAfter: 1, MaxBreaks: 1, Truncated: s.cell.Step == EndOfStream})
 	case ServerLeaves:
 		s.switches().Set(fault.Settings{Leaving: true})
+	case ServerLimits:
+		s.switches().Set(fault.Settings{RateLimit: 0.5})
 	case ServerPauses:
 		s.switches().Set(fault.Settings{Pause: time.Second})
 	case CrossedAnswer:
--- a/internal/standin/fault/switches.go
+++ b/internal/standin/fault/switches.go
@@ -35,6 +35,9 @@
 	// Pause refuses requests and asks for a pause of that length. Zero means that it does
 	// not.
 	Pause time.Duration
+	// RateLimit makes responses name a limit of so many requests per second. Zero means
+	// that they name none.
+	RateLimit float64
 	// Poison is a marker: a request whose body contains it crashes the server.
 	// Empty means no request does.
 	Poison string
@@ -91,13 +94,17 @@
 	return marker != "" && bytes.Contains(body, []byte(marker))
 }
 
-// State sets the header fields in which the server states that it leaves or wants a pause.
+// State sets the header fields in which the server states that it leaves, names a rate
+// limit or wants a pause.
 // It reports whether the request is to be refused with status 503.
 func (s *Switches) State(h http.Header) (refuse bool) {
 	settings := s.Get()
 	if settings.Leaving {
 		h.Set(engineapi.LeavingHeader, "1")
 	}
+	if settings.RateLimit > 0 {
+		h.Set(engineapi.RateLimitHeader, strconv.FormatFloat(settings.RateLimit, 'f', -1, 64))
+	}
 	if settings.Pause <= 0 {
 		return false
 	}
