platform, edge, presence: an entry with values that no server can have names no server

Which entries were recorded as unreadable is forgotten with them. The rows of instances have bounds as well: demand of 1e300 would have ordered servers.

--- a/internal/edge/storeview.go
+++ b/internal/edge/storeview.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,7 @@
 	balancer *balance.Balancer
 	recorder timeline.Recorder
 	sharing  *sharing
+	clock    *truetime.Clock
 
 	operators *tablefeed.Follower
 	servers   *tablefeed.Follower
@@ -55,7 +57,7 @@
 
 func newStoreView(p Platform, bounds Bounds, b *balance.Balancer, h *sharing, clock *truetime.Clock, recorder timeline.Recorder) *storeView {
 	v := &storeView{
-		platform: p, bounds: bounds, balancer: b, recorder: recorder, sharing: h,
+		platform: p, bounds: bounds, balancer: b, recorder: recorder, sharing: h, clock: clock,
 		drainedZones: map[string]bool{}, directory: directory.New(), unreadable: map[string]bool{},
 	}
 	v.operators = tablefeed.New(h.sharedOptions(tablefeed.Options{
@@ -208,6 +210,7 @@
 func (v *storeView) applyServers(u tablefeed.Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.forgetUnreadable(u)
 	changes := directory.Changes(u, v.decodeServer)
 	v.directory.Apply(boottime.Now(), changes, u.Full, u.Gap)
 	v.balancer.SetServers(v.directory.Servers())
@@ -216,13 +219,38 @@
 	}
 }
 
+// maxStartAhead is how far the start of a server may lie ahead of the agreed time of day.
+// The entry of a later start would make all later entries of its id seem old.
+const maxStartAhead = 24 * time.Hour
+
+// decodeServer decodes an entry, or returns nil if it names no usable server, which is
+// recorded once for each id.
 func (v *storeView) decodeServer(id string, value []byte) *directory.Entry {
 	entry, err := v.platform.DecodeServer(id, value)
-	if err != nil && !v.unreadable[id] {
+	if err == nil && entry.StartedMillis > v.clock.Now().Add(maxStartAhead).UnixMilli() {
+		err = fmt.Errorf("entry of server %q: its start, Unix millisecond %d, is in the future", id, entry.StartedMillis)
+	}
+	if err == nil {
+		delete(v.unreadable, id)
+		return entry
+	}
+	if !v.unreadable[id] {
 		v.unreadable[id] = true
 		v.recorder.Record(timeline.Event{Kind: timeline.ServerState, Server: id, State: stateUnreadable, Detail: err.Error()})
 	}
-	return entry
+	return nil
+}
+
+// forgetUnreadable forgets which entries were recorded as unreadable if they are gone.
+func (v *storeView) forgetUnreadable(u tablefeed.Update) {
+	listed := make(map[string]bool, len(u.Rows))
+	for _, row := range u.Rows {
+		listed[row.Key] = !row.Removed
+	}
+	maps.DeleteFunc(v.unreadable, func(id string, _ bool) bool {
+		isListed, ok := listed[id]
+		return ok && !isListed || u.Full && !ok
+	})
 }
 
 // Values of State in ServerState events.
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -61,6 +61,36 @@
 	return data, nil
 }
 
+// Bounds of what an instance can announce. Other rows come from other writers.
+const (
+	maxRequests   = 1 << 24 // in flight or waiting
+	maxTokenRate  = 1e12    // tokens per second
+	maxCores      = 1 << 12
+	maxZoneLength = 256 // bytes
+)
+
+// outOfRange returns the name of a field whose value no instance can have, or "" if there
+// is none.
+func (r *Row) outOfRange() string {
+	if len(r.Zone) > maxZoneLength {
+		return "zone"
+	}
+	if r.Cores < 0 || r.Cores > maxCores {
+		return "cores"
+	}
+	for _, d := range r.Demand {
+		if !d.inRange() {
+			return "demand"
+		}
+	}
+	return ""
+}
+
+func (d Demand) inRange() bool {
+	return d.InFlight >= 0 && d.InFlight <= maxRequests && d.Waiting >= 0 && d.Waiting <= maxRequests &&
+		d.PromptRate >= 0 && d.PromptRate <= maxTokenRate && d.OutputRate >= 0 && d.OutputRate <= maxTokenRate
+}
+
 // timedRow is a row and the time of its last change.
 type timedRow struct {
 	row       Row
@@ -95,6 +125,10 @@
 			rowErr = fmt.Errorf("decode presence row of instance %q: %w", r.Key, err)
 			continue
 		}
+		if field := row.outOfRange(); field != "" {
+			rowErr = fmt.Errorf("presence row of instance %q: %s is out of range", r.Key, field)
+			continue
+		}
 		b.rows[r.Key] = timedRow{row: row, changedAt: now}
 	}
 	return rowErr
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -1,6 +1,7 @@
 package presence
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -41,3 +42,27 @@
 	is.True(err != nil)
 	is.Equal(SortedNames(b.Live(1)), []string{"a"})
 }
+
+// TestOddRowOfAnotherWriterIsNoInstance guards against demand that no instance can have,
+// which would order servers, and against the loss of the other rows.
+func TestOddRowOfAnotherWriterIsNoInstance(t *testing.T) {
+	for name, value := range map[string]string{
+		"negative demand": `{"zone":"z","demand":{"s":{"in_flight":-5}},"sequence":1}`,
+		"huge demand":     `{"zone":"z","demand":{"s":{"in_flight":1,"waiting":1000000000000}},"sequence":1}`,
+		"huge rate":       `{"zone":"z","demand":{"s":{"in_flight":1,"prompt_rate":1e300}},"sequence":1}`,
+		"negative cores":  `{"zone":"z","cores":-1,"sequence":1}`,
+		"huge cores":      `{"zone":"z","cores":1e300,"sequence":1}`,
+		"too large":       `{"zone":"z","cores":1e400,"sequence":1}`,
+		"deeply nested":   `{"zone":"z","more":` + strings.Repeat("[", 30_000) + strings.Repeat("]", 30_000) + `}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := NewRegistry()
+			err := b.Apply(1, tablefeed.Update{Rows: []tablefeed.Row{
+				{Key: "odd", Value: []byte(value)}, {Key: "true", Value: []byte(`{"zone":"z","sequence":1}`)},
+			}})
+			is.True(err != nil)
+			is.Equal(SortedNames(b.Live(1)), []string{"true"})
+		})
+	}
+}
