gateway, edge: a request that arrives late in a graceful stop is refused rather than cut

The gateway knows when it will abort. A request is sent only if the usual time of its route (0.95 quantile of the newest 64 answers), or its caller's whole time, fits into what is left; three times that for a request that may not be repeated. This is asked on arrival, before another attempt and right before the first byte. Others are refused as not run, with Retry-After of 50 ms while another instance does not stop, else after this one's restart. Servers get what is left as their deadline.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,10 @@
 	graceMargin = 400 * time.Millisecond
 	// abortTimeout is the time allowed for writing the answers to aborted requests.
 	abortTimeout = 100 * time.Millisecond
+	// retryElsewhere is the time after which callers of a stopping instance may return to
+	// another one, and restartTime the time that a stopped instance needs to serve again.
+	retryElsewhere = 50 * time.Millisecond
+	restartTime    = time.Second
 	// ringEvents is the number of events kept in memory.
 	ringEvents = 1024
 )
@@ -193,12 +198,24 @@
 	return err
 }
 
+// retryAfterStop returns the time after which callers may return that are refused because
+// the instance stops after left: soon if there are instances that do not stop.
+func (e *Edge) retryAfterStop(left time.Duration) time.Duration {
+	others := slices.DeleteFunc(e.members.notLeaving(), func(name string) bool { return name == e.settings.Instance })
+	if len(others) > 0 {
+		return retryElsewhere
+	}
+	return max(left, 0) + restartTime
+}
+
 // drain waits until the load balancer has detected that the instance is not ready,
 // closes idle connections, and waits for the requests in flight. It returns the number
 // of requests that were aborted at the end of the grace period.
 func (e *Edge) drain() int64 {
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Bounds.Grace-graceMargin)
+	end := time.Now().Add(e.settings.Bounds.Grace - graceMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	e.gateway.Stop(gateway.Stop{By: end, RetryAfter: func() time.Duration { return e.retryAfterStop(time.Until(end)) }})
 	e.leaving.Store(true)
 	e.members.leaving.Store(true)
 	e.listener.DisableKeepAlive()
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -68,6 +68,7 @@
 	orders  []replicas.Order
 
 	refuseOrders bool
+	grace        time.Duration   // grace period of instances started next; zero means 8 s
 	adjust       func(*Platform) // changes the Platform of instances started next; may be nil
 }
 
@@ -215,6 +216,9 @@
 		Usage:  UsageSettings{Window: time.Second, Due: 6 * time.Second},
 		Duties: Duties{Usage: true, Scaling: true},
 	}
+	if w.grace > 0 {
+		s.Bounds.Grace = w.grace
+	}
 	log := &lockedBuffer{}
 	sink := logsink.New(log, 0)
 	p := w.platform(name)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,9 +40,9 @@
 	reused     bool
 	response   *http.Response
 	answer     AnswerHead
-	// unwanted is true if the server has stated since the assignment that it wants no
-	// requests. It is set before the permit is denied.
-	unwanted bool
+	// denial is why the request may not be sent after all, or nil. It is set before the
+	// permit is denied.
+	denial error
 }
 
 // attempt sends the request to the server and relays its answer. It returns nil
@@ -160,11 +160,14 @@
 // maySend decides right before the first byte of the request is written whether it
 // may still be sent.
 func (a *attempt) maySend() bool {
-	if a.ctx.Err() != nil || !a.x.maySend() {
+	switch {
+	case a.ctx.Err() != nil || !a.x.maySend():
 		return false
-	}
-	if !a.assignment.MaySend() {
-		a.unwanted = true
+	case !a.x.endsBeforeStop():
+		a.denial = errEndsTooLate
+		return false
+	case !a.assignment.MaySend():
+		a.denial = errUnwanted
 		return false
 	}
 	a.record(timeline.AttemptSent, 0, a.reason)
@@ -278,8 +281,10 @@
 	case cause != nil:
 		f.code, f.outcome, f.final = codeOf(a.ctx, cause), balance.Abandoned, true
 		f.cause = cause
-	case a.permit.Denied() && a.unwanted:
+	case a.permit.Denied() && a.denial == errUnwanted:
 		f.code, f.outcome, f.cause = result.NoBackendServer, balance.Abandoned, errUnwanted
+	case a.permit.Denied() && a.denial == errEndsTooLate:
+		f.code, f.outcome, f.cause, f.final = result.InstanceDraining, balance.Abandoned, errEndsTooLate, true
 	case a.permit.Denied():
 		f.code, f.outcome, f.final = result.ConfigurationStale, balance.Abandoned, true
 	case !f.sent:
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -72,10 +72,14 @@
 
 // recordAnswered records that the complete answer was sent to the caller.
 func (a *attempt) recordAnswered(events int64) {
-	a.x.gateway.counters.completed(a.x, time.Since(a.x.receivedAt).Seconds())
+	took := time.Since(a.x.receivedAt)
+	a.x.gateway.counters.completed(a.x, took.Seconds())
+	if a.succeeded() {
+		a.x.gateway.answerTimes.add(a.x.route.Name, took)
+	}
 	a.x.record(timeline.Event{
 		Kind: timeline.RequestAnswered, Attempt: a.x.head.Attempt, Server: a.assignment.Server, Zone: a.assignment.Zone,
-		Count: events, Duration: time.Since(a.x.receivedAt), State: strconv.Itoa(a.response.StatusCode),
+		Count: events, Duration: took, State: strconv.Itoa(a.response.StatusCode),
 		Detail: a.x.pauses.describe(a.x.receivedAt),
 	})
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -210,8 +210,14 @@
 	return defaultTarget
 }
 
-// timeLeft returns the time until the deadline.
-func (x *exchange) timeLeft() time.Duration { return time.Until(x.deadline) }
+// timeLeft returns the time until the deadline or the stop of the instance.
+func (x *exchange) timeLeft() time.Duration {
+	left := time.Until(x.deadline)
+	if toStop, stops := x.gateway.timeToStop(); stops {
+		return min(left, toStop)
+	}
+	return left
+}
 
 // maySend reports whether the request may still be sent. The key is checked again
 // because the process may have been suspended since it was authenticated.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,11 +51,14 @@
 	stopping   context.Context // ends when requests in flight are to be aborted
 	stop       context.CancelFunc
 	counters   *counters
+	// answerTimes and stopState decide which requests are sent during a graceful stop.
+	answerTimes *answerTimes
+	stopState   stopState
 }
 
 // New returns a gateway. Close releases its idle connections.
 func New(o Options) *Gateway {
-	g := &Gateway{options: o, transports: newTransports(), probes: newProber(), counters: newCounters()}
+	g := &Gateway{options: o, transports: newTransports(), probes: newProber(), counters: newCounters(), answerTimes: newAnswerTimes()}
 	g.stopping, g.stop = context.WithCancel(context.Background())
 	return g
 }
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -46,6 +46,10 @@
 
 // tryServers makes attempts until the caller has the answer or no retry is allowed.
 func (x *exchange) tryServers() {
+	if !x.endsBeforeStop() {
+		x.refuse(x.stopResult())
+		return
+	}
 	for tries := 1; ; tries++ {
 		if x.gateway.options.Suspects.Refused(x.suspect, time.Now()) {
 			x.refuse(x.newResult(result.RequestQuarantined, errQuarantined))
@@ -117,7 +121,12 @@
 	return result.MayHaveRun(code, "%v", cause).WithCause(cause)
 }
 
-func (x *exchange) toResult(f *failure) *result.Error { return x.newResult(f.code, f.cause) }
+func (x *exchange) toResult(f *failure) *result.Error {
+	if f.cause == errEndsTooLate {
+		return x.stopResult()
+	}
+	return x.newResult(f.code, f.cause)
+}
 
 // codeOf maps the cause for which a context ended to a result code.
 func codeOf(ctx context.Context, err error) result.Code {
@@ -143,6 +152,8 @@
 		return false
 	case x.possibleRuns >= attempts || x.sends >= attempts+extraSends:
 		return false
+	case !x.endsBeforeStop():
+		return false
 	case !f.sent:
 		return true
 	}
--- a/internal/gatewayfile/serve.go
+++ b/internal/gatewayfile/serve.go
@@ -25,9 +25,12 @@
 	headerTimeout   = 10 * time.Second
 	idleTimeout     = 5 * time.Minute
 	shutdownTimeout = 30 * time.Second
-	retryWindow     = 10 * time.Second
-	retryRatio      = 0.2
-	retrySlack      = 20
+	// retryAfterStop is the time after which callers may return that are refused because
+	// the process stops.
+	retryAfterStop = time.Second
+	retryWindow    = 10 * time.Second
+	retryRatio     = 0.2
+	retrySlack     = 20
 )
 
 // Load reads and validates a file. If the file has faults, it returns a
@@ -144,6 +147,7 @@
 func (s *Process) stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 	defer cancel()
+	s.gateway.Stop(gateway.Stop{By: time.Now().Add(shutdownTimeout), RetryAfter: func() time.Duration { return retryAfterStop }})
 	s.listener.DisableKeepAlive()
 	s.recorder.Record(timeline.Event{Kind: timeline.InstanceDraining, Count: s.gateway.Active()})
 	err := s.listener.Shutdown(ctx)
