entry, edge: requests on their way when the listener closes are answered

Cause: net/http drops each request that it reads once Server.Shutdown has begun, on connections accepted or kept before. Shutdown began when the load balancer's delay was over.

Fix: the listener closes first; requests that still arrive on open connections are answered, each with Connection: close, until none runs and none has arrived for 200 ms (1 s if a connection has not carried one yet). Only then the server shuts down. instance.stopped tells how long the stop took, how many requests were refused, and how many connections were closed unread. All users of the listener have it: edge, gateway, serve.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +22,6 @@
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/truetime"
-	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 const (
@@ -35,19 +33,6 @@
 	// memoryLimitFraction is the fraction of the process's memory that is set as
 	// the Go runtime's soft memory limit.
 	memoryLimitFraction = 0.6
-	// readinessDelay is how long the load balancer in front of the instances takes
-	// to detect that this one is not ready. Until then, a stopping instance accepts
-	// connections.
-	readinessDelay = 2500 * time.Millisecond
-	// graceMargin is the time before the end of the grace period at which requests
-	// still in flight are aborted.
-	graceMargin = 400 * time.Millisecond
-	// abortTimeout is the time allowed for writing the answers to aborted requests.
-	abortTimeout = 100 * time.Millisecond
-	// retryElsewhere is the time after which callers of a stopping instance may return to
-	// another one, and restartTime the time that a stopped instance needs to serve again.
-	retryElsewhere = 50 * time.Millisecond
-	restartTime    = time.Second
 	// ringEvents is the number of events kept in memory.
 	ringEvents = 1024
 )
@@ -178,14 +163,14 @@
 	}
 	e.events.Record(timeline.Event{Kind: timeline.InstanceStarted, Zone: e.settings.Zone, Detail: "callers=" + e.settings.CallersAddress})
 	var err error
-	aborted := int64(0)
+	var stopped timeline.Event
 	select {
 	case <-ctx.Done():
-		aborted = e.drain()
+		stopped = e.drain()
 	case err = <-failed:
-		aborted = e.gateway.Active()
+		stopped = timeline.Event{Kind: timeline.InstanceStopped, Count: e.gateway.Active()}
 	}
-	e.events.Record(timeline.Event{Kind: timeline.InstanceStopped, Count: aborted})
+	e.events.Record(stopped)
 	stopServices()
 	_ = e.listener.Close()
 	_ = e.ready.Close()
@@ -197,37 +182,3 @@
 	e.gateway.Close()
 	return err
 }
-
-// retryAfterStop returns the time after which callers may return that are refused because
-// the instance stops after left: soon if there are instances that do not stop.
-func (e *Edge) retryAfterStop(left time.Duration) time.Duration {
-	others := slices.DeleteFunc(e.members.notLeaving(), func(name string) bool { return name == e.settings.Instance })
-	if len(others) > 0 {
-		return retryElsewhere
-	}
-	return max(left, 0) + restartTime
-}
-
-// drain waits until the load balancer has detected that the instance is not ready,
-// closes idle connections, and waits for the requests in flight. It returns the number
-// of requests that were aborted at the end of the grace period.
-func (e *Edge) drain() int64 {
-	end := time.Now().Add(e.settings.Bounds.Grace - graceMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	e.gateway.Stop(gateway.Stop{By: end, RetryAfter: func() time.Duration { return e.retryAfterStop(time.Until(end)) }})
-	e.leaving.Store(true)
-	e.members.leaving.Store(true)
-	e.listener.DisableKeepAlive()
-	e.events.Record(timeline.Event{Kind: timeline.InstanceDraining, Count: e.gateway.Active()})
-	_ = wait.For(ctx, readinessDelay)
-	err := e.listener.Shutdown(ctx)
-	if err == nil {
-		return 0
-	}
-	aborted := e.gateway.Active()
-	e.logger.Warn("the grace period is over; aborting the requests in flight", "active", aborted, "error", err)
-	e.gateway.Abort()
-	_ = wait.For(context.Background(), abortTimeout)
-	return aborted
-}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -385,7 +385,8 @@
 	for i := 0; ; i++ {
 		status, _, err := r.call(newClient(t), fmt.Sprint("n", i), "key")
 		if err != nil {
-			break // no longer accepted
+			is.True(isDialError(err)) // no longer accepted
+			break
 		}
 		is.Equal(status, http.StatusOK)
 		answered++
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -41,7 +41,14 @@
 }
 
 // accepted reports whether the instance accepted the call's connection.
-func (c lateCall) accepted() bool { return !errors.Is(c.err, syscall.ECONNREFUSED) }
+func (c lateCall) accepted() bool { return !isDialError(c.err) }
+
+// isDialError reports whether a call failed before its connection was established. A
+// listener that closes resets connections that it has not accepted.
+func isDialError(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
 
 func (r *testInstance) stopped() bool {
 	select {
--- a/internal/entry/listener.go
+++ b/internal/entry/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // ListenerOptions configure the callers' listener.
@@ -43,21 +46,24 @@
 
 // Listener accepts callers' connections with HTTP/1.1 and HTTP/2.
 type Listener struct {
-	net     net.Listener
-	server  *http.Server
-	tls     bool
-	closing atomic.Bool
+	net      net.Listener
+	server   *http.Server
+	tls      bool
+	closing  atomic.Bool // connections are closed after their next answer
+	stopped  atomic.Bool // no connections are accepted
+	arrivals *arrivals
 }
 
 // Listen opens the listener. Connections are accepted by Serve.
 func Listen(o ListenerOptions, h http.Handler, logger hclog.Logger) (*Listener, error) {
-	listener := new(Listener)
+	listener := &Listener{arrivals: newArrivals()}
 	server := &http.Server{
 		Handler:           listener.closeAfterAnswer(h),
 		MaxHeaderBytes:    headerLimitFactor * o.MaxHeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		ErrorLog:          logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ConnState:         listener.arrivals.connState,
 		Protocols:         new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  pingIdleTime,
@@ -88,6 +94,8 @@
 // flight on them.
 func (l *Listener) closeAfterAnswer(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.arrivals.begin()
+		defer l.arrivals.end()
 		if l.closing.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -118,7 +126,7 @@
 	} else {
 		err = l.server.Serve(l.net)
 	}
-	if err == http.ErrServerClosed {
+	if err == http.ErrServerClosed || l.stopped.Load() && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return fmt.Errorf("serve callers on %s: %w", l.net.Addr(), err)
@@ -128,8 +136,25 @@
 // to other instances. Requests that still arrive are served.
 func (l *Listener) DisableKeepAlive() { l.closing.Store(true) }
 
-// Shutdown closes the listener and waits for running requests until ctx ends.
-func (l *Listener) Shutdown(ctx context.Context) error { return l.server.Shutdown(ctx) }
+// Unread returns the number of open connections of which no byte was read.
+func (l *Listener) Unread() int { return l.arrivals.unread() }
+
+// Shutdown closes the listener, answers the requests that still arrive on open
+// connections, and closes those once no more arrive and none runs, or when ctx ends. It
+// returns the error of ctx if requests still run.
+func (l *Listener) Shutdown(ctx context.Context) error {
+	l.stopped.Store(true)
+	l.closing.Store(true)
+	_ = l.net.Close()
+	// The server drops requests that it reads once its own Shutdown has begun.
+	for !l.arrivals.settled() && wait.For(ctx, settleCheckInterval) == nil {
+		continue
+	}
+	if err := l.server.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
 
 // Close closes the listener and all connections without waiting for requests.
 func (l *Listener) Close() error { return l.server.Close() }
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -51,7 +51,7 @@
 	ZoneRestored     Kind = "zone.in"          // Zone, Version
 	InstanceStarted  Kind = "instance.started" // Zone
 	InstanceDraining Kind = "instance.drains"
-	InstanceStopped  Kind = "instance.stopped" // Count: requests cut off; State "forced" if an operator forced the stop
+	InstanceStopped  Kind = "instance.stopped" // Count: requests cut off; Duration: of the stop; State "forced" if an operator forced the stop; Detail: requests refused, connections closed unread
 	InstanceStale    Kind = "instance.stale"   // accepts no new requests, since its configuration may be out of date
 	LoadsResumed     Kind = "loads.heard"      // Peer: instance whose load reports arrive again; State: what it is to this one, peer, source or follower
 	LoadsInterrupted Kind = "loads.lost"       // Peer: instance whose load reports no longer arrive; Detail: why
