gateway: twice the usual time must be left once the load balancer knows of a stop

While the load balancer may not know, a refusal would meet every caller, so the usual time is enough; later arrivals, on kept connections, are few.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -213,8 +213,8 @@
 // timeLeft returns the time until the deadline or the stop of the instance.
 func (x *exchange) timeLeft() time.Duration {
 	left := time.Until(x.deadline)
-	if toStop, stops := x.gateway.timeToStop(); stops {
-		return min(left, toStop)
+	if stop := x.gateway.stopState.planned.Load(); stop != nil {
+		return min(left, stop.left())
 	}
 	return left
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -10,14 +10,21 @@
 
 var errEndsTooLate = errors.New("the request might not end before the instance stops")
 
-// unrepeatableMargin is the multiple of the usual time that must be left for a request
-// that may not be repeated, since its outcome would stay unknown.
-const unrepeatableMargin = 3
+// Multiples of the usual time that must be left for a request: while the load balancer
+// cannot know of the stop and a refusal would meet every caller, later, and always for a
+// request that may not be repeated, since its outcome would stay unknown.
+const (
+	lagMargin          = 1
+	lateMargin         = 2
+	unrepeatableMargin = 3
+)
 
 // Stop describes a graceful stop of the instance.
 type Stop struct {
 	// By is when requests in flight are aborted.
 	By time.Time
+	// UnknownUntil is until when the load balancer may not know of the stop.
+	UnknownUntil time.Time
 	// RetryAfter returns the time after which callers may return that are refused because
 	// their requests would end too late. It must be safe for concurrent use.
 	RetryAfter func() time.Duration
@@ -39,37 +46,42 @@
 // have ended before the stop.
 func (g *Gateway) RefusedByStop() int64 { return g.stopState.refused.Load() }
 
-// timeToStop returns the time until requests in flight are aborted. It returns false
-// unless the instance stops.
-func (g *Gateway) timeToStop() (time.Duration, bool) {
-	s := g.stopState.planned.Load()
-	if s == nil {
-		return 0, false
-	}
-	return time.Until(s.By) - deadlineGrace, true
-}
+// left returns the time that backend servers have until requests in flight are aborted.
+func (s *Stop) left() time.Duration { return time.Until(s.By) - deadlineGrace }
 
 // endsInTime decides whether a request may be sent to a backend server when an instance
 // stops after left. allowed is the longest time that its answer may take, and usual the
-// time within which most answers of its route are complete, or zero if that is unknown.
-func endsInTime(left, allowed, usual time.Duration, repeatable bool) bool {
+// time within which most answers of its route are complete, or zero if that is unknown,
+// and margin the multiple of it that must be left.
+func endsInTime(left, allowed, usual time.Duration, margin int) bool {
 	if usual == 0 {
 		return allowed <= left
 	}
-	if !repeatable {
-		usual *= unrepeatableMargin
+	return min(allowed, time.Duration(margin)*usual) <= left
+}
+
+// margin returns the multiple of the usual time that must be left for the request at the
+// given time.
+func (s *Stop) margin(now time.Time, repeatable bool) int {
+	switch {
+	case !repeatable:
+		return unrepeatableMargin
+	case now.Before(s.UnknownUntil):
+		return lagMargin
 	}
-	return min(allowed, usual) <= left
+	return lateMargin
 }
 
 // endsBeforeStop reports whether the request may still be sent to a backend server. An
 // answer that has begun goes on, since its caller has no use for a refusal.
 func (x *exchange) endsBeforeStop() bool {
-	left, stops := x.gateway.timeToStop()
-	if !stops || x.responseStarted {
+	stop := x.gateway.stopState.planned.Load()
+	if stop == nil || x.responseStarted {
 		return true
 	}
-	return endsInTime(left, time.Until(x.deadline), x.gateway.answerTimes.usual(x.route.Name), x.route.Retryable())
+	usual := x.gateway.answerTimes.usual(x.route.Name)
+	margin := stop.margin(time.Now(), x.route.Retryable())
+	return endsInTime(stop.left(), time.Until(x.deadline), usual, margin)
 }
 
 // stopResult returns the result of a request that may not be sent because it might end
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -17,25 +17,33 @@
 	const s = time.Second
 	for name, c := range map[string]struct {
 		left, allowed, usual time.Duration
-		repeatable, want     bool
+		margin               int
+		want                 bool
 	}{
-		"fits":                                  {5 * s, 4 * s, 4 * s, false, true},
-		"non-idempotent, ends well in time":     {5 * s, 6 * s, s, false, true},
-		"non-idempotent, might take too long":   {5 * s, 6 * s, 2 * s, false, false},
-		"non-idempotent, usual time is unknown": {5 * s, 6 * s, 0, false, false},
-		"repeatable, usually ends in time":      {5 * s, 6 * s, s, true, true},
-		"repeatable, usually ends too late":     {5 * s, 12 * s, 6 * s, true, false},
-		"repeatable, usual time is unknown":     {5 * s, 6 * s, 0, true, false},
-		"caller waits less than the usual time": {2 * s, s, 3 * s, true, true},
-		"stop has come":                         {-s, s, s / 10, true, false},
+		"ends well in time":                     {5 * s, 6 * s, 2 * s, 2, true},
+		"might take too long":                   {5 * s, 12 * s, 3 * s, 2, false},
+		"usual time fits, without a margin":     {5 * s, 12 * s, 4 * s, 1, true},
+		"usual time is unknown":                 {5 * s, 6 * s, 0, 1, false},
+		"caller waits less than the usual time": {2 * s, s, 3 * s, 3, true},
+		"stop has come":                         {-s, s, s / 10, 1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(endsInTime(c.left, c.allowed, c.usual, c.repeatable), c.want)
+			is.Equal(endsInTime(c.left, c.allowed, c.usual, c.margin), c.want)
 		})
 	}
 }
 
+func TestStopMargin(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	known, unknown := Stop{UnknownUntil: now}, Stop{UnknownUntil: now.Add(time.Second)}
+	is.Equal(unknown.margin(now, true), 1)
+	is.Equal(known.margin(now, true), 2)
+	is.Equal(unknown.margin(now, false), 3) // its outcome would stay unknown
+	is.Equal(known.margin(now, false), 3)
+}
+
 func TestUsualAnswerTime(t *testing.T) {
 	is := is.New(t)
 	times := newAnswerTimes()
