gateway: a refusal of an earlier request is not believed

A refusal of another attempt is none of this one; one without an attempt's id is believed on a connection that has carried no other request only.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -234,10 +234,10 @@
 func (a *attempt) checkHead() *failure {
 	x, status := a.x, a.response.StatusCode
 	switch {
+	case a.refusesAnother():
+		return a.newFailure(result.AnswerCrossed, balance.Broken, errAnswerMismatch)
 	case a.answer.Misdirected:
 		return a.newFailure(result.NoBackendServer, balance.Misdirected, fmt.Errorf("server %q is no longer at %s", a.assignment.Server, a.assignment.Address)).markNotRun()
-	case a.answer.NotRun && a.answer.Attempt != "" && a.answer.Attempt != x.head.Attempt:
-		return a.newFailure(result.AnswerCrossed, balance.Broken, errAnswerMismatch)
 	case a.answer.NotRun && isOverloadStatus(status):
 		return a.newFailure(result.Shed, balance.Full, fmt.Errorf("server %q is at capacity", a.assignment.Server)).markNotRun()
 	case a.answer.NotRun && !x.responseStarted:
@@ -257,6 +257,15 @@
 	return nil
 }
 
+// refusesAnother reports whether the answer may be the refusal of another request. Without
+// an attempt id that is so on a connection that has carried other requests.
+func (a *attempt) refusesAnother() bool {
+	if !a.answer.NotRun || a.answer.Attempt == a.x.head.Attempt {
+		return false
+	}
+	return a.answer.Attempt != "" || a.reused
+}
+
 func isOverloadStatus(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
