--- a/review/harness/recorder.go
+++ b/review/harness/recorder.go
@@ -26,6 +26,13 @@
 	return &recorder{start: time.Now(), file: file, out: bufio.NewWriter(file)}, nil
 }
 
+// printf adds a line.
+func (r *recorder) printf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.out, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
 // summary adds a line and prints it.
 func (r *recorder) summary(format string, args ...any) {
 	r.printf(format, args...)
