--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(w *world) (bool, error){
 	"stale-order":    runStaleOrder,
 	"crashed-stream": runCrashedStream,
+	"deep-part":      runDeepPart,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -29,6 +29,9 @@
 	// means that none is.
 	pauseAt int
 	pause   time.Duration
+	// crashPart is the id of a part of prompts, other than the last, on which the server
+	// crashes when it begins to write an answer. Empty means that there is none.
+	crashPart string
 }
 
 // server is a stand-in server in a process of its own.
@@ -36,6 +39,7 @@
 	options serverOptions
 	address string
 	command *exec.Cmd
+	stdin   io.Closer // its end ends the server, should the harness be killed
 	exited  chan struct{}
 	record  *recorder
 	born    int64
@@ -52,8 +56,11 @@
 	}
 	s := &server{options: o, record: record, born: time.Now().UnixMilli(), runs: map[string]int{}, open: map[string]bool{}, exited: make(chan struct{})}
 	s.command = exec.Command(self, "server", "-id", o.id, "-work", o.work.String(), "-interval", o.interval.String(),
-		"-unframed="+strconv.FormatBool(o.unframed), "-pause-at", strconv.Itoa(o.pauseAt), "-pause", o.pause.String())
+		"-unframed="+strconv.FormatBool(o.unframed), "-pause-at", strconv.Itoa(o.pauseAt), "-pause", o.pause.String(), "-crash-part", o.crashPart)
 	s.command.Stderr = os.Stderr
+	if s.stdin, err = s.command.StdinPipe(); err != nil {
+		return nil, err
+	}
 	out, err := s.command.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -100,6 +107,13 @@
 	}
 }
 
+// ran returns how often the server began to run the request.
+func (s *server) ran(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id]
+}
+
 // register writes the server's row in the platform's store.
 func (s *server) register(p *platform) {
 	p.put("servers", s.options.id, map[string]any{
@@ -125,11 +139,16 @@
 	flags.BoolVar(&h.unframed, "unframed", false, "answers end with their connection")
 	flags.IntVar(&h.pauseAt, "pause-at", 0, "event before which each run is preempted")
 	flags.DurationVar(&h.pause, "pause", 0, "how long a run is preempted")
+	flags.StringVar(&h.crashPart, "crash-part", "", "part of prompts on which the server crashes")
 	_ = flags.Parse(args)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return exitCouldNt
 	}
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(exitCouldNt)
+	}()
 	fmt.Println(l.Addr())
 	_ = http.Serve(l, &h)
 	return exitCouldNt
@@ -166,6 +185,10 @@
 	}
 	answer := newAnswer(w, h.unframed, map[string]string{"X-Attempt-Id": id, "X-Server-Signature": "3e1b.07." + h.id})
 	defer answer.close()
+	if h.crashesOn(r.Header.Get("X-Prefix-Hash")) {
+		answer.write("text/event-stream", event(id, 1)[:20])
+		os.Exit(exitCouldNt)
+	}
 	_, usage, _ := strings.Cut(r.Header.Get("X-Token-Usage"), ",")
 	count, err := strconv.Atoi(usage)
 	if err != nil {
@@ -191,6 +214,17 @@
 	}
 }
 
+// crashesOn reports whether the prompt holds the part on which the server crashes.
+func (h *handler) crashesOn(prompt string) bool {
+	parts := strings.Split(prompt, ",")
+	for _, part := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(part, ":"); h.crashPart != "" && id == h.crashPart {
+			return true
+		}
+	}
+	return false
+}
+
 // event returns the n-th event of the answer to a request.
 func event(id string, n int) string {
 	return fmt.Sprintf("id: %d\ndata: %s piece %d ..............\n\n", n, id, n)
