--- a/review/harness/instance.go
+++ b/review/harness/instance.go
@@ -19,7 +19,7 @@
 type instance struct {
 	name, zone, ip string
 	ingress, ready string
-	log            string
+	log, settings  string
 	toStore        *link
 	toProvider     *link
 	command        *exec.Cmd
@@ -84,20 +84,20 @@
 	for _, z := range zones {
 		lines = append(lines, "zones."+z+"=viti-levu")
 	}
-	path := filepath.Join(dir, i.name+".conf")
-	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+	i.settings = filepath.Join(dir, i.name+".conf")
+	if err := os.WriteFile(i.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		return nil, err
 	}
-	return i, i.start(path)
+	return i, i.start()
 }
 
-func (i *instance) start(settings string) error {
+func (i *instance) start() error {
 	out, err := os.OpenFile(i.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	i.command = exec.Command(program, "platform")
-	i.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "HAWTHORNWICK_NODE_FILE=" + settings}
+	i.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "HAWTHORNWICK_NODE_FILE=" + i.settings}
 	i.command.Stdout, i.command.Stderr = out, out
 	if err := i.command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", program, err)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -31,6 +31,7 @@
 	"stale-order":    runStaleOrder,
 	"crashed-stream": runCrashedStream,
 	"deep-part":      runDeepPart,
+	"bodies":         runBodies,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
