--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -32,6 +32,7 @@
 	"crashed-stream": runCrashedStream,
 	"deep-part":      runDeepPart,
 	"bodies":         runBodies,
+	"crashed-answer": runCrashedAnswer,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -32,6 +32,8 @@
 	// crashPart is the id of a part of prompts, other than the last, on which the server
 	// crashes when it begins to write an answer. Empty means that there is none.
 	crashPart string
+	// halfway is the time between the two halves of a plain answer.
+	halfway time.Duration
 }
 
 // server is a stand-in server in a process of its own.
@@ -56,7 +58,7 @@
 	}
 	s := &server{options: o, record: record, born: time.Now().UnixMilli(), runs: map[string]int{}, open: map[string]bool{}, exited: make(chan struct{})}
 	s.command = exec.Command(self, "server", "-id", o.id, "-work", o.work.String(), "-interval", o.interval.String(),
-		"-unframed="+strconv.FormatBool(o.unframed), "-pause-at", strconv.Itoa(o.pauseAt), "-pause", o.pause.String(), "-crash-part", o.crashPart)
+		"-unframed="+strconv.FormatBool(o.unframed), "-pause-at", strconv.Itoa(o.pauseAt), "-pause", o.pause.String(), "-crash-part", o.crashPart, "-halfway", o.halfway.String())
 	s.command.Stderr = os.Stderr
 	if s.stdin, err = s.command.StdinPipe(); err != nil {
 		return nil, err
@@ -140,6 +142,7 @@
 	flags.IntVar(&h.pauseAt, "pause-at", 0, "event before which each run is preempted")
 	flags.DurationVar(&h.pause, "pause", 0, "how long a run is preempted")
 	flags.StringVar(&h.crashPart, "crash-part", "", "part of prompts on which the server crashes")
+	flags.DurationVar(&h.halfway, "halfway", 0, "time between the halves of a plain answer")
 	_ = flags.Parse(args)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -192,7 +195,11 @@
 	_, usage, _ := strings.Cut(r.Header.Get("X-Token-Usage"), ",")
 	count, err := strconv.Atoi(usage)
 	if err != nil {
-		answer.write("text/plain", "answer to "+id)
+		body := plainBody(id)
+		answer.write("text/plain", body[:len(body)/2])
+		if h.halfway == 0 || wait(r, h.halfway) {
+			answer.write("text/plain", body[len(body)/2:])
+		}
 		return
 	}
 	from, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -225,6 +232,15 @@
 	return false
 }
 
+// plainBytes is the size of a plain answer on the sheets.
+const plainBytes = 800
+
+// plainBody returns the body of the answer to a plain request.
+func plainBody(id string) string {
+	head := "answer to " + id + " "
+	return head + strings.Repeat(".", plainBytes-len(head)-len("whole")) + "whole"
+}
+
 // event returns the n-th event of the answer to a request.
 func event(id string, n int) string {
 	return fmt.Sprintf("id: %d\ndata: %s piece %d ..............\n\n", n, id, n)
