--- a/review/harness/crashed_answer.go
+++ b/review/harness/crashed_answer.go
@@ -23,7 +23,7 @@
 	for n := range 4 {
 		s, err := w.startServer(serverOptions{
 			id: fmt.Sprintf("i-%d", n), service: "entries-app", zone: zones[n%2], capacity: 6, work: 30 * time.Millisecond,
-			unframed: true, halfway: 60 * time.Millisecond,
+			unframed: true, halfway: 150 * time.Millisecond,
 		})
 		if err != nil {
 			return false, err
@@ -33,13 +33,16 @@
 	if err := w.startInstances(zones...); err != nil {
 		return false, err
 	}
-	const requests, crashAt = 900, 450
+	// The server crashes once it runs atWork requests, after the first crashAt.
+	const requests, crashAt, atWork = 900, 450, 4
 	var mu sync.Mutex
 	var ended []outcome
 	var running sync.WaitGroup
 	transport := newTransport()
+	crashed := false
 	for n := range requests {
-		if n == crashAt && w.trouble {
+		if n >= crashAt && w.trouble && !crashed && servers[0].running() >= atWork {
+			crashed = true
 			w.record.summary("server %s crashes", servers[0].options.id)
 			servers[0].kill()
 		}
@@ -52,7 +55,7 @@
 			defer mu.Unlock()
 			ended = append(ended, o)
 		})
-		time.Sleep(12 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 	}
 	running.Wait()
 	whole, short, failed := 0, 0, 0
@@ -68,8 +71,8 @@
 		}
 	}
 	w.record.summary("%d answers whole, %d short but complete to the caller, %d refused or failed", whole, short, failed)
-	if whole == 0 {
-		return false, fmt.Errorf("%w: no request was served", errCouldNotRun)
+	if whole == 0 || crashed != w.trouble {
+		return false, fmt.Errorf("%w: no request was served, or no server was at work", errCouldNotRun)
 	}
 	return short > 0, nil
 }
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -116,6 +116,13 @@
 	return s.runs[id]
 }
 
+// running returns the number of requests that the server runs now.
+func (s *server) running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 // register writes the server's row in the platform's store.
 func (s *server) register(p *platform) {
 	p.put("servers", s.options.id, map[string]any{
