guardconn: bytes of an abandoned request are discarded, and the kernel bounds their delivery

Cause: the tenure is checked right before the first byte is written. After a timeout the connection was closed normally, and TCP delivered what the send buffer held up to seconds after a cut.

Change: a connection that is closed while nothing was received since its last write is reset; each permit grants a time for delivery that becomes TCP_USER_TIMEOUT (rest of the tenure, of the key's validity, of the call). One place for the store, the provider, other instances and backend servers; httpapi's own check is gone. The limit is removed when it has passed, since it overrides the number of keep-alive probes.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -87,24 +87,24 @@
 	return x.attemptID
 }
 
-// maySend reports whether the request may still be sent. The connection calls
-// it right before it writes the first byte.
-func (a *attempt) maySend() bool {
+// maySend decides whether the request may still be sent, and until when it may be
+// delivered. The connection calls it right before it writes the first byte.
+func (a *attempt) maySend() guardconn.Grant {
 	now := time.Now()
 	latest := a.x.call.SendBefore
 	if !latest.IsZero() && (now.After(latest) || now.Round(0).After(latest.Round(0))) {
-		return false
+		return guardconn.Deny()
 	}
 	if !a.x.call.Targets.Wanted(a.target) {
 		a.unwanted = true
-		return false
+		return guardconn.Deny()
 	}
 	if a.ctx.Err() != nil || !a.x.gate.Open() {
-		return false
+		return guardconn.Deny()
 	}
 	a.record(timeline.AttemptSent, 0, "")
 	a.x.call.Progress.Sent()
-	return true
+	return guardconn.Allow(guardconn.DefaultDelivery)
 }
 
 // sent reports whether a byte of the request may have been written.
--- a/internal/edge/storeview.go
+++ b/internal/edge/storeview.go
@@ -87,7 +87,21 @@
 	if v.bounds.Revocation <= 0 {
 		return true
 	}
-	return boottime.Now().Sub(v.operators.CurrentAsOf()) < v.bounds.Revocation-revocationMargin
+	return v.keysValidFor() > revocationMargin
+}
+
+// KeysValidFor implements gateway.Source.
+func (v *storeView) KeysValidFor() time.Duration {
+	if v.bounds.Revocation <= 0 {
+		return 0
+	}
+	return max(v.keysValidFor(), time.Millisecond)
+}
+
+// keysValidFor returns the time until a key that is valid now may have been withdrawn for
+// longer than Bounds.Revocation. It may be negative.
+func (v *storeView) keysValidFor() time.Duration {
+	return v.bounds.Revocation - boottime.Now().Sub(v.operators.CurrentAsOf())
 }
 
 // operatorsWait returns how long the store may hold a call for the operators' table.
--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hawthornwick/hawthornwick/internal/guardconn"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/stall"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
@@ -35,9 +36,8 @@
 
 // NewClient returns a client without open connections.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &Client{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         guardconn.Dial(&net.Dialer{}, connectTimeout),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerSource,
 		IdleConnTimeout:     idleConnTimeout,
@@ -80,9 +80,10 @@
 // call sends one request to a source and decodes its response into out.
 func (c *Client) call(ctx context.Context, method string, source Member, table string, query url.Values, body []byte, out any) error {
 	u := &url.URL{Scheme: "http", Host: source.Address, Path: "/tables/" + table, RawQuery: query.Encode()}
+	guarded, _ := platform.GuardWrites(ctx)
 	request := (&http.Request{
 		Method: method, URL: u, Host: source.Address, Header: http.Header{"Authorization": {bearer(source.Token)}},
-	}).WithContext(ctx)
+	}).WithContext(guarded)
 	if body != nil {
 		request.ContentLength = int64(len(body))
 		request.Body = io.NopCloser(bytes.NewReader(body))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -158,20 +158,20 @@
 }
 
 // maySend decides right before the first byte of the request is written whether it
-// may still be sent.
-func (a *attempt) maySend() bool {
+// may still be sent, and until when it may be delivered.
+func (a *attempt) maySend() guardconn.Grant {
 	switch {
 	case a.ctx.Err() != nil || !a.x.maySend():
-		return false
+		return guardconn.Deny()
 	case !a.x.endsBeforeStop():
 		a.denial = errEndsTooLate
-		return false
+		return guardconn.Deny()
 	case !a.assignment.MaySend():
 		a.denial = errUnwanted
-		return false
+		return guardconn.Deny()
 	}
 	a.record(timeline.AttemptSent, 0, a.reason)
-	return true
+	return guardconn.Allow(a.x.deliveryLimit())
 }
 
 // describeChoice returns the inputs to the choice of the server as key=value pairs.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -225,6 +225,18 @@
 	return x.organisation == nil || x.gateway.options.Source.KeysFresh()
 }
 
+// deliveryLimit returns how long the request may be in transit to its server.
+func (x *exchange) deliveryLimit() time.Duration {
+	limit := x.gateway.options.Delivery
+	if x.organisation == nil {
+		return limit
+	}
+	if valid := x.gateway.options.Source.KeysValidFor(); valid > 0 {
+		limit = min(limit, valid)
+	}
+	return limit
+}
+
 // recordUsage counts the request at the usage meter, at most once.
 func (x *exchange) recordUsage(ago time.Duration) {
 	if x.usageRecorded || x.organisation == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/guardconn"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -19,6 +20,9 @@
 	// KeysFresh reports whether the table was current recently enough that
 	// requests may run under the keys it holds.
 	KeysFresh() bool
+	// KeysValidFor returns how long the answer of KeysFresh stays true if nothing more
+	// is learned. Zero means without limit.
+	KeysValidFor() time.Duration
 	// UpToDate reports whether the table is up to date, so that a route or key
 	// that it lacks does not exist.
 	UpToDate() bool
@@ -31,7 +35,7 @@
 	Began(organisation string, ago time.Duration)
 }
 
-// Options configure a Gateway. All fields are required.
+// Options configure a Gateway. All fields are required unless stated otherwise.
 type Options struct {
 	Source   Source
 	Balancer *balance.Balancer
@@ -39,6 +43,10 @@
 	Meter    Meter
 	Suspects dispatch.Suspects
 	Recorder timeline.Recorder
+	// Delivery bounds the time from the decision to send a request until its server
+	// has received it. It must be less than the time after which a server that leaves
+	// must not receive requests. Zero means guardconn.DefaultDelivery.
+	Delivery time.Duration
 }
 
 // Gateway forwards callers' requests to backend servers. It implements
@@ -58,6 +66,9 @@
 
 // New returns a gateway. Close releases its idle connections.
 func New(o Options) *Gateway {
+	if o.Delivery == 0 {
+		o.Delivery = guardconn.DefaultDelivery
+	}
 	g := &Gateway{options: o, transports: newTransports(), probes: newProber(), counters: newCounters(), answerTimes: newAnswerTimes()}
 	g.stopping, g.stop = context.WithCancel(context.Background())
 	return g
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -80,11 +80,16 @@
 	table      *routes.Table
 	keysProved atomic.Bool
 	current    atomic.Bool
+	// keysValidFor is the result of KeysValidFor in nanoseconds.
+	keysValidFor atomic.Int64
 }
 
 func (s *testSource) Table() *routes.Table { return s.table }
 func (s *testSource) KeysFresh() bool      { return s.keysProved.Load() }
 func (s *testSource) UpToDate() bool       { return s.current.Load() }
+func (s *testSource) KeysValidFor() time.Duration {
+	return time.Duration(s.keysValidFor.Load())
+}
 
 // testMeter counts the requests reported as begun, by organisation.
 type testMeter struct {
--- a/internal/gatewayfile/serve.go
+++ b/internal/gatewayfile/serve.go
@@ -53,6 +53,9 @@
 // KeysFresh implements gateway.Source.
 func (s *tableSource) KeysFresh() bool { return true }
 
+// KeysValidFor implements gateway.Source.
+func (s *tableSource) KeysValidFor() time.Duration { return 0 }
+
 // UpToDate implements gateway.Source.
 func (s *tableSource) UpToDate() bool { return true }
 
--- a/internal/guardconn/guardconn.go
+++ b/internal/guardconn/guardconn.go
@@ -1,6 +1,10 @@
-// Package guardconn provides connections to backend servers that reject writes
-// until the attempt using them has a permit. Revoking a permit that was never
-// acquired proves that the request was not sent.
+// Package guardconn provides connections that bound when a request may be written and
+// until when its bytes may be delivered. Writes are rejected until the attempt has a
+// permit; revoking a permit that was never acquired proves that the request was not
+// sent. Bytes that the peer has not acknowledged are discarded when the attempt is
+// abandoned, or after the time that the permit grants, whichever comes first. Without
+// that, TCP keeps retransmitting them, and a peer that was cut off may receive a request
+// long after its sender has lost the right to send it.
 package guardconn
 
 import (
@@ -17,43 +21,144 @@
 // ErrNotPermitted reports a write without a granted permit.
 var ErrNotPermitted = errors.New("write rejected: the attempt has no permit")
 
-// Conn is a connection to a backend server. Without an attached permit, all
-// writes fail with ErrNotPermitted.
+// expirySlack is the time after the end of a delivery limit by which the kernel has
+// enforced it.
+const expirySlack = 100 * time.Millisecond
+
+// DefaultDelivery bounds the delivery of requests to backend servers. Within it, TCP
+// retransmits a lost segment several times.
+const DefaultDelivery = 1500 * time.Millisecond
+
+// Conn is a connection on which requests are sent one after the other. Without an
+// attached permit, all writes fail with ErrNotPermitted.
 type Conn struct {
 	net.Conn
 	permit  atomic.Pointer[Permit]
 	onClose func() // nil if the connection is not tracked
+	// unanswered is set while nothing was received since the last write, so that
+	// written bytes may not have been delivered yet.
+	unanswered atomic.Bool
+
+	mu        sync.Mutex
+	delivery  time.Duration // limit on unacknowledged bytes that is set on the socket
+	writtenAt time.Time
+	expiry    *time.Timer // runs clearDelivery; nil before the first limit
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It discards written bytes that may not have been delivered
+// and resets the connection. If the peer has answered, it closes it normally.
 func (c *Conn) Close() error {
 	if c.onClose != nil {
 		c.onClose()
 	}
+	c.stopTimer()
+	if c.unanswered.Load() {
+		return errors.Join(discardUndelivered(c.Conn), c.Conn.Close())
+	}
 	return c.Conn.Close()
 }
 
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.unanswered.Store(false)
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	allowed := c.permit.Load()
-	if allowed == nil || !allowed.acquire() {
+	permit := c.permit.Load()
+	if permit == nil || !permit.acquire() {
 		return 0, ErrNotPermitted
 	}
+	if err := c.limitDelivery(permit.grant.delivery); err != nil {
+		return 0, err
+	}
+	c.unanswered.Store(true)
 	return c.Conn.Write(p)
 }
 
+// limitDelivery sets the limit on unacknowledged bytes for a write that starts now.
+func (c *Conn) limitDelivery(d time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writtenAt = time.Now()
+	if c.delivery == d {
+		return nil
+	}
+	if err := c.setDelivery(d); err != nil {
+		return err
+	}
+	if c.expiry == nil {
+		c.expiry = time.AfterFunc(d+expirySlack, c.clearDelivery)
+	} else {
+		c.expiry.Reset(d + expirySlack)
+	}
+	return nil
+}
+
+// setDelivery sets the limit on the socket. mu is held.
+func (c *Conn) setDelivery(d time.Duration) error {
+	if err := setUserTimeout(c.Conn, d); err != nil {
+		return fmt.Errorf("set delivery limit %v: %w", d, err)
+	}
+	c.delivery = d
+	return nil
+}
+
+// clearDelivery removes the limit once all written bytes were acknowledged: otherwise the
+// kernel would have closed the connection. With a limit, a single lost keep-alive probe
+// would close it.
+func (c *Conn) clearDelivery() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.delivery == 0 {
+		return
+	}
+	if left := c.delivery + expirySlack - time.Since(c.writtenAt); left > 0 {
+		c.expiry.Reset(left)
+		return
+	}
+	_ = c.setDelivery(0) // fails only if the connection is closed
+}
+
+func (c *Conn) stopTimer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expiry != nil {
+		c.expiry.Stop()
+	}
+}
+
+// Grant is the decision of a permit. The zero value denies the write.
+type Grant struct {
+	allowed  bool
+	delivery time.Duration
+}
+
+// Deny denies the write.
+func Deny() Grant { return Grant{} }
+
+// Allow allows the write. Bytes that the peer has not acknowledged after delivery are
+// discarded with the connection, by the kernel: also if the process is suspended or has
+// ended. Zero sets no limit.
+func Allow(delivery time.Duration) Grant { return Grant{allowed: true, delivery: max(delivery, 0)} }
+
 // Permit decides once whether an attempt may write its first byte. Create it
 // with NewPermit. It is safe for concurrent use.
 type Permit struct {
 	once    sync.Once
-	decide  func() bool
+	decide  func() Grant
+	grant   Grant // set before granted
 	granted atomic.Bool
 	denied  atomic.Bool
 	ended   atomic.Bool
 }
 
 // NewPermit returns a permit that calls decide before the first write.
-func NewPermit(decide func() bool) *Permit { return &Permit{decide: decide} }
+func NewPermit(decide func() Grant) *Permit { return &Permit{decide: decide} }
 
 // Granted reports whether bytes may have been written already. If not, the
 // first write may still follow; only Revoke rules that out.
@@ -83,9 +188,9 @@
 
 func (p *Permit) acquire() bool {
 	p.once.Do(func() {
-		granted := p.decide()
-		p.granted.Store(granted)
-		p.denied.Store(!granted)
+		p.grant = p.decide()
+		p.granted.Store(p.grant.allowed)
+		p.denied.Store(!p.grant.allowed)
 	})
 	return p.granted.Load()
 }
--- a/internal/guardconn/guardconn_test.go
+++ b/internal/guardconn/guardconn_test.go
@@ -42,7 +42,7 @@
 func TestPermitDecidesOnce(t *testing.T) {
 	is := is.New(t)
 	asked := 0
-	p := NewPermit(func() bool { asked++; return true })
+	p := NewPermit(func() Grant { asked++; return Allow(0) })
 	c, r := guarded(p)
 	for range 3 {
 		_, err := c.Write([]byte("x"))
@@ -55,7 +55,7 @@
 
 func TestWriteWithRevokedPermit(t *testing.T) {
 	is := is.New(t)
-	p := NewPermit(func() bool { return true })
+	p := NewPermit(func() Grant { return Allow(0) })
 	c, r := guarded(p)
 	is.True(p.Revoke())
 	is.True(!p.Denied())
@@ -70,10 +70,10 @@
 func TestRevokeWaitsForDecision(t *testing.T) {
 	is := is.New(t)
 	deciding, decide := make(chan struct{}), make(chan struct{})
-	p := NewPermit(func() bool {
+	p := NewPermit(func() Grant {
 		close(deciding)
 		<-decide
-		return true
+		return Allow(0)
 	})
 	c, r := guarded(p)
 	var writing sync.WaitGroup
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 )
@@ -28,13 +29,21 @@
 // Check fails if the tenure has ended, or may end before a write that starts now has been
 // sent.
 func (g Guard) Check() error {
+	_, err := g.Remaining()
+	return err
+}
+
+// Remaining returns how long the tenure lasts without a further renewal. It fails if
+// Check does.
+func (g Guard) Remaining() (time.Duration, error) {
 	g.m.mu.Lock()
 	defer g.m.mu.Unlock()
-	token, ok := g.m.core.holds(g.Duty, g.m.reading(), g.m.options.Timing.Write)
+	now := g.m.reading()
+	token, ok := g.m.core.holds(g.Duty, now, g.m.options.Timing.Write)
 	if !ok || token != g.Token {
-		return &LostError{Duty: g.Duty, Token: g.Token}
+		return 0, &LostError{Duty: g.Duty, Token: g.Token}
 	}
-	return nil
+	return g.m.core.beat.remaining(now), nil
 }
 
 // Fence returns a check that fails in the table service once the duty has changed hands.
@@ -50,7 +59,7 @@
 }
 
 // Context returns a context under which calls to the platform check the tenure again
-// right before they are sent.
+// right before they are sent, and are not delivered after it.
 func (g Guard) Context(ctx context.Context) context.Context {
-	return platform.WithWriteCheck(ctx, g.Check)
+	return platform.WithWriteCheck(ctx, g.Remaining)
 }
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -246,13 +246,16 @@
 		is.True(ok)
 		is.NoErr(g.Check())
 		left := f.managers[0].core.beat.remaining(f.managers[0].reading())
+		remaining, err := g.Remaining()
+		is.NoErr(err)
+		is.Equal(remaining, left)
 		f.crash(0)
 		time.Sleep(left - DefaultWrite)
 		var lost *LostError
 		is.True(errors.As(g.Check(), &lost)) // a write might be sent after the lease has expired
 		_, held := f.managers[0].Held(f.duties[0])
 		is.True(held)
-		_, err := f.p.Caller("i000-after").Servers().Place(g.Context(t.Context()), platform.Order{ID: "1"})
+		_, err = f.p.Caller("i000-after").Servers().Place(g.Context(t.Context()), platform.Order{ID: "1"})
 		is.True(errors.As(err, &lost)) // checked again right before the write
 		is.Equal(f.p.Orders(), 0)
 	})
--- a/internal/order/collect_test.go
+++ b/internal/order/collect_test.go
@@ -62,7 +62,7 @@
 	engines := NewHTTPEngines("a")
 	defer engines.Close()
 	load := engineapi.Order{ID: "1", Token: 2, Kind: engineapi.LoadModel, Model: "n"}
-	lost := platform.WithWriteCheck(t.Context(), func() error { return &lease.LostError{Duty: Duty} })
+	lost := platform.WithWriteCheck(t.Context(), func() (time.Duration, error) { return 0, &lease.LostError{Duty: Duty} })
 	_, err = engines.Order(lost, address, load)
 	is.True(err != nil)
 	is.Equal(len(e.Orders()), 0)
--- a/internal/order/executor.go
+++ b/internal/order/executor.go
@@ -21,8 +21,9 @@
 // Guard is the tenure of the duty under which orders are placed. lease.Guard implements
 // it.
 type Guard interface {
-	// Check fails if the tenure may end before a write that starts now has been sent.
-	Check() error
+	// Remaining returns how long the tenure lasts without a renewal. It fails if the
+	// tenure may end before a write that starts now has been sent.
+	Remaining() (time.Duration, error)
 	// Fence returns a check that fails once the duty has changed hands.
 	Fence() platform.Check
 }
@@ -198,13 +199,14 @@
 
 // finalCheck returns the check of the tenure that runs right before an order is written.
 // Only an order that passes it is recorded as sent.
-func (e *Executor) finalCheck(i intent) func() error {
-	return func() error {
-		if err := e.guard.Check(); err != nil {
-			return err
+func (e *Executor) finalCheck(i intent) platform.WriteCheck {
+	return func() (time.Duration, error) {
+		remaining, err := e.guard.Remaining()
+		if err != nil {
+			return 0, err
 		}
 		e.record(timeline.OrderSent, i, e.token)
-		return nil
+		return remaining, nil
 	}
 }
 
--- a/internal/order/executor_test.go
+++ b/internal/order/executor_test.go
@@ -87,7 +87,7 @@
 // Place implements platform.Servers. The check runs before the order is sent, so a
 // delayed order is not checked again.
 func (o flakyServers) Place(ctx context.Context, order platform.Order) (out platform.OrderOutcome, err error) {
-	if err := platform.RunWriteCheck(ctx); err != nil {
+	if _, err := platform.RunWriteCheck(ctx); err != nil {
 		return out, err
 	}
 	err = o.run(func() (err error) {
@@ -115,12 +115,12 @@
 
 const testDutyRow = "lease/duty/orders"
 
-// Check implements Guard.
-func (g *tenure) Check() error {
+// Remaining implements Guard.
+func (g *tenure) Remaining() (time.Duration, error) {
 	if !g.current() {
-		return &lease.LostError{Duty: Duty}
+		return 0, &lease.LostError{Duty: Duty}
 	}
-	return nil
+	return time.Minute, nil
 }
 
 // Fence implements Guard.
--- a/internal/platform/httpapi/client.go
+++ b/internal/platform/httpapi/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/guardconn"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 )
 
@@ -65,7 +66,7 @@
 		}
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         guardconn.Dial(&net.Dialer{}, dialTimeout),
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 	}
@@ -105,7 +106,7 @@
 
 // Post sends query as JSON and decodes the response. It returns ErrUnavailable if
 // the effect of the call is unknown. A check in ctx (see platform.WithWriteCheck) runs
-// right before the body is written.
+// right before the request is written.
 func Post[Q, A any](ctx context.Context, c *Client, url string, query Q) (A, error) {
 	body, err := json.Marshal(query)
 	if err != nil {
@@ -137,19 +138,19 @@
 // roundTrip returns the body of a successful response. After a failure it closes the
 // idle connections, since others to the same endpoint may be unresponsive as well.
 func (c *Client) roundTrip(ctx context.Context, method, url string, body []byte) ([]byte, error) {
-	requestBody := &checkedBody{ctx: ctx, body: bytes.NewReader(body)}
-	request, err := http.NewRequestWithContext(ctx, method, url, requestBody)
+	ctx, denied := platform.GuardWrites(ctx)
+	request, err := http.NewRequestWithContext(ctx, method, url, http.NoBody)
 	if err != nil {
 		return nil, fmt.Errorf("create request of %q: %w", url, err)
 	}
-	request.ContentLength = int64(len(body))
-	if len(body) == 0 {
-		request.Body = http.NoBody
+	if len(body) > 0 {
+		request.ContentLength = int64(len(body))
+		request.Body = io.NopCloser(bytes.NewReader(body)) // without GetBody, so that it is written once
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(CallerHeader, c.options.Caller)
 	response, err := c.http.Do(request)
-	if checkErr := requestBody.failure(); checkErr != nil {
+	if checkErr := denied(); checkErr != nil {
 		return nil, checkErr
 	}
 	if err != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,8 @@
 	ServerLeaves   FaultKind = "a backend server states that it leaves, and is replaced at its address"
 	ServerPauses   FaultKind = "a backend server refuses requests and asks for pauses"
 	ServerLimits   FaultKind = "a backend server names a rate limit"
+	StoreHeld      FaultKind = "bytes between one instance and the store arrive late"
+	ServerHeld     FaultKind = "bytes to and from a backend server arrive late"
 )
 
 var faultKinds = []FaultKind{
@@ -40,6 +42,10 @@
 // statementKinds are the faults in which backend servers state something about themselves.
 var statementKinds = []FaultKind{ServerLeaves, ServerPauses, ServerLimits}
 
+// heldKinds are the faults in which bytes are held back and delivered later, also after
+// their sender has given up, unless it resets the connection.
+var heldKinds = []FaultKind{StoreHeld, ServerHeld}
+
 // Fault is one fault of a plan.
 type Fault struct {
 	At, Duration time.Duration
@@ -60,18 +66,21 @@
 	meanFaultInterval = 700 * time.Millisecond
 	// meanStatementInterval is the same for faults of statementKinds.
 	meanStatementInterval = 2 * time.Second
-	maxFaultDuration      = 4 * time.Second
+	// meanHeldInterval is the same for faults of heldKinds.
+	meanHeldInterval = 4 * time.Second
+	maxFaultDuration = 4 * time.Second
 )
 
 // NewPlan generates the faults of a run from its seed, in order of time. The intervals
 // between their starts are exponentially distributed, so that faults overlap. Statements of
-// backend servers have random numbers of their own, which leaves the other faults of a seed
-// as they are.
+// backend servers and late bytes have random numbers of their own, which leaves the other
+// faults of a seed as they are.
 func NewPlan(seed uint64, length time.Duration, instances, servers int) []Fault {
 	targets := max(instances, servers)
 	plan := randomFaults(rand.New(rand.NewPCG(seed, seed)), length, meanFaultInterval, faultKinds, targets)
 	stated := randomFaults(rand.New(rand.NewPCG(seed, ^seed)), length, meanStatementInterval, statementKinds, targets)
-	plan = append(plan, stated...)
+	held := randomFaults(rand.New(rand.NewPCG(^seed, seed)), length, meanHeldInterval, heldKinds, targets)
+	plan = append(append(plan, stated...), held...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -12,6 +12,10 @@
 	"time"
 )
 
+// maxHeldSegments bounds the segments of one direction of a connection that are held
+// back. Beyond it the sender's writes block.
+const maxHeldSegments = 64
+
 // Proxy is a TCP proxy to one address that can inject network faults. It is safe for
 // concurrent use.
 type Proxy struct {
@@ -23,6 +27,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	held  chan struct{} // closed when bytes are no longer held; nil if none are
 }
 
 // NewProxy returns a proxy to target that listens on a free loopback port.
@@ -57,16 +62,56 @@
 	}
 }
 
+// SetHold holds the bytes of both directions back, as TCP does while packets are lost.
+// Turning it off delivers them, except those of senders that have reset their connection
+// meanwhile.
+func (p *Proxy) SetHold(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case on && p.held == nil:
+		p.held = make(chan struct{})
+	case !on && p.held != nil:
+		close(p.held)
+		p.held = nil
+	}
+}
+
+// awaitDelivery waits while bytes are held back. It returns false if the sender has reset
+// the connection.
+func (p *Proxy) awaitDelivery(reset <-chan struct{}) bool {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held == nil {
+		return true
+	}
+	select {
+	case <-held:
+	case <-reset:
+	}
+	select {
+	case <-reset:
+		return false
+	default:
+		return true
+	}
+}
+
 // Reset resets every open connection with a TCP RST.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		resetConn(c)
+	}
+}
+
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = c.Close()
 }
 
 // Close stops the proxy and resets its connections.
@@ -116,25 +161,51 @@
 	}
 }
 
-// copy copies bytes in one direction. It propagates an EOF as a half-close, and closes
-// to on any other error.
+// copy copies bytes in one direction. It propagates an EOF as a half-close and a reset as
+// a reset, and closes to if it cannot be written to.
 func (p *Proxy) copy(to, from net.Conn, responses bool) {
-	buffer := make([]byte, 16<<10)
-	for {
-		n, err := from.Read(buffer)
+	received := make(chan []byte, maxHeldSegments)
+	reset := make(chan struct{})
+	go readSegments(from, received, reset)
+	for segment := range received {
+		if !p.awaitDelivery(reset) {
+			break
+		}
 		time.Sleep(time.Duration(p.delay.Load()))
-		dropped := p.blackhole.Load() || responses && p.dropResponses.Load()
-		if n > 0 && !dropped {
-			if _, werr := to.Write(buffer[:n]); werr != nil {
-				err = werr
-			}
+		if p.blackhole.Load() || responses && p.dropResponses.Load() {
+			continue
+		}
+		if _, err := to.Write(segment); err != nil {
+			_ = to.Close()
+			break
+		}
+	}
+	select {
+	case <-reset:
+		resetConn(to)
+	default:
+		closeWrite(to)
+	}
+	for range received {
+		continue // until from is closed
+	}
+}
+
+// readSegments reads until an error and then closes received. Before that it closes reset
+// if the error is not EOF.
+func readSegments(from net.Conn, received chan<- []byte, reset chan<- struct{}) {
+	defer close(received)
+	for {
+		segment := make([]byte, 16<<10)
+		n, err := from.Read(segment)
+		if n > 0 {
+			received <- segment[:n]
 		}
 		if err == io.EOF {
-			closeWrite(to)
 			return
 		}
 		if err != nil {
-			_ = to.Close()
+			close(reset)
 			return
 		}
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -194,6 +194,8 @@
 		apply(func() { storeLink.SetDropResponses(true) }, func() { storeLink.SetDropResponses(false) })
 	case StoreSlow:
 		apply(func() { storeLink.SetDelay(slowLinkDelay) }, func() { storeLink.SetDelay(0) })
+	case StoreHeld:
+		apply(func() { storeLink.SetHold(true) }, func() { storeLink.SetHold(false) })
 	case StoreReset:
 		storeLink.Reset()
 	case StoreDown:
@@ -206,6 +208,8 @@
 		apply(func() { serverLink.SetBlackhole(true) }, func() { serverLink.SetBlackhole(false) })
 	case ServerSlow:
 		apply(func() { serverLink.SetDelay(slowLinkDelay) }, func() { serverLink.SetDelay(0) })
+	case ServerHeld:
+		apply(func() { serverLink.SetHold(true) }, func() { serverLink.SetHold(false) })
 	case WithdrawKey:
 		r.site.WithdrawKey()
 	case ServerLeaves:
@@ -233,7 +237,7 @@
 		r.options.Checker.RecordStop(instance, from, now)
 	case KillInstance, PauseInstance:
 		r.options.Checker.RecordFault(instance, from, now.Add(faultAftermath))
-	case ServerReset, ServerSilent, ServerSlow:
+	case ServerReset, ServerSilent, ServerSlow, ServerHeld:
 		r.options.Checker.RecordFault("", from, now.Add(faultAftermath))
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,7 +132,7 @@
 			is.True(fault.At >= quietStart && fault.At < time.Minute-quietEnd)
 		}
 	}
-	is.Equal(len(seen), len(faultKinds)+len(statementKinds))
+	is.Equal(len(seen), len(faultKinds)+len(statementKinds)+len(heldKinds))
 }
 
 func TestProxyInjectsFaults(t *testing.T) {
@@ -177,6 +180,46 @@
 	is.True(err != nil)
 }
 
+// TestProxyHoldsBytes checks that held bytes are delivered after their sender has closed
+// its connection, and dropped when it has reset it.
+func TestProxyHoldsBytes(t *testing.T) {
+	for name, linger := range map[string]int{"closed": -1, "reset": 0} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer target.Close()
+			p, err := NewProxy(target.Addr().String())
+			is.NoErr(err)
+			defer p.Close()
+			sender, err := net.Dial("tcp", p.Address())
+			is.NoErr(err)
+			receiver, err := target.Accept()
+			is.NoErr(err)
+			defer receiver.Close()
+			p.SetHold(true)
+			_, err = io.WriteString(sender, "late")
+			is.NoErr(err)
+			_ = receiver.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			_, err = receiver.Read(make([]byte, 16))
+			is.True(errors.Is(err, os.ErrDeadlineExceeded)) // held back
+			is.NoErr(sender.(*net.TCPConn).SetLinger(linger))
+			is.NoErr(sender.Close())
+			time.Sleep(50 * time.Millisecond) // the proxy sees how the sender closed
+			p.SetHold(false)
+			_ = receiver.SetReadDeadline(time.Now().Add(5 * time.Second))
+			got, err := io.ReadAll(receiver)
+			if linger == 0 {
+				is.True(errors.Is(err, syscall.ECONNRESET))
+				is.Equal(string(got), "")
+				return
+			}
+			is.NoErr(err)
+			is.Equal(string(got), "late")
+		})
+	}
+}
+
 func TestCheckerIgnoresServerAbortsDuringStop(t *testing.T) {
 	now := time.Now()
 	for name, c := range map[string]struct {
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -149,7 +149,7 @@
 		p.counts.refused(c.name, iface)
 		return zero, api.ErrUnavailable
 	}
-	if err := api.RunWriteCheck(ctx); err != nil {
+	if _, err := api.RunWriteCheck(ctx); err != nil {
 		return zero, err
 	}
 	if !fault.Paused && fault.Delay == 0 && fault.ReplyDelay == 0 {
--- a/internal/usage/closer.go
+++ b/internal/usage/closer.go
@@ -38,7 +38,7 @@
 
 // Work runs under the duty's lease until ctx ends; see lease.Manager.Do.
 func (c *Closer) Work(ctx context.Context, g lease.Guard) error {
-	return c.run(platform.WithWriteCheck(ctx, g.Check), uint64(g.Token))
+	return c.run(platform.WithWriteCheck(ctx, g.Remaining), uint64(g.Token))
 }
 
 // run closes windows as they become due. Failed calls are retried in the next step.
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -105,11 +106,12 @@
 // withReportEvent returns a context with a check that records the report after the last
 // check of the tenure has passed, right before the report is written.
 func (c *Closer) withReportEvent(ctx context.Context, window string, lines []Line, token uint64) context.Context {
-	return platform.WithWriteCheck(ctx, func() error {
-		if err := platform.RunWriteCheck(ctx); err != nil {
-			return err
+	return platform.WithWriteCheck(ctx, func() (time.Duration, error) {
+		valid, err := platform.RunWriteCheck(ctx)
+		if err != nil {
+			return 0, err
 		}
 		c.record(timeline.UsageReported, window, lines, token)
-		return nil
+		return valid, nil
 	})
 }
