quarantine: parts that crashes cannot tell apart are refused together and tried one at a time

Cause: of the parts that all crashes have in common the deepest was refused. Where it is the sound one, no request with it runs any more, so no answer can clear it.

Change: the set is refused, not a part of it; a request that holds some of the set, or lacks another explanation of each crash, runs as a trial. A claim in the store lets one trial run at a time over all instances. A crash narrows the set, an answer clears parts. Verdicts in the store name sets and whether they are confirmed; those of earlier versions are tried once. An answer that ends with its connection clears parts only if its server is still reachable.

The test TestVerdictOutlivesTracker now also expects that the verdict is confirmed.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -79,6 +79,9 @@
 	})
 	e.suspects = quarantine.New(quarantine.Options{
 		Instance: s.Instance, Recorder: e.events, Notify: func(n quarantine.Notice) { e.sharing.hub.QueueCrash(n) },
+		Claims: quarantine.NewTableClaims(quarantine.TableClaimsOptions{
+			Instance: s.Instance, Table: p.Duties, Now: clock.Now, Logger: logger.Named("quarantine"),
+		}),
 	})
 	e.sharing = newSharing(s, p, e.balancer, e.suspects, clock, e.events, logger.Named("sharing"))
 	e.view = newStoreView(p, s.Bounds, e.balancer, e.sharing, clock, e.events)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,6 +40,7 @@
 	reused     bool
 	response   *http.Response
 	answer     AnswerHead
+	unframed   bool // the answer has neither a length nor chunks and ends with its connection
 	// denial is why the request may not be sent after all, or nil. It is set before the
 	// permit is denied.
 	denial error
@@ -79,7 +80,7 @@
 	}
 	if failed == nil {
 		a.assignment.End(a.outcome())
-		run.Ended(a.succeeded(), time.Now())
+		a.endRun(run)
 		a.x.gateway.counters.attempt("answered")
 		return
 	}
@@ -93,6 +94,27 @@
 	a.record(kindOf(failed), failed.code, a.reasonIfUnsent(failed)+fmt.Sprint(failed.cause))
 }
 
+// endRun reports the end of the run of a relayed answer. An answer that ends with its
+// connection looks the same when its server crashes, so whether parts of its prompt are
+// sound depends on whether the server is still there.
+func (a *attempt) endRun(run dispatch.Run) {
+	if !a.unframed || len(a.x.suspect.Parts) == 0 {
+		run.Ended(a.succeeded(), time.Now())
+		return
+	}
+	probes, address, succeeded := a.x.gateway.probes, a.assignment.Address, a.succeeded()
+	go func() {
+		switch probes.probe(address) {
+		case reachable:
+			run.Ended(succeeded, time.Now())
+		case refused:
+			run.Crashed(time.Now())
+		case silent:
+			run.Ended(false, time.Now())
+		}
+	}()
+}
+
 // kindOf returns the kind of the event for a failed attempt.
 func kindOf(f *failure) timeline.Kind {
 	if f.notRun {
@@ -132,6 +154,7 @@
 		return a.connectionFailure(err)
 	}
 	a.response = response
+	a.unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	a.answer = a.x.gateway.options.Protocol.ReadAnswerHead(response)
 	a.observe(balance.Answer{
 		Status: response.StatusCode, Misdirected: a.answer.Misdirected, Partial: a.answer.Attempt != a.x.head.Attempt,
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -38,6 +38,7 @@
 	testLeaving = "Test-Leaving"
 
 	testRateLimit = "Test-Rate-Limit"
+	testParts     = "Test-Parts" // a letter for each part of the prompt
 )
 
 type testProtocol struct{}
@@ -47,7 +48,12 @@
 	if err != nil {
 		left = 0
 	}
+	var parts []balance.Part
+	for id := range len(r.Header.Get(testParts)) {
+		parts = append(parts, balance.Part{ID: uint64(id + 1)})
+	}
 	return CallerHead{
+		Parts:   parts,
 		Attempt: r.Header.Get(testAttempt), Key: r.Header.Get(testKey), ResumeAfter: r.Header.Get(testResume),
 		MaxWait: time.Duration(left) * time.Millisecond,
 	}
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -124,3 +125,41 @@
 		})
 	}
 }
+
+// TestUnframedAnswerOfCrashedServer guards against a part of prompts that crashes servers
+// and counts as sound because the answer that its crash cut short, which has neither a
+// length nor chunks, looks complete.
+func TestUnframedAnswerOfCrashedServer(t *testing.T) {
+	for name, test := range map[string]struct {
+		dialError error
+		end       runEnd
+	}{
+		"crashed":   {&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, runCrashed},
+		"no answer": {context.DeadlineExceeded, runIncomplete},
+		"alive":     {nil, runComplete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestStack(t, unframedAnswer)
+			s.gateway.probes.dial = func(context.Context, string, string) (net.Conn, error) {
+				here, _ := net.Pipe()
+				return here, test.dialError
+			}
+			s.call(http.MethodPost, "/once/x", "ask", testParts, "xx")
+			for deadline := time.Now().Add(5 * time.Second); len(s.suspects.recorded()) == 0; time.Sleep(time.Millisecond) {
+				is.True(time.Now().Before(deadline))
+			}
+			is.Equal(s.suspects.recorded(), []runEnd{test.end})
+		})
+	}
+}
+
+// unframedAnswer answers with neither a length nor chunks and closes the connection.
+func unframedAnswer(w http.ResponseWriter, r *http.Request) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 0\r\nConnection: close\r\n\r\nhalf", testAttempt, r.Header.Get(testAttempt), testSigned)
+}
--- a/internal/instance/quarantine.go
+++ b/internal/instance/quarantine.go
@@ -19,6 +19,9 @@
 	i.quarantine = quarantine.New(quarantine.Options{
 		Instance: i.settings.Instance,
 		Recorder: i.ring,
+		Claims: quarantine.NewTableClaims(quarantine.TableClaimsOptions{
+			Instance: i.settings.Instance, Table: i.platform.Table(), Now: time.Now, Logger: logger,
+		}),
 		Notify: func(n quarantine.Notice) {
 			body, err := n.Encode()
 			if err != nil {
--- a/internal/quarantine/apply.go
+++ b/internal/quarantine/apply.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -111,10 +112,9 @@
 		return now.Sub(in.at) >= t.options.Retention || !in.hasSuspects()
 	})
 	if t.stale || len(t.incidents) != before || t.hasNewlySettled(now) || t.hasAgedVerdict(now) {
-		rule := partRule{crashes: t.outcomes.crashesToRefuse(), established: t.established.contains, before: t.assessed.refusedParts}
+		rule := partRule{crashes: t.outcomes.crashesToRefuse(), established: t.established.contains, before: t.assessed.parts.refusals, restored: t.restoredRefusals(now)}
 		assessed := assess(t.incidents, rule, now)
-		t.addRestored(assessed.refusedParts, now)
-		t.recordParts(t.assessed.refusedParts, assessed.refusedParts)
+		t.recordRefusals(t.assessed.parts.refusals, assessed.parts.refusals)
 		t.assessed, t.assessedAt, t.stale = assessed, now, false
 	}
 	return t.assessed
@@ -129,23 +129,33 @@
 	})
 }
 
-// recordParts records the parts that are refused from now on, and those that no longer
-// are.
-func (t *Tracker) recordParts(before, after map[uint64]int) {
-	for p, crashes := range after {
-		if before[p] == 0 {
-			t.options.Recorder.Record(timeline.Event{Kind: timeline.QuarantinePart, Subject: formatID(p), State: partRefused, Count: int64(crashes)})
-		}
+// recordRefusals records the sets of parts that are refused from now on, and those that no
+// longer are.
+func (t *Tracker) recordRefusals(before, after []refusal) {
+	for _, r := range added(before, after) {
+		t.recordParts(r, partRefused)
 	}
-	for p, crashes := range before {
-		if after[p] == 0 {
-			t.options.Recorder.Record(timeline.Event{Kind: timeline.QuarantinePart, Subject: formatID(p), State: partReleased, Count: int64(crashes)})
-		}
+	for _, r := range added(after, before) {
+		t.recordParts(r, partReleased)
 	}
 }
 
+// added returns the refusals of after that before lacks.
+func added(before, after []refusal) []refusal {
+	return slices.DeleteFunc(slices.Clone(after), func(r refusal) bool {
+		return slices.ContainsFunc(before, func(known refusal) bool { return known.key() == r.key() })
+	})
+}
+
+func (t *Tracker) recordParts(r refusal, state string) {
+	t.options.Recorder.Record(timeline.Event{
+		Kind: timeline.QuarantinePart, Subject: r.key(), State: state, Count: int64(r.crashes), Detail: fmt.Sprintf("confirmed=%t", r.confirmed),
+	})
+}
+
 // Values of State in QuarantinePart events.
 const (
 	partRefused  = "refused"
 	partReleased = "released"
+	partsOnTrial = "trial"
 )
--- a/internal/quarantine/incident.go
+++ b/internal/quarantine/incident.go
@@ -29,6 +29,7 @@
 	suspects []uint64  // fingerprints of all reports, without those cleared since
 	parts    []Part    // shared parts of all reports, without those cleared since
 	knownAt  time.Time // when this instance learned of the crash
+	trial    bool      // a trial was in flight
 }
 
 func newIncident(n Notice, now time.Time) incident {
@@ -62,6 +63,7 @@
 	if n.at().Before(i.at) {
 		i.at = n.at()
 	}
+	i.trial = i.trial || n.Trial
 	i.suspects = appendMissing(i.suspects, n.Fingerprints)
 	i.parts = appendMissingParts(i.parts, n.Parts)
 }
@@ -102,14 +104,13 @@
 	crashes map[uint64]int // number of crashes of each suspect that no refused fingerprint explains
 	refused map[uint64]bool
 
-	partCrashes  map[uint64]int // number of crashes of each part
-	refusedParts map[uint64]int // number of crashes of each refused part
+	parts partAssessment
 }
 
 // assess determines the fingerprints and the parts of prompts that crash servers.
 func assess(incidents []incident, rule partRule, now time.Time) assessment {
 	a := assessFingerprints(incidents, now)
-	a.partCrashes, a.refusedParts = rule.assess(incidents, now)
+	a.parts = rule.assess(incidents, now)
 	return a
 }
 
--- a/internal/quarantine/metrics.go
+++ b/internal/quarantine/metrics.go
@@ -14,5 +14,5 @@
 	current := t.assess(time.Now())
 	fmt.Fprintf(w, "hawthornwick_quarantine_crashes %d\n", len(t.incidents))
 	fmt.Fprintf(w, "hawthornwick_quarantine_refused{kind=\"request\"} %d\n", len(current.refused))
-	fmt.Fprintf(w, "hawthornwick_quarantine_refused{kind=\"part\"} %d\n", len(current.refusedParts))
+	fmt.Fprintf(w, "hawthornwick_quarantine_refused{kind=\"part\"} %d\n", len(current.parts.refusals))
 }
--- a/internal/quarantine/notice.go
+++ b/internal/quarantine/notice.go
@@ -37,6 +37,8 @@
 	Parts []Part `cbor:"8,keyasint,omitempty"`
 	// ClearedParts are shared parts of the prompt of a request that was completed.
 	ClearedParts []uint64 `cbor:"9,keyasint,omitempty"`
+	// Trial is true if one of the requests ran as a trial.
+	Trial bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Part is a shared part of a prompt.
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -25,6 +25,13 @@
 	noticeDelay time.Duration // until all instances know of a notice
 	lateAfter   time.Duration // the last instance starts then; 0 is at once
 	skew        time.Duration // of the clocks of a third of the instances
+
+	// shared is a sound part that deadly requests hold as well, or 0. A part of them,
+	// unshared, lacks it. It is held by a fifth of the sound requests from sharedFrom on.
+	shared     uint64
+	unshared   float64
+	sharedFrom time.Duration
+	sharedLast bool // shared comes after the deadly part
 }
 
 // Times and bounds of a day. The bounds are those that the router's users state.
@@ -49,6 +56,7 @@
 type fleetRequest struct {
 	Request
 	deadly   bool
+	part     uint64 // that crashes servers, of a deadly request
 	instance int
 	runs     int
 }
@@ -83,14 +91,29 @@
 	lateRuns                 map[uint64]int         // by deadly part
 	sound, soundRefused      int                    // sent later than twice contactTime after the fifth crash of each part
 	deadlyRefused, deadlyRun int
+	shared, sharedRefused    int       // the same for sound requests with the shared part
+	claimedUntil             time.Time // no other trial may run before
+}
+
+// fleetClaims are claims of trials in a table service without delay.
+type fleetClaims struct{ s *fleetSimulation }
+
+func (c fleetClaims) Acquire() bool {
+	if c.s.now.Before(c.s.claimedUntil) {
+		return false
+	}
+	c.s.claimedUntil = c.s.now.Add(maxTrialTime)
+	return true
 }
 
+func (c fleetClaims) Release() { c.s.claimedUntil = c.s.now.Add(claimReleaseDelay) }
+
 func newFleetSimulation(d fleetDay, seed uint64) *fleetSimulation {
 	s := &fleetSimulation{day: d, random: rand.New(rand.NewPCG(seed, 0)), now: start, upAt: make([]time.Time, d.servers), crashes: map[uint64][]time.Time{}, lateRuns: map[uint64]int{}}
 	for i := range d.instances {
 		s.trackers = append(s.trackers, New(Options{
-			Instance: fmt.Sprint(i),
-			Notify:   func(n Notice) { s.notices = append(s.notices, pendingNotice{n, i, s.now.Add(d.noticeDelay)}) },
+			Instance: fmt.Sprint(i), Claims: fleetClaims{s},
+			Notify: func(n Notice) { s.notices = append(s.notices, pendingNotice{n, i, s.now.Add(d.noticeDelay)}) },
 		}))
 	}
 	return s
@@ -150,14 +173,34 @@
 	r.Parts = []uint64{firstPrefix + s.random.Uint64N(uint64(s.day.prefixes)), firstSession + s.random.Uint64N(uint64(s.day.sessions))}
 	if len(s.day.deadly) > 0 && s.random.Float64() < s.day.share {
 		r.deadly = true
-		r.Parts[1] = s.day.deadly[s.random.IntN(len(s.day.deadly))]
+		r.part = s.day.deadly[s.random.IntN(len(s.day.deadly))]
 		if s.day.samePrefix {
 			r.Parts[0] = firstPrefix
 		}
 	}
+	r.Parts = s.day.prompt(r, s.random, s.now.Sub(start))
 	return r
 }
 
+// prompt returns the parts of a request, given those that a sound one has without the
+// shared part.
+func (d *fleetDay) prompt(r *fleetRequest, random *rand.Rand, at time.Duration) []uint64 {
+	prefix, session := r.Parts[0], r.Parts[1]
+	switch {
+	case r.deadly && d.shared == 0:
+		return []uint64{prefix, r.part}
+	case r.deadly && random.Float64() < d.unshared:
+		return []uint64{prefix, r.part, session}
+	case r.deadly && d.sharedLast:
+		return []uint64{prefix, r.part, d.shared}
+	case r.deadly:
+		return []uint64{prefix, d.shared, r.part}
+	case d.shared != 0 && at >= d.sharedFrom && random.Float64() < 0.2:
+		return []uint64{prefix, d.shared}
+	}
+	return r.Parts
+}
+
 // bounded reports whether the time is later than d after the fifth crash of a part.
 func (s *fleetSimulation) bounded(part uint64, d time.Duration) bool {
 	crashes := s.crashes[part]
@@ -197,8 +240,8 @@
 	switch {
 	case r.deadly && sent:
 		s.deadlyRun++
-		if part := r.Parts[1]; s.bounded(part, contactTime) {
-			s.lateRuns[part]++
+		if s.bounded(r.part, contactTime) {
+			s.lateRuns[r.part]++
 		}
 	case r.deadly:
 		s.deadlyRefused++
@@ -207,6 +250,13 @@
 		if !sent {
 			s.soundRefused++
 		}
+		if s.day.shared == 0 || r.Parts[1] != s.day.shared {
+			return
+		}
+		s.shared++
+		if !sent {
+			s.sharedRefused++
+		}
 	}
 }
 
@@ -224,7 +274,7 @@
 			r.run.Ended(true, s.clock(r.instance))
 			continue
 		}
-		s.crashes[r.Parts[1]] = append(s.crashes[r.Parts[1]], s.now)
+		s.crashes[r.part] = append(s.crashes[r.part], s.now)
 		s.running = append(s.running, r)
 		s.crash(r.server)
 	}
@@ -255,10 +305,8 @@
 func (s *fleetSimulation) refusedParts() []uint64 {
 	var refused []uint64
 	for i, t := range s.trackers {
-		for p := range t.assess(s.clock(i)).refusedParts {
-			if !slices.Contains(refused, p) {
-				refused = append(refused, p)
-			}
+		for _, r := range t.assess(s.clock(i)).parts.refusals {
+			refused = appendMissing(refused, r.parts)
 		}
 	}
 	slices.Sort(refused)
@@ -300,6 +348,58 @@
 	}
 }
 
+// sharedDays are days on which the deadly part and a sound one cannot be told apart by the
+// first crashes.
+var sharedDays = []fleetDay{
+	{name: "deadly part first", sharedLast: true, instances: 7},
+	{name: "deadly part last", instances: 7},
+	{name: "two instances", sharedLast: true, instances: 2},
+	{name: "many instances", sharedLast: true, instances: 91},
+	{name: "sound part seen late", sharedLast: true, instances: 7, sharedFrom: 14 * time.Second},
+	{name: "also without the sound part", sharedLast: true, instances: 7, unshared: 0.3},
+	{name: "also without the sound part, many instances", sharedLast: true, instances: 91, unshared: 0.3},
+	{name: "two deadly parts", sharedLast: true, instances: 7, deadly: []uint64{7, 8}},
+	{name: "two deadly parts, also without the sound one", instances: 7, deadly: []uint64{7, 8}, unshared: 0.3},
+	{name: "two deadly parts, many instances", sharedLast: true, instances: 91, deadly: []uint64{7, 8}, unshared: 0.3},
+}
+
+// minSharedShare is the share of the sound requests with the shared part that must run,
+// beside those without it.
+const minSharedShare = 0.5
+
+// TestSoundPartBesideDeadlyOne guards against the refusal of a sound part because all
+// requests that crashed servers held it, and against more crashes to find that out than
+// the router's users allow.
+func TestSoundPartBesideDeadlyOne(t *testing.T) {
+	for _, day := range sharedDays {
+		day.servers, day.rate, day.prefixes, day.sessions, day.share, day.noticeDelay, day.shared = 30, 48, 10, 60, 0.04, 250*time.Millisecond, 5
+		if day.instances > 50 {
+			day.servers, day.rate, day.sessions, day.noticeDelay = 90, 200, 400, 650*time.Millisecond
+		}
+		if day.deadly == nil {
+			day.deadly = []uint64{7}
+		}
+		if day.sharedFrom == 0 {
+			day.sharedFrom = 6 * time.Second
+		}
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%s, seed %d", day.name, seed), func(t *testing.T) {
+				is := is.New(t)
+				s := newFleetSimulation(day, seed)
+				s.play()
+				for _, part := range day.deadly {
+					t.Logf("part %d: %d crashes, %d late runs", part, len(s.crashes[part]), s.lateRuns[part])
+					is.True(s.lateRuns[part] <= maxLateRuns)
+				}
+				t.Logf("sound: %d, %d refused; with the shared part: %d, %d refused", s.sound, s.soundRefused, s.shared, s.sharedRefused)
+				is.True(s.shared >= 20)
+				is.True(float64(s.sharedRefused) <= (1-minSharedShare)*float64(s.shared))
+				is.True(float64(s.soundRefused-s.sharedRefused) <= (1-minSoundShare)*float64(s.sound-s.shared))
+			})
+		}
+	}
+}
+
 // TestDeeperPartIsRefused guards against the refusal of all requests with a first part
 // because those with one second part crash servers: of parts that were always in flight
 // together, the deeper one is refused.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -33,6 +33,9 @@
 	Notify func(Notice)
 	// Recorder receives the timeline events. If nil, they are discarded.
 	Recorder timeline.Recorder
+	// Claims lets one trial run at a time over all instances. If nil, this instance is
+	// the only one.
+	Claims Claims
 }
 
 // Tracker tracks the runs of this instance and the crashes reported by all
@@ -50,8 +53,10 @@
 
 	outcomes     runOutcomes
 	established  partSet              // parts on which this instance completed answers
-	restored     map[uint64]Verdict   // verdicts of other instances, by part
+	restored     map[string]Verdict   // verdicts of other instances, by refusal.key
 	clearedParts map[uint64]time.Time // newest complete answer to a request with each part that was a suspect
+	trying       bool                 // a trial runs on this instance or is about to
+	tryAfter     time.Time            // no trial starts before it
 }
 
 // Run is one registered execution on a backend server. One of Ended and Crashed
@@ -62,6 +67,7 @@
 	server  string
 	epoch   uint64
 	started time.Time
+	trial   bool
 }
 
 // New returns a tracker without any recorded crash.
@@ -75,15 +81,30 @@
 	if o.Recorder == nil {
 		o.Recorder = timeline.Discard
 	}
-	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{}), cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time), restored: make(map[uint64]Verdict)}
+	if o.Claims == nil {
+		o.Claims = noClaims{}
+	}
+	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{}), cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time), restored: make(map[string]Verdict)}
 }
 
-// Refused reports whether the request is refused on all servers.
+// Refused reports whether the request is refused on all servers, for good or while another
+// trial runs.
 func (t *Tracker) Refused(r Request, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current := t.assess(now)
-	return current.refused[r.Fingerprint] || current.hasRefusedPart(r)
+	return current.refused[r.Fingerprint] || !t.mayRunParts(&current, r, now)
+}
+
+// mayRunParts reports whether a request with these parts may run anywhere now.
+func (t *Tracker) mayRunParts(current *assessment, r Request, now time.Time) bool {
+	switch current.parts.standing(r.Parts) {
+	case runsFreely:
+		return true
+	case runsAsTrial:
+		return !t.trying && !now.Before(t.tryAfter)
+	}
+	return false
 }
 
 // MayRun reports whether the request may run on the server now. A request that is
@@ -98,7 +119,7 @@
 	current := t.assess(now)
 	fingerprint := r.Fingerprint
 	switch {
-	case current.refused[fingerprint] || current.hasRefusedPart(r):
+	case current.refused[fingerprint] || !t.mayRunParts(&current, r, now):
 		return false
 	case current.crashes[fingerprint] == 0:
 		return true
@@ -113,29 +134,38 @@
 	return true
 }
 
-// Start registers a run on the server. It returns false if MayRun does. The
-// epoch is the server's restart epoch; 0 if unknown. Fingerprint 0 means
-// unknown and is never a suspect.
+// Start registers a run on the server. It returns false if MayRun does, or if the run
+// would be a trial and another instance runs one. The epoch is the server's restart epoch;
+// 0 if unknown. Fingerprint 0 means unknown and is never a suspect. A call that starts a
+// trial waits for Options.Claims.
 func (t *Tracker) Start(request Request, server string, epoch uint64, now time.Time) (*Run, bool) {
+	r := &Run{tracker: t, request: request, server: server, epoch: epoch, started: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.mayRun(request, server, now) {
 		return nil, false
 	}
-	r := &Run{tracker: t, request: request, server: server, epoch: epoch, started: now}
-	if t.runs[server] == nil {
-		t.runs[server] = make(map[*Run]struct{})
+	if current := t.assess(now); current.parts.standing(request.Parts) == runsAsTrial {
+		return r, t.startTrial(r, now)
 	}
-	t.runs[server][r] = struct{}{}
+	t.addRun(r)
 	return r, true
 }
 
+func (t *Tracker) addRun(r *Run) {
+	if t.runs[r.server] == nil {
+		t.runs[r.server] = make(map[*Run]struct{})
+	}
+	t.runs[r.server][r] = struct{}{}
+}
+
 // Ended reports an end without a crash. A complete answer clears the
 // fingerprint and the parts.
 func (r *Run) Ended(complete bool, now time.Time) {
 	t := r.tracker
 	t.mu.Lock()
 	t.removeRun(r)
+	t.endTrial(r)
 	t.outcomes.add(false, now)
 	var n Notice
 	if complete {
@@ -187,6 +217,8 @@
 			continue // started after the restart
 		}
 		t.removeRun(other)
+		t.endTrial(other)
+		n.Trial = n.Trial || other.trial
 		t.outcomes.add(true, now)
 		n.SinceMillis = max(n.SinceMillis, other.started.UnixMilli())
 		if f := other.request.Fingerprint; f != 0 && !slices.Contains(n.Fingerprints, f) {
--- a/internal/quarantine/verdict_test.go
+++ b/internal/quarantine/verdict_test.go
@@ -26,7 +26,7 @@
 	before := New(Options{Instance: "a"})
 	refuse(t, before, 7, start)
 	verdicts := before.Verdicts(later)
-	is.Equal(verdicts, []Verdict{{Part: 7, Crashes: maxPartCrashes, UnixMillis: start.UnixMilli()}})
+	is.Equal(verdicts, []Verdict{{Part: 7, Crashes: maxPartCrashes, UnixMillis: start.UnixMilli(), Confirmed: true}})
 
 	after := New(Options{Instance: "a"})
 	after.Restore(verdicts, later)
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -32,7 +32,7 @@
 	RecordAnswered    Kind = "record.answered"    // Record
 	RecordReleased    Kind = "record.released"    // Record, Attempt: confirmed not run
 	QuarantineAdded   Kind = "quarantine.added"   // Record: fingerprint of the request; Server; Count: crashes observed; Detail: the prompt's shared parts
-	QuarantinePart    Kind = "quarantine.part"    // Subject: part of prompts; State: refused or released; Count: crashes
+	QuarantinePart    Kind = "quarantine.part"    // Subject: parts of prompts; State: refused, released or trial; Count: crashes; Detail: whether the crashes have no other explanation; Record, Server: of a trial
 	QuarantineRefused Kind = "quarantine.refused" // Record: fingerprint of the request; Request
 )
 
