eventstream, gateway: events of a stream are checked before they are passed on

Cause: relayEvent passed on whatever ended with a blank line; an empty id counted as the last one, so that a resumed stream would have started again.

Change: a reader of its own checks each line (fields of the format, a decimal id after the last one, data) before any byte of the event goes on, and each field's name with the first bytes of its line.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -20,6 +20,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
+	"github.com/hawthornwick/hawthornwick/internal/eventstream"
 	"github.com/hawthornwick/hawthornwick/internal/gateway"
 	"github.com/hawthornwick/hawthornwick/internal/logsink"
 	"github.com/hawthornwick/hawthornwick/internal/replicas"
@@ -477,3 +478,7 @@
 		}
 	}
 }
+
+func (plainProtocol) EventRules() eventstream.Rules {
+	return eventstream.Rules{}
+}
--- /dev/null
+++ b/internal/eventstream/reader.go
@@ -0,0 +1,203 @@
+// Package eventstream reads streams of server-sent events that a router passes on byte by
+// byte. It rejects bytes that are no event of the stream's run before any of them is passed
+// on: a faulty server may send a second answer, or bytes of any kind, in the middle of a
+// stream.
+package eventstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+)
+
+const (
+	bufferBytes = 4 << 10
+	// MaxEventBytes bounds one event.
+	MaxEventBytes = 1 << 20
+	// maxQuotedBytes bounds what an error quotes of a line.
+	maxQuotedBytes = 48
+	// maxIDDigits bounds an id, so that it fits an int64.
+	maxIDDigits = 18
+)
+
+var (
+	// ErrTooLong reports an event of more than MaxEventBytes.
+	ErrTooLong = errors.New("a stream event exceeds the maximum size")
+	// ErrPartial reports a stream that ended in the middle of an event.
+	ErrPartial = errors.New("the stream ended in the middle of an event")
+)
+
+// InvalidError reports bytes that are no event of the stream's run.
+type InvalidError struct {
+	// Line is the first part of the line that is not valid.
+	Line []byte
+	// AfterID is the id of the last valid event. Empty means that there was none.
+	AfterID string
+	// Reason is what the line lacks.
+	Reason string
+}
+
+// Error implements the error interface.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("bytes that are no event of the stream, after id %q: %s: %q", e.AfterID, e.Reason, e.Line)
+}
+
+// Rules state what events look like. The zero value accepts all server-sent events.
+type Rules struct {
+	// RequireIDs requires each event to carry data and a decimal id.
+	RequireIDs bool
+	// ExtraFields are names of fields that events may carry besides those of server-sent
+	// events.
+	ExtraFields []string
+}
+
+// Event is one event.
+type Event struct {
+	// Bytes are the event's lines up to and including the blank line that ends it. They
+	// are valid until the next call of Next.
+	Bytes []byte
+	// ID is the event's id. Empty means that it has none.
+	ID string
+}
+
+// Reader reads the events of one run. It is not safe for concurrent use.
+type Reader struct {
+	source *bufio.Reader
+	rules  Rules
+	lastID string // of the last event that had one, or that the run was resumed after
+	event  []byte
+}
+
+// NewReader returns a reader. resumeAfter is the id after which the run goes on, or empty.
+func NewReader(r io.Reader, rules Rules, resumeAfter string) *Reader {
+	return &Reader{source: bufio.NewReaderSize(r, bufferBytes), rules: rules, lastID: resumeAfter}
+}
+
+// Next returns the next event. At the end of the stream it returns io.EOF, or ErrPartial in
+// the middle of an event. It returns *InvalidError as soon as a line shows that the bytes are
+// no event; all bytes since the last event are to be dropped then. Other errors are those of
+// the source.
+func (r *Reader) Next() (Event, error) {
+	r.event = r.event[:0]
+	var fields eventFields
+	for {
+		line, err := r.readLine()
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) == 0 {
+			return r.finish(&fields)
+		}
+		if err := r.addLine(&fields, line); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+// eventFields are what the lines of an event hold.
+type eventFields struct {
+	id    string
+	hasID bool
+	data  bool
+}
+
+// readLine appends the next line to the event. It returns the line without its end. It
+// checks the name of the line's field as soon as it has the first bytes, so that bytes
+// without line ends are not kept.
+func (r *Reader) readLine() ([]byte, error) {
+	start := len(r.event)
+	for {
+		part, err := r.source.ReadSlice('\n')
+		r.event = append(r.event, part...)
+		switch {
+		case errors.Is(err, io.EOF) && len(r.event) > 0:
+			return nil, ErrPartial
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		case err != nil && !r.isField(r.event[start:]):
+			return nil, r.invalid(r.event[start:], "unknown field")
+		case len(r.event) > MaxEventBytes:
+			return nil, ErrTooLong
+		case err == nil:
+			line := bytes.TrimSuffix(r.event[start:], []byte("\n"))
+			return bytes.TrimSuffix(line, []byte("\r")), nil
+		}
+	}
+}
+
+// addLine checks a line and adds it to the fields of the event.
+func (r *Reader) addLine(fields *eventFields, line []byte) error {
+	if !r.isField(line) {
+		return r.invalid(line, "unknown field")
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "data":
+		fields.data = true
+	case "id":
+		id := string(bytes.TrimPrefix(value, []byte(" ")))
+		if reason := r.checkID(fields, id); reason != "" {
+			return r.invalid(line, reason)
+		}
+		fields.id, fields.hasID = id, true
+	}
+	return nil
+}
+
+// isField reports whether the line is a comment or a field that events may have.
+func (r *Reader) isField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "id", "data", "event", "retry":
+		return true
+	}
+	return slices.Contains(r.rules.ExtraFields, string(name))
+}
+
+// checkID returns why an event may not have the id, or an empty string.
+func (r *Reader) checkID(fields *eventFields, id string) string {
+	number, isNumber := parseID(id)
+	last, lastIsNumber := parseID(r.lastID)
+	switch {
+	case fields.hasID:
+		return "second id"
+	case id == "":
+		return "empty id"
+	case !isNumber && (r.rules.RequireIDs || lastIsNumber):
+		return "id is no number"
+	case isNumber && lastIsNumber && number <= last:
+		return "id does not come after the last one"
+	}
+	return ""
+}
+
+// parseID returns an id as a number. It returns false if it is none.
+func parseID(id string) (int64, bool) {
+	if len(id) > maxIDDigits || slices.ContainsFunc([]byte(id), func(c byte) bool { return c < '0' || c > '9' }) {
+		return 0, false
+	}
+	number, err := strconv.ParseInt(id, 10, 64)
+	return number, err == nil
+}
+
+// finish returns the event that a blank line has ended.
+func (r *Reader) finish(fields *eventFields) (Event, error) {
+	switch {
+	case r.rules.RequireIDs && !fields.hasID:
+		return Event{}, r.invalid(r.event, "event without id")
+	case r.rules.RequireIDs && !fields.data:
+		return Event{}, r.invalid(r.event, "event without data")
+	}
+	if fields.hasID {
+		r.lastID = fields.id
+	}
+	return Event{Bytes: r.event, ID: fields.id}, nil
+}
+
+func (r *Reader) invalid(line []byte, reason string) *InvalidError {
+	return &InvalidError{Line: bytes.Clone(line[:min(len(line), maxQuotedBytes)]), AfterID: r.lastID, Reason: reason}
+}
--- /dev/null
+++ b/internal/eventstream/reader_test.go
@@ -0,0 +1,135 @@
+package eventstream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var strict = Rules{RequireIDs: true, ExtraFields: []string{"x-version"}}
+
+// readAll returns what a reader passes on of a stream, and the error that ends it.
+func readAll(stream string, rules Rules, after string) (string, error) {
+	r := NewReader(strings.NewReader(stream), rules, after)
+	var passed strings.Builder
+	for {
+		e, err := r.Next()
+		if err != nil {
+			return passed.String(), err
+		}
+		passed.Write(e.Bytes)
+	}
+}
+
+const sound = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+
+// TestBytesOfNoRunAreRejected guards against bytes of a faulty server that are passed on
+// because a blank line ends them, and against a stream that they end as complete.
+func TestBytesOfNoRunAreRejected(t *testing.T) {
+	for name, rest := range map[string]string{
+		"head of a second answer": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"binary bytes":            "\x00\xff\x17\n\n",
+		"empty id":                "id:\ndata: c\n\n",
+		"id of spaces":            "id:  \ndata: c\n\n",
+		"no id":                   "data: c\n\n",
+		"id goes back":            "id: 1\ndata: c\n\n",
+		"same id":                 "id: 2\ndata: c\n\n",
+		"id is no number":         "id: x\ndata: c\n\n",
+		"negative id":             "id: -3\ndata: c\n\n",
+		"id too large":            "id: 9999999999999999999\ndata: c\n\n",
+		"two ids":                 "id: 3\nid: 4\ndata: c\n\n",
+		"no data":                 "id: 3\n\n",
+		"unknown field":           "id: 3\nfoo: 1\ndata: c\n\n",
+		"comment alone":           ": ping\n\n",
+		"blank line":              "\n",
+		"long line of no field":   strings.Repeat("x", 2*bufferBytes),
+		"head without a line end": "HTTP/1.1 200 OK" + strings.Repeat("a", 2*bufferBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			passed, err := readAll(sound+rest, strict, "")
+			var invalid *InvalidError
+			is.True(errors.As(err, &invalid))
+			is.Equal(passed, sound)
+			is.Equal(invalid.AfterID, "2")
+		})
+	}
+}
+
+func TestSoundStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		stream, after string
+		rules         Rules
+	}{
+		"as stated":           {stream: sound, rules: strict},
+		"resumed":             {stream: "id: 13\ndata: a\n\n", after: "12", rules: strict},
+		"ids with gaps":       {stream: "id: 1\ndata: a\n\nid: 7\ndata: a\n\n", rules: strict},
+		"extra field first":   {stream: "x-version: 4\nid: 1\ndata: a\n\n", rules: strict},
+		"comment in an event": {stream: ": ping\nid: 1\ndata: a\n\n", rules: strict},
+		"several data lines":  {stream: "id: 1\ndata: a\ndata\ndata:b\n\n", rules: strict},
+		"long event":          {stream: "id: 1\ndata: " + strings.Repeat("x", 3*bufferBytes) + "\n\n", rules: strict},
+		"without ids":         {stream: "data: a\n\nevent: done\ndata: [DONE]\n\n: ping\n\n"},
+		"ids of any form":     {stream: "id: a\ndata: a\n\nid: b\ndata: a\n\n"},
+		"no event":            {rules: strict},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			passed, err := readAll(c.stream, c.rules, c.after)
+			is.Equal(err, io.EOF)
+			is.Equal(passed, c.stream)
+		})
+	}
+}
+
+// TestResumedRunStartsAfterLastEvent guards against pieces that a caller receives twice
+// because the server starts the run from its beginning.
+func TestResumedRunStartsAfterLastEvent(t *testing.T) {
+	for _, rules := range []Rules{strict, {}} {
+		is := is.New(t)
+		passed, err := readAll(sound, rules, "12")
+		var invalid *InvalidError
+		is.True(errors.As(err, &invalid))
+		is.Equal(passed, "")
+	}
+}
+
+func TestUnfinishedEvents(t *testing.T) {
+	is := is.New(t)
+	passed, err := readAll(sound+"id: 3\nda", strict, "")
+	is.Equal(err, ErrPartial)
+	is.Equal(passed, sound)
+	_, err = readAll("data: "+strings.Repeat("x", 2*MaxEventBytes), Rules{}, "")
+	is.Equal(err, ErrTooLong)
+}
+
+// FuzzReader checks for any bytes that a prefix of them is passed on, in events whose ids
+// are numbers that increase.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Add([]byte(sound + "HTTP/1.1 200 OK\r\n\r\n"))
+	f.Add([]byte("id: 1\nid: 2\ndata\n\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		r := NewReader(bytes.NewReader(stream), strict, "3")
+		last, at := int64(3), 0
+		for {
+			e, err := r.Next()
+			if err != nil {
+				return
+			}
+			if !bytes.HasPrefix(stream[at:], e.Bytes) {
+				t.Fatalf("passed on %q at byte %d of %q", e.Bytes, at, stream)
+			}
+			at += len(e.Bytes)
+			id, err := strconv.ParseInt(e.ID, 10, 64)
+			if err != nil || id <= last {
+				t.Fatalf("id %q after %d", e.ID, last)
+			}
+			last = id
+		}
+	})
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/eventstream"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -297,3 +298,7 @@
 	}
 	return list
 }
+
+func (testProtocol) EventRules() eventstream.Rules {
+	return eventstream.Rules{RequireIDs: true}
+}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -9,6 +9,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/balance"
+	"github.com/hawthornwick/hawthornwick/internal/eventstream"
 )
 
 // CallerHead holds the request metadata from a caller's header fields.
@@ -72,4 +73,6 @@
 	// ReadAdvisory reads what the head of an answer, which may be informational (1xx),
 	// states about the server that sent it.
 	ReadAdvisory(status int, h http.Header) advisory.Advisory
+	// EventRules state what the events of backend servers' streams look like.
+	EventRules() eventstream.Rules
 }
--- a/internal/gatewayfile/protocol.go
+++ b/internal/gatewayfile/protocol.go
@@ -10,6 +10,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/eventstream"
 	"github.com/hawthornwick/hawthornwick/internal/gateway"
 )
 
@@ -70,3 +71,8 @@
 func (protocol) ReadAdvisory(status int, h http.Header) advisory.Advisory {
 	return advisory.Read(advisory.Fields{Leaving: engineapi.LeavingHeader, RateLimit: engineapi.RateLimitHeader}, status, h, time.Now())
 }
+
+// EventRules implements gateway.Protocol.
+func (protocol) EventRules() eventstream.Rules {
+	return eventstream.Rules{}
+}
