gateway: one budget of bytes for bodies, unfinished answers and events

Callers would see: requests of all clients that end with an instance that runs out of memory, because some servers start answers that they do not end, or some callers send large bodies at once.

Cause: each answer, event and body had a bound, their sum had none; buffers doubled.

Change: bytebudget, a quarter of the process's memory.

--- /dev/null
+++ b/internal/bytebudget/budget.go
@@ -0,0 +1,134 @@
+// Package bytebudget bounds the bytes that an instance keeps for all requests together, so
+// that a few servers or callers cannot make it run out of memory.
+package bytebudget
+
+import (
+	"sync"
+	"time"
+)
+
+// stalledAfter is the time without growth after which a holder may be evicted.
+const stalledAfter = time.Second
+
+// Budget is shared by all requests of an instance. It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	now   func() time.Time
+
+	mu      sync.Mutex
+	used    int64
+	evicted int64
+	holders map[*Holder]struct{} // that hold bytes
+}
+
+// New returns a budget of limit bytes. Zero means without limit.
+func New(limit int64) *Budget {
+	return &Budget{limit: limit, now: time.Now, holders: make(map[*Holder]struct{})}
+}
+
+// Holder is a share of the budget, of one request for one purpose. Its methods may be called
+// by one goroutine at a time.
+type Holder struct {
+	budget *Budget
+	limit  int64
+	evict  func()
+
+	held    int64
+	grownAt time.Time
+	gone    bool // evicted or released
+}
+
+// Hold returns a holder without bytes. It may not bring the use of the budget over the given
+// percentage. evict is called when others need the bytes of a holder that has not grown for
+// a while; it must not block and must make the holder's owner drop them. If it is nil, the
+// holder is never evicted.
+func (b *Budget) Hold(percent int64, evict func()) *Holder {
+	return &Holder{budget: b, limit: b.limit * percent / 100, evict: evict}
+}
+
+// Grow adds n bytes to the holder. It returns false if the budget has no room for them, or
+// if the holder was evicted; nothing is added then. To make room it evicts the holders that
+// have not grown for a while, the largest first.
+func (h *Holder) Grow(n int64) bool {
+	b := h.budget
+	b.mu.Lock()
+	var evicted []*Holder
+	grown := b.grow(h, n, &evicted)
+	b.mu.Unlock()
+	for _, e := range evicted {
+		e.evict()
+	}
+	return grown
+}
+
+func (b *Budget) grow(h *Holder, n int64, evicted *[]*Holder) bool {
+	if h.gone {
+		return false
+	}
+	now := b.now()
+	for b.limit > 0 && b.used+n > h.limit {
+		largest := b.largestStalled(h, now)
+		if largest == nil {
+			return false
+		}
+		b.remove(largest)
+		b.evicted++
+		*evicted = append(*evicted, largest)
+	}
+	b.used += n
+	h.held += n
+	h.grownAt = now
+	b.holders[h] = struct{}{}
+	return true
+}
+
+// largestStalled returns the largest holder besides h that may be evicted, or nil.
+func (b *Budget) largestStalled(h *Holder, now time.Time) *Holder {
+	var largest *Holder
+	for other := range b.holders {
+		if other == h || other.evict == nil || now.Sub(other.grownAt) < stalledAfter {
+			continue
+		}
+		if largest == nil || other.held > largest.held {
+			largest = other
+		}
+	}
+	return largest
+}
+
+func (b *Budget) remove(h *Holder) {
+	b.used -= h.held
+	h.held = 0
+	h.gone = true
+	delete(b.holders, h)
+}
+
+// Shrink returns n of the holder's bytes.
+func (h *Holder) Shrink(n int64) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n = min(n, h.held)
+	b.used -= n
+	h.held -= n
+	if h.held == 0 {
+		delete(b.holders, h)
+	}
+}
+
+// Release returns the holder's bytes. It may be called more than once, and on nil.
+func (h *Holder) Release() {
+	if h == nil {
+		return
+	}
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.budget.remove(h)
+}
+
+// Usage returns the bytes that are held, and how many holders were evicted so far.
+func (b *Budget) Usage() (used, evicted int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used, b.evicted
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,9 @@
 	// memoryLimitFraction is the fraction of the process's memory that is set as
 	// the Go runtime's soft memory limit.
 	memoryLimitFraction = 0.6
+	// bufferShare is the percentage of the process's memory for the bytes of bodies and
+	// unfinished answers.
+	bufferShare = 25
 	// deliveryShare is the percentage of Bounds.Leaving within which a request must have
 	// been delivered to its server.
 	deliveryShare = 75
@@ -91,6 +94,7 @@
 		Source: e.view, Balancer: e.balancer, Protocol: p.Protocol, Meter: e.duties.meter,
 		Suspects: dispatch.NewTrackerSuspects(e.suspects),
 		Recorder: e.events, Delivery: s.Bounds.Leaving * deliveryShare / 100,
+		BufferBytes: s.MemoryBytes * bufferShare / 100,
 	})
 	return e, e.listen()
 }
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -27,6 +27,8 @@
 var (
 	// ErrTooLong reports an event of more than MaxEventBytes.
 	ErrTooLong = errors.New("a stream event exceeds the maximum size")
+	// ErrNoMemory reports an event for which there is no memory.
+	ErrNoMemory = errors.New("the memory for unfinished stream events is in use")
 	// ErrPartial reports a stream that ended in the middle of an event.
 	ErrPartial = errors.New("the stream ended in the middle of an event")
 )
@@ -70,6 +72,16 @@
 	rules  Rules
 	lastID string // of the last event that had one, or that the run was resumed after
 	event  []byte
+	memory Memory // nil if it is not bounded
+	held   int64  // of memory
+}
+
+// Memory bounds what several readers keep together.
+type Memory interface {
+	// Grow reports whether there is room for n more bytes, and takes it.
+	Grow(n int64) bool
+	// Shrink gives room for n bytes back.
+	Shrink(n int64)
 }
 
 // NewReader returns a reader. resumeAfter is the id after which the run goes on, or empty.
@@ -77,12 +89,16 @@
 	return &Reader{source: bufio.NewReaderSize(r, bufferBytes), rules: rules, lastID: resumeAfter}
 }
 
+// SetMemory makes the reader take room for events that are larger than its buffer. Without
+// room Next returns ErrNoMemory.
+func (r *Reader) SetMemory(m Memory) { r.memory = m }
+
 // Next returns the next event. At the end of the stream it returns io.EOF, or ErrPartial in
 // the middle of an event. It returns *InvalidError as soon as a line shows that the bytes are
 // no event; all bytes since the last event are to be dropped then. Other errors are those of
 // the source.
 func (r *Reader) Next() (Event, error) {
-	r.event = r.event[:0]
+	r.reset()
 	var fields eventFields
 	for {
 		line, err := r.readLine()
@@ -122,6 +138,8 @@
 			return nil, r.invalid(r.event[start:], "unknown field")
 		case len(r.event) > MaxEventBytes:
 			return nil, ErrTooLong
+		case !r.hold():
+			return nil, ErrNoMemory
 		case err == nil:
 			line := bytes.TrimSuffix(r.event[start:], []byte("\n"))
 			return bytes.TrimSuffix(line, []byte("\r")), nil
@@ -129,6 +147,29 @@
 	}
 }
 
+// reset starts a new event. It keeps no large buffer.
+func (r *Reader) reset() {
+	if r.held > 0 {
+		r.event = nil
+		r.memory.Shrink(r.held)
+		r.held = 0
+	}
+	r.event = r.event[:0]
+}
+
+// hold takes room for the event's buffer. It reports whether there is any.
+func (r *Reader) hold() bool {
+	need := int64(cap(r.event))
+	if r.memory == nil || need <= max(r.held, 2*bufferBytes) {
+		return true
+	}
+	if !r.memory.Grow(need - r.held) {
+		return false
+	}
+	r.held = need
+	return true
+}
+
 // addLine checks a line and adds it to the fields of the event.
 func (r *Reader) addLine(fields *eventFields, line []byte) error {
 	if !r.isField(line) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -308,7 +308,7 @@
 func (a *attempt) connectionFailure(err error) *failure {
 	f := &failure{code: result.BackendServerError, cause: err, outcome: balance.Broken, sent: !a.permit.Revoke()}
 	switch cause := context.Cause(a.ctx); {
-	case errors.Is(cause, errNoProgress), errors.Is(cause, errUnreachable), errors.Is(cause, errRefused):
+	case errors.Is(cause, errNoProgress), errors.Is(cause, errUnreachable), errors.Is(cause, errRefused), errors.Is(cause, errStalled):
 		a.setUnresponsive(f, cause)
 	case cause != nil:
 		f.code, f.outcome, f.final = codeOf(a.ctx, cause), balance.Abandoned, true
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -1,13 +1,14 @@
 package gateway
 
 import (
-	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/bytebudget"
 	"github.com/hawthornwick/hawthornwick/internal/httphead"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -16,13 +17,27 @@
 // sent to the caller, so that the request can be retried if the answer breaks off.
 const maxBufferedBytes = 1 << 20
 
+// holdBuffer returns a holder for the unfinished answer. If others need its memory, an
+// attempt that may be repeated is cancelled.
+func (a *attempt) holdBuffer() *bytebudget.Holder {
+	var evict func()
+	if a.x.route.Retryable() {
+		evict = func() { a.cancel(errStalled) }
+	}
+	return a.x.gateway.buffers.Hold(answerShare, evict)
+}
+
 // relayBuffered relays an answer that is not a stream. It buffers the first
-// maxBufferedBytes.
+// maxBufferedBytes, or less if there is no memory for them.
 func (a *attempt) relayBuffered() *failure {
 	began := time.Since(a.started)
-	var buffer bytes.Buffer
-	_, err := io.CopyN(&buffer, a.response.Body, maxBufferedBytes)
+	holder := a.holdBuffer()
+	defer holder.Release()
+	buffered, err := readPieces(a.response.Body, holder, maxBufferedBytes)
 	complete := errors.Is(err, io.EOF)
+	if err == nil && a.ctx.Err() != nil {
+		err = context.Cause(a.ctx) // others needed the memory
+	}
 	if err != nil && !complete {
 		return a.connectionFailure(err)
 	}
@@ -30,13 +45,13 @@
 		a.x.recordUsage(began)
 	}
 	if complete && a.response.ContentLength < 0 && a.x.r.Method != http.MethodHead {
-		a.response.ContentLength = int64(buffer.Len())
+		a.response.ContentLength = buffered.size()
 	}
 	if a.watchdog != nil {
 		a.watchdog.stop()
 	}
 	a.writeHead()
-	if _, err := a.x.w.Write(buffer.Bytes()); err != nil {
+	if err := buffered.writeTo(a.x.w); err != nil {
 		return a.connectionFailure(err)
 	}
 	if !complete {
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -101,4 +101,7 @@
 func (g *Gateway) WriteMetrics(w io.Writer) {
 	g.counters.set.WritePrometheus(w)
 	fmt.Fprintf(w, "hawthornwick_active_requests %d\n", g.Active())
+	used, evicted := g.buffers.Usage()
+	fmt.Fprintf(w, "hawthornwick_buffered_bytes %d\n", used)
+	fmt.Fprintf(w, "hawthornwick_evicted_answers_total %d\n", evicted)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hawthornwick/hawthornwick/internal/balance"
+	"github.com/hawthornwick/hawthornwick/internal/bytebudget"
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/httphead"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
@@ -52,6 +53,7 @@
 	organisation *routes.Organisation // nil if the route needs no key
 	keyDigest    config.KeyDigest     // of the caller's key; empty if none was checked
 	body         []byte
+	bodyHold     *bytebudget.Holder // of body
 	suspect      quarantine.Request
 	header       http.Header // fields common to all attempts
 	query        balance.Query
@@ -78,6 +80,7 @@
 	x.detach()
 	x.cancel(errEnded)
 	x.cancelDeadline()
+	x.bodyHold.Release()
 }
 
 // serve answers the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/balance"
+	"github.com/hawthornwick/hawthornwick/internal/bytebudget"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
@@ -43,6 +44,9 @@
 	Meter    Meter
 	Suspects dispatch.Suspects
 	Recorder timeline.Recorder
+	// BufferBytes bounds the bytes of callers' bodies and of unfinished answers and
+	// events that are kept for all requests together. Zero means without limit.
+	BufferBytes int64
 	// Delivery bounds the time from the decision to send a request until its server
 	// has received it. It must be less than the time after which a server that leaves
 	// must not receive requests. Zero means guardconn.DefaultDelivery.
@@ -59,6 +63,7 @@
 	stopping   context.Context // ends when requests in flight are to be aborted
 	stop       context.CancelFunc
 	counters   *counters
+	buffers    *bytebudget.Budget
 	// answerTimes and stopState decide which requests are sent during a graceful stop.
 	answerTimes *answerTimes
 	stopState   stopState
@@ -69,7 +74,7 @@
 	if o.Delivery == 0 {
 		o.Delivery = guardconn.DefaultDelivery
 	}
-	g := &Gateway{options: o, transports: newTransports(), probes: newProber(), counters: newCounters(), answerTimes: newAnswerTimes()}
+	g := &Gateway{options: o, transports: newTransports(), probes: newProber(), counters: newCounters(), answerTimes: newAnswerTimes(), buffers: bytebudget.New(o.BufferBytes)}
 	g.stopping, g.stop = context.WithCancel(context.Background())
 	return g
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,7 +21,10 @@
 
 // relayStream relays the stream one complete event at a time.
 func (a *attempt) relayStream() *failure {
+	holder := a.holdBuffer()
+	defer holder.Release()
 	events := eventstream.NewReader(a.response.Body, a.x.gateway.options.Protocol.EventRules(), a.x.lastEventID)
+	events.SetMemory(holder)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
