quarantine, gateway: a request that waits for another one's trial is told when to return

Callers would see: a refusal without Retry-After of a sound request, because another request with the same part is tried at that moment.

Change: Tracker.Waits tells such requests from those that are refused for good; they get 503, not run, with Retry-After. Test: TestRequestThatWaitsForTrialMayReturn fails without the check.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -75,6 +75,8 @@
 
 func (s *countingSuspects) Refused(quarantine.Request, time.Time) bool { return s.refuses }
 
+func (*countingSuspects) Waits(quarantine.Request, time.Time) bool { return false }
+
 func (s *countingSuspects) Start(quarantine.Request, string, uint64, time.Time) (Run, bool) {
 	s.started++
 	return s, true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -59,6 +59,8 @@
 type Suspects interface {
 	// Refused reports whether the request is refused on all servers.
 	Refused(r quarantine.Request, now time.Time) bool
+	// Waits reports whether the request may run on no server now, but may soon.
+	Waits(r quarantine.Request, now time.Time) bool
 	// Start registers a run on the server. It returns false if the request
 	// must not run there now. An epoch of 0 means unknown.
 	Start(r quarantine.Request, server string, epoch uint64, now time.Time) (Run, bool)
@@ -135,6 +137,8 @@
 
 func (noSuspects) Refused(quarantine.Request, time.Time) bool { return false }
 
+func (noSuspects) Waits(quarantine.Request, time.Time) bool { return false }
+
 func (noSuspects) Start(quarantine.Request, string, uint64, time.Time) (Run, bool) {
 	return noRun{}, true
 }
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -16,6 +16,11 @@
 	return q.tracker.Refused(r, now)
 }
 
+// Waits implements Suspects.
+func (q trackerSuspects) Waits(r quarantine.Request, now time.Time) bool {
+	return q.tracker.Waits(r, now)
+}
+
 // Start implements Suspects.
 func (q trackerSuspects) Start(r quarantine.Request, server string, epoch uint64, now time.Time) (Run, bool) {
 	run, ok := q.tracker.Start(r, server, epoch, now)
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -31,6 +31,11 @@
 	minRecordedWait = 5 * time.Millisecond
 )
 
+// trialRetryAfter is the Retry-After of a refusal because of another request's trial.
+const trialRetryAfter = time.Second
+
+var errTrial = errors.New("another request is tried that shares parts of its prompt with requests during which backend servers crashed")
+
 var errQuarantined = errors.New("backend servers crashed while they ran this request or others that share a part of its prompt")
 
 // failure describes why an attempt did not deliver the complete answer.
@@ -55,6 +60,10 @@
 			x.refuse(x.newResult(result.RequestQuarantined, errQuarantined))
 			return
 		}
+		if x.gateway.options.Suspects.Waits(x.suspect, time.Now()) {
+			x.refuse(x.newResult(result.NoBackendServer, errTrial).WithRetryAfter(trialRetryAfter))
+			return
+		}
 		assignment, err := x.acquire(tries)
 		if err != nil {
 			x.refuse(x.noServerResult(err))
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -163,3 +163,20 @@
 	defer c.Close()
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 0\r\nConnection: close\r\n\r\nhalf", testAttempt, r.Header.Get(testAttempt), testSigned)
 }
+
+// waitingSuspects are suspects while another trial runs.
+type waitingSuspects struct{ dispatch.Suspects }
+
+func (waitingSuspects) Waits(quarantine.Request, time.Time) bool { return true }
+
+// TestRequestThatWaitsForTrialMayReturn guards against a sound request that is refused for
+// good because another one is tried at that moment.
+func TestRequestThatWaitsForTrialMayReturn(t *testing.T) {
+	is := is.New(t)
+	s := newTestStack(t, answerWith(http.StatusOK, "done"))
+	s.gateway.options.Suspects = waitingSuspects{s.gateway.options.Suspects}
+	got := s.call(http.MethodPost, "/once/x", "ask")
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.True(got.header.Get("Retry-After") != "")
+	is.Equal(s.runCount("a"), int64(0))
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -87,26 +87,25 @@
 	return &Tracker{options: o, runs: make(map[string]map[*Run]struct{}), cleared: make(map[uint64]time.Time), clearedParts: make(map[uint64]time.Time), restored: make(map[string]Verdict)}
 }
 
-// Refused reports whether the request is refused on all servers, for good or while another
-// trial runs.
+// Refused reports whether the request is refused on all servers.
 func (t *Tracker) Refused(r Request, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current := t.assess(now)
-	return current.refused[r.Fingerprint] || !t.mayRunParts(&current, r, now)
+	return current.refused[r.Fingerprint] || current.parts.standing(r.Parts) == runsNowhere
 }
 
-// mayRunParts reports whether a request with these parts may run anywhere now.
-func (t *Tracker) mayRunParts(current *assessment, r Request, now time.Time) bool {
-	switch current.parts.standing(r.Parts) {
-	case runsFreely:
-		return true
-	case runsAsTrial:
-		return !t.trying && !now.Before(t.tryAfter)
-	}
-	return false
+// Waits reports whether the request may run only as a trial and another trial may run now.
+func (t *Tracker) Waits(r Request, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.assess(now)
+	return current.parts.standing(r.Parts) == runsAsTrial && !t.mayTry(now)
 }
 
+// mayTry reports whether this instance may claim a trial now.
+func (t *Tracker) mayTry(now time.Time) bool { return !t.trying && !now.Before(t.tryAfter) }
+
 // MayRun reports whether the request may run on the server now. A request that is
 // not a suspect may run anywhere.
 func (t *Tracker) MayRun(r Request, server string, now time.Time) bool {
@@ -118,8 +117,11 @@
 func (t *Tracker) mayRun(r Request, server string, now time.Time) bool {
 	current := t.assess(now)
 	fingerprint := r.Fingerprint
+	standing := current.parts.standing(r.Parts)
 	switch {
-	case current.refused[fingerprint] || !t.mayRunParts(&current, r, now):
+	case current.refused[fingerprint] || standing == runsNowhere:
+		return false
+	case standing == runsAsTrial && !t.mayTry(now):
 		return false
 	case current.crashes[fingerprint] == 0:
 		return true
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -47,7 +47,8 @@
 			is.True(tr.Refused(prompt(1, bad, sound), now))
 			run, ok := tr.Start(prompt(2, sound, 100), "t", 0, now)
 			is.True(ok)
-			is.True(tr.Refused(prompt(3, bad, 101), now)) // one trial at a time
+			is.True(tr.Waits(prompt(3, bad, 101), now)) // one trial at a time
+			is.True(!tr.Refused(prompt(3, bad, 101), now))
 			now = now.Add(time.Second)
 			c.end(run, now)
 			is.True(tr.Refused(prompt(1, bad, sound), now))
@@ -67,7 +68,7 @@
 			tr.Restore([]Verdict{{Part: 7, Crashes: 5, UnixMillis: start.UnixMilli()}}, later)
 			run, ok := tr.Start(prompt(1, 7, 100), "s", 0, later)
 			is.True(ok)
-			is.True(tr.Refused(prompt(2, 7, 101), later))
+			is.True(tr.Waits(prompt(2, 7, 101), later))
 			end := later.Add(time.Second)
 			if crashes {
 				run.Crashed(end)
@@ -114,9 +115,9 @@
 	now := start.Add(partSettleTime)
 	_, ok := tr.Start(prompt(1, 5, 100), "s", 0, now)
 	is.True(!ok)
-	is.True(tr.Refused(prompt(1, 5, 100), now))
-	is.True(!tr.Refused(prompt(1, 5, 100), now.Add(claimRetry)))
-	is.True(!tr.Refused(prompt(2, 100, 101), now)) // other requests are not affected
+	is.True(tr.Waits(prompt(1, 5, 100), now))
+	is.True(!tr.Waits(prompt(1, 5, 100), now.Add(claimRetry)))
+	is.True(!tr.Waits(prompt(2, 100, 101), now)) // other requests are not affected
 }
 
 // TestTableClaims checks that one instance at a time holds the claim, that it expires when
