quarantine: a refused set is confirmed only if nothing else explains its crashes

The sound part was refused and the deadly ones went on, as their crashes counted as explained.

Change: any part of a crash that was not cleared since is another explanation. A set whose crashes all have one stays disputed: at most two further trials, and a third one if the other parts of its request are known to be sound. A part with enough crashes that crashed a server without the refused set is tried as well.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -30,10 +30,11 @@
 	// partSettleTime is the time from a notice of a crash until it counts. Within it,
 	// complete answers to other requests clear the sound parts.
 	partSettleTime = time.Second
-	// minAlternativeCrashes is the number of crashes from which a part may be the cause
-	// of crashes for which another one is refused. A part that was in flight by chance
-	// is rarely so twice.
-	minAlternativeCrashes = 2
+	// maxOpenTrials is the number of trials of a set whose crashes may have another
+	// explanation. After them one more request is tried, if its other parts are known to
+	// be sound: maxTrials in all.
+	maxOpenTrials = 2
+	maxTrials     = 3
 )
 
 // refusal refuses the requests that hold all parts of a set.
@@ -46,6 +47,7 @@
 	// alternatives are, for each of the crashes, the other parts that may have caused
 	// it. It is empty if the crashes are not known to this instance.
 	alternatives [][]uint64
+	trials       int // of these crashes
 }
 
 // key identifies the set of parts.
@@ -66,8 +68,15 @@
 
 // isDisputedBy reports whether a request that holds the given parts lacks a possible cause
 // of each crash, so that the refused parts may be sound and the request as well.
-func (r *refusal) isDisputedBy(parts []uint64) bool {
-	return !r.confirmed && !slices.ContainsFunc(r.alternatives, func(others []uint64) bool {
+func (a *partAssessment) isDisputedBy(r *refusal, parts []uint64) bool {
+	isUnknown := func(p uint64) bool { return !slices.Contains(r.parts, p) && !a.established(p) }
+	switch {
+	case r.confirmed || r.trials >= maxTrials:
+		return false
+	case r.trials >= maxOpenTrials && slices.ContainsFunc(parts, isUnknown):
+		return false
+	}
+	return !slices.ContainsFunc(r.alternatives, func(others []uint64) bool {
 		return !slices.ContainsFunc(others, func(p uint64) bool { return !slices.Contains(parts, p) })
 	})
 }
@@ -86,8 +95,10 @@
 	crashes  map[uint64]int // number of crashes of each part
 	refusals []refusal
 	// suspects are parts with enough crashes to be refused, of which some are explained
-	// only by a refusal that is not confirmed.
+	// by no refusal, or by one that is not confirmed.
 	suspects map[uint64]bool
+	// established reports whether this instance completed answers on a part.
+	established func(part uint64) bool
 }
 
 // standing returns how a request with the parts may run.
@@ -97,7 +108,7 @@
 		r := &a.refusals[i]
 		switch {
 		case !r.overlaps(parts):
-		case r.isSubsetOf(parts) && !r.isDisputedBy(parts):
+		case r.isSubsetOf(parts) && !a.isDisputedBy(r, parts):
 			return runsNowhere
 		default:
 			result = runsAsTrial
@@ -137,7 +148,7 @@
 			settled = append(settled, &incidents[i])
 		}
 	}
-	a := partAssessment{crashes: make(map[uint64]int), suspects: make(map[uint64]bool)}
+	a := partAssessment{crashes: make(map[uint64]int), suspects: make(map[uint64]bool), established: r.established}
 	for i := range incidents {
 		for _, p := range incidents[i].parts {
 			a.crashes[p.ID]++
@@ -156,9 +167,9 @@
 		a.add(found)
 	}
 	for i := range a.refusals {
-		a.refusals[i].findAlternatives(settled, counts)
+		a.refusals[i].findAlternatives(settled)
 	}
-	a.findSuspects(r, settled)
+	a.findSuspects(r, settled, counts)
 	return a
 }
 
@@ -275,28 +286,30 @@
 	return b.String()
 }
 
-// findAlternatives determines the other explanations of the refusal's crashes.
-func (r *refusal) findAlternatives(settled []*incident, counts map[uint64]int) {
+// findAlternatives determines the other explanations of the refusal's crashes. Sound parts
+// that were in flight by chance are mostly cleared by then.
+func (r *refusal) findAlternatives(settled []*incident) {
 	for _, i := range settled {
 		if !r.explains(i) {
 			continue
 		}
-		others := slices.DeleteFunc(partIDs(i.parts), func(p uint64) bool {
-			return counts[p] < minAlternativeCrashes || slices.Contains(r.parts, p)
-		})
+		if i.trial {
+			r.trials++
+		}
+		others := slices.DeleteFunc(partIDs(i.parts), func(p uint64) bool { return slices.Contains(r.parts, p) })
 		r.alternatives = append(r.alternatives, others)
 		r.confirmed = r.confirmed || len(others) == 0
 	}
 }
 
-// findSuspects determines the parts with enough crashes to be refused that no confirmed
-// refusal explains.
-func (a *partAssessment) findSuspects(rule partRule, settled []*incident) {
+// findSuspects determines the parts with enough crashes to be refused of which no confirmed
+// refusal explains all.
+func (a *partAssessment) findSuspects(rule partRule, settled []*incident, counts map[uint64]int) {
 	open := slices.DeleteFunc(slices.Clone(settled), func(i *incident) bool {
 		return slices.ContainsFunc(a.refusals, func(r refusal) bool { return r.confirmed && r.explains(i) })
 	})
-	for p, n := range countParts(open) {
-		if n >= rule.crashesToRefuse(p) {
+	for p := range countParts(open) {
+		if counts[p] >= rule.crashesToRefuse(p) {
 			a.suspects[p] = true
 		}
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -455,3 +455,42 @@
 		is.Equal(s.refusedParts(), nil)
 	}
 }
+
+// randomSharedDay returns a day with random load and up to two deadly parts beside a sound
+// one.
+func randomSharedDay(seed uint64) fleetDay {
+	random := rand.New(rand.NewPCG(seed, 1))
+	d := fleetDay{
+		instances: 2 + random.IntN(12), servers: 20 + random.IntN(30), rate: 30 + 60*random.Float64(),
+		prefixes: 2 + random.IntN(20), sessions: 20 + random.IntN(100), deadly: []uint64{7}, share: 0.02 + 0.04*random.Float64(),
+		noticeDelay: time.Duration(50+random.IntN(400)) * time.Millisecond, skew: time.Duration(random.IntN(500)-250) * time.Millisecond,
+		shared: 5, unshared: 0.5 * random.Float64(), sharedLast: random.IntN(2) == 0,
+		sharedFrom: time.Duration(random.IntN(16)) * time.Second,
+	}
+	if random.IntN(2) == 0 {
+		d.deadly = append(d.deadly, 8)
+	}
+	return d
+}
+
+// TestRandomSharedDays checks the bounds of TestSoundPartBesideDeadlyOne on random days.
+func TestRandomSharedDays(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			is := is.New(t)
+			day := randomSharedDay(seed)
+			s := newFleetSimulation(day, seed)
+			s.play()
+			t.Logf("%+v", day)
+			for _, part := range day.deadly {
+				t.Logf("part %d: %d crashes, %d late runs", part, len(s.crashes[part]), s.lateRuns[part])
+				is.True(s.lateRuns[part] <= maxLateRuns)
+			}
+			t.Logf("sound: %d, %d refused; with the shared part: %d, %d refused", s.sound, s.soundRefused, s.shared, s.sharedRefused)
+			if s.shared >= 20 {
+				is.True(float64(s.sharedRefused) <= (1-minSharedShare)*float64(s.shared))
+			}
+			is.True(float64(s.soundRefused-s.sharedRefused) <= (1-minSoundShare)*float64(s.sound-s.shared))
+		})
+	}
+}
--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -51,6 +51,7 @@
 			is.True(!tr.Refused(prompt(3, bad, 101), now))
 			now = now.Add(time.Second)
 			c.end(run, now)
+			complete(t, tr, prompt(9, 100), now) // the other part of the trial is sound
 			is.True(tr.Refused(prompt(1, bad, sound), now))
 			is.Equal(tr.Refused(prompt(3, bad, 101), now), c.refusesBad)
 			is.Equal(tr.Refused(prompt(4, sound, 101), now), c.refusesOne)
@@ -72,11 +73,15 @@
 			end := later.Add(time.Second)
 			if crashes {
 				run.Crashed(end)
+				run, ok = tr.Start(prompt(3, 7, 102), "s", 0, end) // 100 may have been the cause
+				is.True(ok)
+				run.Crashed(end)
 			} else {
 				run.Ended(true, end)
 			}
 			is.Equal(tr.Refused(prompt(2, 7, 101), end), crashes)
 			if crashes {
+				complete(t, tr, prompt(9, 100), end) // the other part of the first trial is sound
 				is.Equal(tr.Verdicts(end), []Verdict{{Part: 7, Crashes: 5, UnixMillis: end.UnixMilli(), Confirmed: true}})
 			}
 		})
@@ -97,10 +102,21 @@
 	run, ok := after.Start(prompt(2, 7, 100), "s", 0, later)
 	is.True(ok)
 	run.Crashed(later)
+	complete(t, after, prompt(9, 100), later)
 	is.True(after.Refused(prompt(3, 7, 101), later)) // narrowed to the part that was tried
 	is.True(!after.Refused(prompt(4, 5, 101), later))
 }
 
+// complete runs a request to its end.
+func complete(t *testing.T, tr *Tracker, r Request, now time.Time) {
+	t.Helper()
+	run, ok := tr.Start(r, "other", 0, now)
+	if !ok {
+		t.Fatalf("request %d may not run", r.Fingerprint)
+	}
+	run.Ended(true, now)
+}
+
 // deniedClaims are claims while another instance runs a trial or the store is away.
 type deniedClaims struct{ noClaims }
 
