--- a/internal/quarantine/claims.go
+++ b/internal/quarantine/claims.go
@@ -34,7 +34,8 @@
 type TableClaimsOptions struct {
 	Instance string
 	Table    platform.Table
-	// Now returns the time that all instances agree on.
+	// Now returns the time. The clocks of instances should differ by less than
+	// claimReleaseDelay; a claim of a clock that is further ahead is ignored.
 	Now    func() time.Time
 	Logger hclog.Logger
 }
