--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -363,9 +363,28 @@
 	{name: "two deadly parts, many instances", sharedLast: true, instances: 91, deadly: []uint64{7, 8}, unshared: 0.3},
 }
 
-// minSharedShare is the share of the sound requests with the shared part that must run,
-// beside those without it.
-const minSharedShare = 0.5
+const (
+	// minSharedShare is the share of the sound requests with the shared part that must run.
+	minSharedShare = 0.5
+	// minSharedRequests is their number from which it is checked.
+	minSharedRequests = 20
+)
+
+// checkShared checks the bounds on crashes, and on refusals of sound requests with and
+// without the shared part.
+func (s *fleetSimulation) checkShared(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	for _, part := range s.day.deadly {
+		t.Logf("part %d: %d crashes, %d late runs", part, len(s.crashes[part]), s.lateRuns[part])
+		is.True(s.lateRuns[part] <= maxLateRuns)
+	}
+	t.Logf("sound: %d, %d refused; with the shared part: %d, %d refused", s.sound, s.soundRefused, s.shared, s.sharedRefused)
+	if s.shared >= minSharedRequests {
+		is.True(float64(s.sharedRefused) <= (1-minSharedShare)*float64(s.shared))
+	}
+	is.True(float64(s.soundRefused-s.sharedRefused) <= (1-minSoundShare)*float64(s.sound-s.shared))
+}
 
 // TestSoundPartBesideDeadlyOne guards against the refusal of a sound part because all
 // requests that crashed servers held it, and against more crashes to find that out than
@@ -387,14 +406,8 @@
 				is := is.New(t)
 				s := newFleetSimulation(day, seed)
 				s.play()
-				for _, part := range day.deadly {
-					t.Logf("part %d: %d crashes, %d late runs", part, len(s.crashes[part]), s.lateRuns[part])
-					is.True(s.lateRuns[part] <= maxLateRuns)
-				}
-				t.Logf("sound: %d, %d refused; with the shared part: %d, %d refused", s.sound, s.soundRefused, s.shared, s.sharedRefused)
-				is.True(s.shared >= 20)
-				is.True(float64(s.sharedRefused) <= (1-minSharedShare)*float64(s.shared))
-				is.True(float64(s.soundRefused-s.sharedRefused) <= (1-minSoundShare)*float64(s.sound-s.shared))
+				is.True(s.shared >= minSharedRequests)
+				s.checkShared(t)
 			})
 		}
 	}
@@ -477,20 +490,11 @@
 func TestRandomSharedDays(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			is := is.New(t)
 			day := randomSharedDay(seed)
+			t.Logf("%+v", day)
 			s := newFleetSimulation(day, seed)
 			s.play()
-			t.Logf("%+v", day)
-			for _, part := range day.deadly {
-				t.Logf("part %d: %d crashes, %d late runs", part, len(s.crashes[part]), s.lateRuns[part])
-				is.True(s.lateRuns[part] <= maxLateRuns)
-			}
-			t.Logf("sound: %d, %d refused; with the shared part: %d, %d refused", s.sound, s.soundRefused, s.shared, s.sharedRefused)
-			if s.shared >= 20 {
-				is.True(float64(s.sharedRefused) <= (1-minSharedShare)*float64(s.shared))
-			}
-			is.True(float64(s.soundRefused-s.sharedRefused) <= (1-minSoundShare)*float64(s.sound-s.shared))
+			s.checkShared(t)
 		})
 	}
 }
