quarantine: a claim of an instance whose clock is ahead counts

An instance whose clock is behind by some ms ignored a fresh claim for as long and could start a second trial. Claims up to 2 s longer count now. TestTableClaims fails before ('behind' acquires). Start returns no run with false.

--- a/internal/quarantine/claims.go
+++ b/internal/quarantine/claims.go
@@ -20,7 +20,9 @@
 	// claimReleaseDelay is the time from the end of a trial until others may start one.
 	// They know its outcome by then.
 	claimReleaseDelay = partSettleTime
-	claimKey          = "quarantine/trial"
+	// maxClaimSkew bounds the difference between the clocks of two instances.
+	maxClaimSkew = 2 * time.Second
+	claimKey     = "quarantine/trial"
 )
 
 // claimRow is the row of the trial that runs.
@@ -34,8 +36,8 @@
 type TableClaimsOptions struct {
 	Instance string
 	Table    platform.Table
-	// Now returns the time. The clocks of instances should differ by less than
-	// claimReleaseDelay; a claim of a clock that is further ahead is ignored.
+	// Now returns the time. A claim of a clock that is ahead by more than maxClaimSkew is
+	// ignored.
 	Now    func() time.Time
 	Logger hclog.Logger
 }
@@ -84,7 +86,7 @@
 		return false
 	}
 	left := time.UnixMilli(held.UntilMillis).Sub(c.options.Now())
-	return left > 0 && left <= maxTrialTime // a longer claim is of a clock that was wrong
+	return left > 0 && left <= maxTrialTime+maxClaimSkew // a longer claim is of a clock that was wrong
 }
 
 // write writes the row if its version is still the given one, 0 for no row. It returns the
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -148,7 +148,10 @@
 		return nil, false
 	}
 	if current := t.assess(now); current.parts.standing(request.Parts) == runsAsTrial {
-		return r, t.startTrial(r, now)
+		if !t.startTrial(r, now) {
+			return nil, false
+		}
+		return r, true
 	}
 	t.addRun(r)
 	return r, true
