--- a/internal/quarantine/trial_test.go
+++ b/internal/quarantine/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,24 +142,26 @@
 func TestTableClaims(t *testing.T) {
 	is := is.New(t)
 	p := standin.New(standin.Options{})
-	now := start
+	var passed atomic.Int64 // nanoseconds since start
+	now := func() time.Time { return start.Add(time.Duration(passed.Load())) }
+	pass := func(d time.Duration) { passed.Add(int64(d)) }
 	claims := func(name string) *TableClaims {
 		return NewTableClaims(TableClaimsOptions{
-			Instance: name, Table: p.Caller(name).Table(), Now: func() time.Time { return now }, Logger: hclog.NewNullLogger(),
+			Instance: name, Table: p.Caller(name).Table(), Now: now, Logger: hclog.NewNullLogger(),
 		})
 	}
 	ahead := claims("ahead")
-	ahead.options.Now = func() time.Time { return now.Add(maxClaimSkew / 2) }
+	ahead.options.Now = func() time.Time { return now().Add(maxClaimSkew / 2) }
 	is.True(ahead.Acquire())
 	is.True(!claims("behind").Acquire()) // though the claim seems longer than a trial may be
-	now = now.Add(2 * maxTrialTime)
+	pass(2 * maxTrialTime)
 	a, b := claims("a"), claims("b")
 	is.True(a.Acquire())
 	is.True(!b.Acquire())
 	a.Release()
-	eventually(t, func() bool { now = now.Add(claimReleaseDelay / 10); return b.Acquire() })
-	is.True(now.Before(start.Add(3 * maxTrialTime))) // the release shortened the claim
-	now = now.Add(maxTrialTime)
+	eventually(t, func() bool { pass(claimReleaseDelay / 10); return b.Acquire() })
+	is.True(now().Before(start.Add(3 * maxTrialTime))) // the release shortened the claim
+	pass(maxTrialTime)
 	is.True(a.Acquire()) // b was lost
 	_, err := p.Caller("c").Table().Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: claimKey, Value: []byte("{")}}})
 	is.NoErr(err)
