gateway, eventstream: logs tell how an answer was framed and which ids its stream had

Change: both name the framing, the events of the run, its first and last id and the largest step between two ids. attempt.unframed, for each answer that ends with its connection, says what a probe of the server found and how old that is; so far only answers with shared parts of prompts were probed. Metrics: hawthornwick_answers_framed_total{framing}, hawthornwick_unframed_ends_total{server}.

Measured: TestSeen; tests of eventstream, gateway, timeline and explain pass on arm64.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -71,11 +71,29 @@
 	source *bufio.Reader
 	rules  Rules
 	lastID string // of the last event that had one, or that the run was resumed after
+	seen   Seen
 	event  []byte
 	memory Memory // nil if it is not bounded
 	held   int64  // of memory
 }
 
+// Seen is what a reader has returned so far.
+type Seen struct {
+	// Events is the number of events.
+	Events int64
+	// FirstID and LastID are the ids of the first and the last event that had one. Empty
+	// means that none had.
+	FirstID, LastID string
+	// LargestStep is the largest difference between the ids of two successive events, if
+	// these are numbers. It includes the step from the id after which the run was resumed.
+	LargestStep int64
+}
+
+// String returns the fields as key=value pairs.
+func (s Seen) String() string {
+	return fmt.Sprintf("run_events=%d first_id=%q last_id=%q id_step=%d", s.Events, s.FirstID, s.LastID, s.LargestStep)
+}
+
 // Memory bounds what several readers keep together.
 type Memory interface {
 	// Grow reports whether there is room for n more bytes, and takes it.
@@ -93,6 +111,9 @@
 // room Next returns ErrNoMemory.
 func (r *Reader) SetMemory(m Memory) { r.memory = m }
 
+// Seen returns what the reader has returned so far.
+func (r *Reader) Seen() Seen { return r.seen }
+
 // Next returns the next event. At the end of the stream it returns io.EOF, or ErrPartial in
 // the middle of an event. It returns *InvalidError as soon as a line shows that the bytes are
 // no event; all bytes since the last event are to be dropped then. Other errors are those of
@@ -233,12 +254,27 @@
 	case r.rules.RequireIDs && !fields.data:
 		return Event{}, r.invalid(r.event, "event without data")
 	}
-	if fields.hasID {
-		r.lastID = fields.id
-	}
+	r.record(fields)
 	return Event{Bytes: r.event, ID: fields.id}, nil
 }
 
+// record adds an event to what was seen.
+func (r *Reader) record(fields *eventFields) {
+	r.seen.Events++
+	if !fields.hasID {
+		return
+	}
+	number, isNumber := parseID(fields.id)
+	last, lastIsNumber := parseID(r.lastID)
+	if isNumber && lastIsNumber && r.lastID != "" {
+		r.seen.LargestStep = max(r.seen.LargestStep, number-last)
+	}
+	if r.seen.FirstID == "" {
+		r.seen.FirstID = fields.id
+	}
+	r.lastID, r.seen.LastID = fields.id, fields.id
+}
+
 func (r *Reader) invalid(line []byte, reason string) *InvalidError {
 	return &InvalidError{Line: bytes.Clone(line[:min(len(line), maxQuotedBytes)]), AfterID: r.lastID, Reason: reason}
 }
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -86,6 +86,26 @@
 	}
 }
 
+func TestSeen(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		stream, after string
+		seen          Seen
+	}{
+		{stream: sound, seen: Seen{Events: 2, FirstID: "1", LastID: "2", LargestStep: 1}},
+		{stream: "id: 7\ndata: a\n\nid: 8\ndata: a\n\n", after: "4", seen: Seen{Events: 2, FirstID: "7", LastID: "8", LargestStep: 3}},
+		{stream: "data: a\n\n", seen: Seen{Events: 1}},
+	} {
+		r := NewReader(strings.NewReader(c.stream), Rules{}, c.after)
+		for {
+			if _, err := r.Next(); err != nil {
+				break
+			}
+		}
+		is.Equal(r.Seen(), c.seen)
+	}
+}
+
 // TestResumedRunStartsAfterLastEvent guards against pieces that a caller receives twice
 // because the server starts the run from its beginning.
 func TestResumedRunStartsAfterLastEvent(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/dispatch"
+	"github.com/hawthornwick/hawthornwick/internal/eventstream"
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
@@ -40,7 +41,8 @@
 	reused     bool
 	response   *http.Response
 	answer     AnswerHead
-	unframed   bool // the answer has neither a length nor chunks and ends with its connection
+	framing    framing
+	events     *eventstream.Reader // of an answer that is a stream; nil otherwise
 	// denial is why the request may not be sent after all, or nil. It is set before the
 	// permit is denied.
 	denial error
@@ -91,20 +93,22 @@
 		run.Ended(false, time.Now())
 	}
 	a.x.gateway.counters.attempt(failed.code.String())
-	a.record(kindOf(failed), failed.code, a.reasonIfUnsent(failed)+fmt.Sprint(failed.cause))
+	a.record(kindOf(failed), failed.code, a.reasonIfUnsent(failed)+fmt.Sprint(failed.cause)+a.describeStream())
 }
 
 // endRun reports the end of the run of a relayed answer. An answer that ends with its
 // connection looks the same when its server crashes, so whether parts of its prompt are
 // sound depends on whether the server is still there.
 func (a *attempt) endRun(run dispatch.Run) {
-	if !a.unframed || len(a.x.suspect.Parts) == 0 {
+	if a.framing != framedByConnection {
 		run.Ended(a.succeeded(), time.Now())
 		return
 	}
-	probes, address, succeeded := a.x.gateway.probes, a.assignment.Address, a.succeeded()
+	probes, address, succeeded, endedAt := a.x.gateway.probes, a.assignment.Address, a.succeeded(), time.Now()
 	go func() {
-		switch probes.probe(address) {
+		found := probes.probe(address)
+		a.recordEndCheck(found, time.Since(endedAt))
+		switch found {
 		case reachable:
 			run.Ended(succeeded, time.Now())
 		case refused:
@@ -154,7 +158,7 @@
 		return a.connectionFailure(err)
 	}
 	a.response = response
-	a.unframed = response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	a.framing = framingOf(response)
 	a.answer = a.x.gateway.options.Protocol.ReadAnswerHead(response)
 	a.observe(balance.Answer{
 		Status: response.StatusCode, Misdirected: a.answer.Misdirected, Partial: a.answer.Attempt != a.x.head.Attempt,
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -89,12 +89,13 @@
 func (a *attempt) recordAnswered(events int64) {
 	took := time.Since(a.x.receivedAt)
 	a.x.gateway.counters.completed(a.x, took.Seconds())
+	a.x.gateway.counters.framed(a.framing)
 	if a.succeeded() {
 		a.x.gateway.answerTimes.add(a.x.route.Name, took)
 	}
 	a.x.record(timeline.Event{
 		Kind: timeline.RequestAnswered, Attempt: a.x.head.Attempt, Server: a.assignment.Server, Zone: a.assignment.Zone,
 		Count: events, Duration: took, State: strconv.Itoa(a.response.StatusCode),
-		Detail: a.x.pauses.describe(a.x.receivedAt),
+		Detail: a.x.pauses.describe(a.x.receivedAt) + a.describeStream(),
 	})
 }
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -97,6 +97,16 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_attempts_total{outcome=%q}`, outcome)).Inc()
 }
 
+// framed counts a complete answer by what marked its end.
+func (c *counters) framed(f framing) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_answers_framed_total{framing=%q}`, f)).Inc()
+}
+
+// endChecked counts a check of the server of an answer that ended with its connection.
+func (c *counters) endChecked(found reachability) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_unframed_ends_total{server=%q}`, found)).Inc()
+}
+
 // WriteMetrics writes the gateway's metrics in the Prometheus text format.
 func (g *Gateway) WriteMetrics(w io.Writer) {
 	g.counters.set.WritePrometheus(w)
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -25,6 +25,11 @@
 	silent
 )
 
+var reachabilityNames = [...]string{reachable: "reachable", refused: "refused", silent: "silent"}
+
+// String returns the name, as used in metrics and the timeline.
+func (r reachability) String() string { return reachabilityNames[r] }
+
 // prober checks whether servers still accept connections. Concurrent checks of
 // one address share a dial.
 type prober struct {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,10 +23,10 @@
 func (a *attempt) relayStream() *failure {
 	holder := a.holdBuffer()
 	defer holder.Release()
-	events := eventstream.NewReader(a.response.Body, a.x.gateway.options.Protocol.EventRules(), a.x.lastEventID)
-	events.SetMemory(holder)
+	a.events = eventstream.NewReader(a.response.Body, a.x.gateway.options.Protocol.EventRules(), a.x.lastEventID)
+	a.events.SetMemory(holder)
 	for {
-		event, err := events.Next()
+		event, err := a.events.Next()
 		if errors.Is(err, io.EOF) {
 			return a.streamEnded()
 		}
