gateway: an answer that ends with its connection is complete only if its server is still the same

What callers saw: a stream, or a plain answer, with neither a length nor chunks looked whole when the process of its server was killed between two events: status 200, the last chunk or a Content-Length of our own, and up to two thirds of the pieces missing. The kernel ends the connections of a killed process with FIN, like the end of a sound answer. Parts of prompts were cleared in the quarantine by whatever listened at the address.

Such an answer is now vouched for only if the process that was known when the request was assigned (id, start or restart epoch) answers a question that was asked after the end, and if the server had time left. When a process ends, all its connections end with it, so that an answer after the end of the connection shows that the end was the server's own. Each end asks for itself; questions are not shared. Otherwise a stream that may be resumed goes on at another server after the last id and a plain answer is tried again, if it may be; other streams are broken off, other plain answers are 502 (504 if the server's time was over). The quarantine uses the same question.

An answer to HEAD has no body and needs no proof.

TestUnframedAnswerOfCrashedServer: its case "alive" was a dial that succeeds to a pipe that nobody reads, which is what must not pass for a server; the server now answers for itself, and the failed dials stand at the transport that asks. What the quarantine must conclude is unchanged, and a listener that only accepts has a case of its own.

--- a/internal/balance/acquire.go
+++ b/internal/balance/acquire.go
@@ -222,7 +222,7 @@
 	p.tokens.prompt += uncached
 	p.tokens.output += q.OutputTokens
 	return &Assignment{
-		Server: s.ID, Address: s.Address, Zone: s.Zone, Cold: cold, OnAffinityServer: onAffinity, InFlight: inFlight, Others: others,
+		Server: s.ID, Address: s.Address, Zone: s.Zone, StartedMillis: s.StartedMillis, Cold: cold, OnAffinityServer: onAffinity, InFlight: inFlight, Others: others,
 		Uncached: uncached, balancer: b, server: s, pool: p, assignedAt: now, trial: trial,
 		expectedMillis: minFirstEventMillis + float64(s.pendingPrefill+others.PendingPrefill)/prefillTokensPerMilli,
 	}
--- a/internal/balance/types.go
+++ b/internal/balance/types.go
@@ -98,6 +98,8 @@
 type Assignment struct {
 	// Server, Address and Zone identify the assigned server.
 	Server, Address, Zone string
+	// StartedMillis is the server's start in Unix milliseconds. Zero means unknown.
+	StartedMillis int64
 	// Cold is true when the server was cold at the time of assignment.
 	Cold bool
 	// OnAffinityServer is true when the server is the affinity server of the prompt's prefix.
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -57,6 +57,12 @@
 	return advisory.Read(advisory.Fields{Leaving: "Leaving"}, status, h, time.Now())
 }
 
+func (plainProtocol) IdentityRequest(string) (string, http.Header) { return "/identity", http.Header{} }
+
+func (plainProtocol) ReadIdentity(r *http.Response, _ []byte) gateway.Identity {
+	return gateway.Identity{Server: r.Header.Get("Identity")}
+}
+
 // testPlatform is a store with backend servers. It records the orders and usage reports
 // that it receives.
 type testPlatform struct {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,8 @@
 	answer     AnswerHead
 	framing    framing
 	events     *eventstream.Reader // of an answer that is a stream; nil otherwise
+	stopsAt    time.Time           // when the server stops work on the request
+	vouched    bool                // the answer ended with its connection and was found to be complete
 	// denial is why the request may not be sent after all, or nil. It is set before the
 	// permit is denied.
 	denial error
@@ -96,26 +98,19 @@
 	a.record(kindOf(failed), failed.code, a.reasonIfUnsent(failed)+fmt.Sprint(failed.cause)+a.describeStream())
 }
 
-// endRun reports the end of the run of a relayed answer. An answer that ends with its
-// connection looks the same when its server crashes, so whether parts of its prompt are
-// sound depends on whether the server is still there.
+// endRun reports the end of the run of a relayed answer. An error answer that ends with its
+// connection is relayed without a check, but its server may have crashed.
 func (a *attempt) endRun(run dispatch.Run) {
-	if a.framing != framedByConnection {
+	if a.framing != framedByConnection || a.vouched {
 		run.Ended(a.succeeded(), time.Now())
 		return
 	}
-	probes, address, succeeded, endedAt := a.x.gateway.probes, a.assignment.Address, a.succeeded(), time.Now()
 	go func() {
-		found := probes.probe(address)
-		a.recordEndCheck(found, time.Since(endedAt))
-		switch found {
-		case reachable:
-			run.Ended(succeeded, time.Now())
-		case refused:
+		if _, v := a.examineEnd(context.Background()); v == crashed {
 			run.Crashed(time.Now())
-		case silent:
-			run.Ended(false, time.Now())
+			return
 		}
+		run.Ended(false, time.Now())
 	}()
 }
 
@@ -158,7 +153,7 @@
 		return a.connectionFailure(err)
 	}
 	a.response = response
-	a.framing = framingOf(response)
+	a.framing = framingOf(response, a.x.r.Method)
 	a.answer = a.x.gateway.options.Protocol.ReadAnswerHead(response)
 	a.observe(balance.Answer{
 		Status: response.StatusCode, Misdirected: a.answer.Misdirected, Partial: a.answer.Attempt != a.x.head.Attempt,
@@ -219,8 +214,10 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: x.header.Clone(),
 	}).WithContext(ctx)
+	timeLeft := max(x.timeLeft(), time.Millisecond).Truncate(time.Millisecond)
+	a.stopsAt = time.Now().Add(timeLeft)
 	x.gateway.options.Protocol.WriteServerHead(r.Header, ServerHead{
-		Server: a.assignment.Server, TimeLeft: max(x.timeLeft(), time.Millisecond), Organisation: x.organisationName(),
+		Server: a.assignment.Server, TimeLeft: timeLeft, Organisation: x.organisationName(),
 		Priority: x.query.Priority, ResumeAfter: x.lastEventID,
 	})
 	if _, stated := r.Header["User-Agent"]; !stated {
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -44,6 +44,11 @@
 	if !a.answer.NotRun {
 		a.x.recordUsage(began)
 	}
+	if complete {
+		if failed := a.vouchForEnd(); failed != nil {
+			return failed
+		}
+	}
 	if complete && a.response.ContentLength < 0 && a.x.r.Method != http.MethodHead {
 		a.response.ContentLength = buffered.size()
 	}
@@ -58,6 +63,9 @@
 		if _, err := io.Copy(a.x.w, a.response.Body); err != nil {
 			return a.connectionFailure(err)
 		}
+		if failed := a.vouchForEnd(); failed != nil {
+			return failed
+		}
 	}
 	_ = a.response.Body.Close()
 	a.recordAnswered(1)
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -102,9 +102,10 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_answers_framed_total{framing=%q}`, f)).Inc()
 }
 
-// endChecked counts a check of the server of an answer that ended with its connection.
-func (c *counters) endChecked(found reachability) {
-	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_unframed_ends_total{server=%q}`, found)).Inc()
+// endChecked counts an answer that ended with its connection by what a check of its server
+// found and what was concluded.
+func (c *counters) endChecked(found finding, v verdict) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_unframed_ends_total{server=%q,conclusion=%q}`, found, v)).Inc()
 }
 
 // WriteMetrics writes the gateway's metrics in the Prometheus text format.
--- a/internal/gateway/faultyanswer_test.go
+++ b/internal/gateway/faultyanswer_test.go
@@ -13,6 +13,11 @@
 	"github.com/matryer/is"
 )
 
+// identityAnswer returns the answer of a server that states who it is.
+func identityAnswer(id string, start int) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n", testID, id, testStart, start)
+}
+
 // addRawServer adds a backend server that writes what answer returns for each request, and
 // then closes the connection if end is true.
 func (s *testStack) addRawServer(id string, answer func(r *http.Request) (text string, end bool)) {
@@ -33,7 +38,12 @@
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
 			}
-			text, end := answer(r)
+			text, end := "", false
+			if r.URL.Path == testIdentityPath {
+				text = identityAnswer(id, testStarted)
+			} else {
+				text, end = answer(r)
+			}
 			if _, err := io.WriteString(c, text); err != nil || end {
 				return
 			}
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -1,11 +1,6 @@
 package gateway
 
-import (
-	"net/http"
-	"time"
-
-	"github.com/hawthornwick/hawthornwick/internal/timeline"
-)
+import "net/http"
 
 // framing is what marks the end of a backend server's answer.
 type framing int
@@ -23,10 +18,11 @@
 // String returns the name, as used in metrics and the timeline.
 func (f framing) String() string { return framingNames[f] }
 
-// framingOf returns what marks the end of an answer.
-func framingOf(r *http.Response) framing {
+// framingOf returns what marks the end of an answer. An answer to a HEAD request ends with
+// its head.
+func framingOf(r *http.Response, method string) framing {
 	switch {
-	case r.ContentLength >= 0:
+	case r.ContentLength >= 0 || method == http.MethodHead:
 		return framedByLength
 	case len(r.TransferEncoding) > 0:
 		return framedByChunks
@@ -42,13 +38,3 @@
 	}
 	return " framing=" + a.framing.String() + " " + a.events.Seen().String()
 }
-
-// recordEndCheck records what a check of the server found after the answer ended with
-// its connection. age is the time since that end.
-func (a *attempt) recordEndCheck(found reachability, age time.Duration) {
-	a.x.gateway.counters.endChecked(found)
-	a.x.record(timeline.Event{
-		Kind: timeline.AttemptUnframed, Attempt: a.x.head.Attempt, Server: a.assignment.Server, Zone: a.assignment.Zone,
-		Count: a.x.events, State: found.String(), Duration: age,
-	})
-}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -40,8 +40,16 @@
 
 	testRateLimit = "Test-Rate-Limit"
 	testParts     = "Test-Parts" // a letter for each part of the prompt
+	testID        = "Test-Id"    // of the server that answers an identity request
+	testStart     = "Test-Start" // of its process, Unix milliseconds
 )
 
+// testIdentityPath is where servers are asked who they are.
+const testIdentityPath = "/identity"
+
+// testStarted is the start of servers in the directory, in Unix milliseconds.
+const testStarted = 1
+
 type testProtocol struct{}
 
 func (testProtocol) ReadCallerHead(r *http.Request) CallerHead {
@@ -82,6 +90,18 @@
 	return advisory.Read(advisory.Fields{Leaving: testLeaving, RateLimit: testRateLimit}, status, h, time.Now())
 }
 
+func (testProtocol) IdentityRequest(string) (string, http.Header) {
+	return testIdentityPath, http.Header{}
+}
+
+func (testProtocol) ReadIdentity(r *http.Response, _ []byte) Identity {
+	start, err := strconv.ParseUint(r.Header.Get(testStart), 10, 64)
+	if err != nil {
+		start = 0
+	}
+	return Identity{Server: r.Header.Get(testID), Incarnation: start}
+}
+
 // testSource is a Source that tests control.
 type testSource struct {
 	table      *routes.Table
@@ -178,6 +198,11 @@
 // be nil.
 func (s *testStack) addServerWith(id string, h http.HandlerFunc, connState func(net.Conn, http.ConnState)) {
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == testIdentityPath {
+			w.Header().Set(testID, id)
+			w.Header().Set(testStart, strconv.Itoa(testStarted))
+			return
+		}
 		w.Header().Set(testAttempt, r.Header.Get(testAttempt))
 		w.Header().Set(testSigned, id)
 		h(w, r)
@@ -194,7 +219,7 @@
 
 func (s *testStack) addAddress(id, address string) {
 	s.servers = append(s.servers, directory.Server{Entry: directory.Entry{
-		ID: id, Service: "s", Address: address, Zone: "z", Capacity: 8, StartedMillis: 1,
+		ID: id, Service: "s", Address: address, Zone: "z", Capacity: 8, StartedMillis: testStarted,
 	}})
 	s.balancer.SetServers(s.servers)
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -57,6 +57,19 @@
 	NotRun bool
 	// Misdirected is true when the server is not the intended one.
 	Misdirected bool
+	// Incarnation identifies the server's process, as in Identity. Zero means that the
+	// answer does not state it.
+	Incarnation uint64
+}
+
+// Identity is what a backend server states about itself.
+type Identity struct {
+	// Server is its id. Empty means that it was not stated.
+	Server string
+	// Incarnation is a number that identifies the process among all processes of the
+	// server: its start in Unix milliseconds, or a restart epoch. Zero means that it was
+	// not stated.
+	Incarnation uint64
 }
 
 // Protocol reads and writes header fields. Implementations must be safe for
@@ -73,6 +86,13 @@
 	// ReadAdvisory reads what the head of an answer, which may be informational (1xx),
 	// states about the server that sent it.
 	ReadAdvisory(status int, h http.Header) advisory.Advisory
+	// IdentityRequest returns the path and the header fields of a GET request with which
+	// a backend server, whose id is assumed to be server, is asked who it is. The server
+	// must answer it at once, without running anything.
+	IdentityRequest(server string) (path string, h http.Header)
+	// ReadIdentity reads the answer to an IdentityRequest. Fields that are missing or
+	// malformed count as not stated.
+	ReadIdentity(r *http.Response, body []byte) Identity
 	// EventRules state what the events of backend servers' streams look like.
 	EventRules() eventstream.Rules
 }
--- /dev/null
+++ b/internal/gateway/servercheck.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/balance"
+	"github.com/hawthornwick/hawthornwick/internal/guardconn"
+	"github.com/hawthornwick/hawthornwick/internal/result"
+	"github.com/hawthornwick/hawthornwick/internal/timeline"
+)
+
+const (
+	// serverCheckTimeout bounds the check of a server after an answer that ended with its
+	// connection. A process takes longer to start.
+	serverCheckTimeout = 500 * time.Millisecond
+	// maxIdentityBytes bounds the body in which a server states its identity.
+	maxIdentityBytes = 256 << 10
+)
+
+// unprovedError reports an answer that ended with its connection and may be incomplete.
+type unprovedError struct {
+	server  string
+	found   finding
+	verdict verdict
+}
+
+// Error implements error.
+func (e *unprovedError) Error() string {
+	return fmt.Sprintf("the answer of server %q ended with its connection and may be incomplete: conclusion=%s check=%s", e.server, e.verdict, e.found)
+}
+
+// vouchForEnd returns nil if the answer that has just ended may be passed on as complete.
+// Otherwise it returns the failure. Answers other than successes need no proof.
+func (a *attempt) vouchForEnd() *failure {
+	if a.framing != framedByConnection || !a.succeeded() {
+		return nil
+	}
+	if a.watchdog != nil {
+		a.watchdog.stop()
+	}
+	e, v := a.examineEnd(a.ctx)
+	a.vouched = v == vouched
+	switch {
+	case a.vouched:
+		return nil
+	case a.ctx.Err() != nil:
+		return a.connectionFailure(context.Cause(a.ctx))
+	}
+	return a.unprovedFailure(e.check.found, v)
+}
+
+// unprovedFailure returns the failure for an answer that is not vouched for.
+func (a *attempt) unprovedFailure(found finding, v verdict) *failure {
+	code, outcome := result.StreamBroken, outcomeOfCheck(found)
+	if v == overdue {
+		code, outcome = result.AttemptTimeout, balance.Failed
+	}
+	f := a.newFailure(code, outcome, &unprovedError{server: a.assignment.Server, found: found, verdict: v})
+	f.crashed = v == crashed
+	return f
+}
+
+// outcomeOfCheck returns the balancer's outcome for an answer that is not vouched for.
+func outcomeOfCheck(found finding) balance.Outcome {
+	switch found {
+	case gone, silentServer:
+		return balance.Unreached
+	case otherServer:
+		return balance.Misdirected
+	case notAsked, sameProcess, sameServer, restarted, unidentified:
+	}
+	return balance.Broken
+}
+
+// examineEnd collects the evidence for an answer that has just ended with its connection.
+func (a *attempt) examineEnd(ctx context.Context) (evidence, verdict) {
+	e := evidence{framing: a.framing, endedAt: time.Now(), stopsAt: a.stopsAt}
+	if e.endedAt.Before(e.stopsAt) {
+		e.check = a.checkServer(ctx)
+	}
+	v := vouch(e)
+	a.recordEndCheck(e, v)
+	return e, v
+}
+
+// checkServer asks the server who it is. It starts no run.
+func (a *attempt) checkServer(ctx context.Context) serverCheck {
+	c := serverCheck{askedAt: time.Now()}
+	stated, err := a.x.gateway.identify(ctx, a.assignment.Address, a.assignment.Server)
+	switch {
+	case err == nil:
+		c.found = compareIdentity(a.knownIdentity(), stated)
+	case reachabilityOf(err) == refused:
+		c.found = gone
+	default:
+		c.found = silentServer
+	}
+	return c
+}
+
+// knownIdentity returns the process that sent the answer, as far as it is known.
+func (a *attempt) knownIdentity() Identity {
+	known := Identity{Server: a.assignment.Server, Incarnation: a.answer.Incarnation}
+	if known.Incarnation == 0 {
+		known.Incarnation = uint64(max(a.assignment.StartedMillis, 0))
+	}
+	return known
+}
+
+// identify asks the process at the address who it is, within serverCheckTimeout.
+func (g *Gateway) identify(ctx context.Context, address, server string) (Identity, error) {
+	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
+	defer cancel()
+	permit := guardconn.NewPermit(func() guardconn.Grant { return guardconn.Allow(serverCheckTimeout) })
+	defer permit.End()
+	path, header := g.options.Protocol.IdentityRequest(server)
+	r := (&http.Request{
+		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: path}, Header: header,
+	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: permit.Attach}))
+	response, err := g.transports.pooled.RoundTrip(r)
+	if err != nil {
+		return Identity{}, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxIdentityBytes))
+	err = errors.Join(err, response.Body.Close())
+	return g.options.Protocol.ReadIdentity(response, body), err
+}
+
+// recordEndCheck records what is known of an answer that ended with its connection, and
+// what was concluded.
+func (a *attempt) recordEndCheck(e evidence, v verdict) {
+	a.x.gateway.counters.endChecked(e.check.found, v)
+	a.x.record(timeline.Event{
+		Kind: timeline.AttemptUnframed, Attempt: a.x.head.Attempt, Server: a.assignment.Server, Zone: a.assignment.Zone,
+		Count: a.x.events, State: e.check.found.String(), Duration: time.Since(e.endedAt),
+		Detail: "conclusion=" + v.String() + a.describeStream(),
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,8 +81,11 @@
 	return nil
 }
 
-// streamEnded completes the answer at the end of the server's stream.
+// streamEnded completes the answer at the end of the server's stream, if it is vouched for.
 func (a *attempt) streamEnded() *failure {
+	if failed := a.vouchForEnd(); failed != nil {
+		return failed
+	}
 	a.writeHead()
 	_ = a.response.Body.Close()
 	a.recordAnswered(a.x.events)
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -141,9 +141,10 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newTestStack(t, unframedAnswer)
-			s.gateway.probes.dial = func(context.Context, string, string) (net.Conn, error) {
-				here, _ := net.Pipe()
-				return here, test.dialError
+			if test.dialError != nil {
+				s.gateway.transports.pooled.DialContext = func(context.Context, string, string) (net.Conn, error) {
+					return nil, test.dialError
+				}
 			}
 			s.call(http.MethodPost, "/once/x", "ask", testParts, "xx")
 			for deadline := time.Now().Add(5 * time.Second); len(s.suspects.recorded()) == 0; time.Sleep(time.Millisecond) {
--- /dev/null
+++ b/internal/gateway/vouch.go
@@ -0,0 +1,106 @@
+package gateway
+
+import "time"
+
+// finding is what a check of a backend server found: who answers at its address.
+type finding int
+
+const (
+	// notAsked: there was no check.
+	notAsked finding = iota
+	// sameProcess: the process that was known when the request was assigned.
+	sameProcess
+	// sameServer: the same server, which does not state when it started.
+	sameServer
+	// restarted: the same server, but another process.
+	restarted
+	// otherServer: another server owns the address.
+	otherServer
+	// gone: nothing listens at the address.
+	gone
+	// silentServer: there was no answer in time.
+	silentServer
+	// unidentified: an answer that names neither a server nor a process.
+	unidentified
+)
+
+var findingNames = [...]string{
+	notAsked: "not_asked", sameProcess: "same_process", sameServer: "same_server", restarted: "restarted",
+	otherServer: "other_server", gone: "gone", silentServer: "silent", unidentified: "unidentified",
+}
+
+// String returns the name, as used in metrics and the timeline.
+func (f finding) String() string { return findingNames[f] }
+
+// compareIdentity returns what a server's statement shows if the request was assigned to
+// the server known.
+func compareIdentity(known, stated Identity) finding {
+	switch {
+	case stated.Server != "" && stated.Server != known.Server:
+		return otherServer
+	case stated.Incarnation != 0 && known.Incarnation != 0 && stated.Incarnation != known.Incarnation:
+		return restarted
+	case stated.Incarnation != 0 && known.Incarnation != 0:
+		return sameProcess
+	case stated.Server != "":
+		return sameServer
+	}
+	return unidentified
+}
+
+// serverCheck is a check of the server after an answer that ended with its connection. The
+// zero value is no check.
+type serverCheck struct {
+	found   finding
+	askedAt time.Time // before the question was sent
+}
+
+// evidence is what is known of the end of an answer.
+type evidence struct {
+	framing framing
+	endedAt time.Time
+	// stopsAt is when the server stops work on the request.
+	stopsAt time.Time
+	check   serverCheck
+}
+
+// verdict is whether the end of an answer shows that the answer is complete.
+type verdict int
+
+const (
+	// vouched: the answer is complete.
+	vouched verdict = iota
+	// overdue: the server had no time left, so that it may have stopped.
+	overdue
+	// crashed: the server's process has ended, perhaps before the answer was complete.
+	crashed
+	// unproved: nothing shows that the server's process still runs.
+	unproved
+)
+
+var verdictNames = [...]string{vouched: "vouched", overdue: "overdue", crashed: "crashed", unproved: "unproved"}
+
+// String returns the name, as used in the timeline.
+func (v verdict) String() string { return verdictNames[v] }
+
+// vouch decides whether an answer that ended is complete. An answer that ends with its
+// connection is, if the process that sent it answers a question asked after that end: when
+// a process ends, all its connections end with it.
+func vouch(e evidence) verdict {
+	switch {
+	case e.framing != framedByConnection:
+		return vouched
+	case !e.endedAt.Before(e.stopsAt):
+		return overdue
+	case e.check.askedAt.Before(e.endedAt):
+		return unproved
+	}
+	switch e.check.found {
+	case sameProcess, sameServer:
+		return vouched
+	case restarted, otherServer, gone:
+		return crashed
+	case notAsked, silentServer, unidentified:
+	}
+	return unproved
+}
--- /dev/null
+++ b/internal/gateway/vouch_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestVouch guards against an end that is believed although nothing shows that the answer
+// is complete, and against one that is not believed without need.
+func TestVouch(t *testing.T) {
+	end := time.Now()
+	after, before := end.Add(time.Millisecond), end.Add(-time.Millisecond)
+	for name, test := range map[string]struct {
+		evidence evidence
+		verdict  verdict
+	}{
+		"length":              {evidence{framing: framedByLength, endedAt: end, stopsAt: before}, vouched},
+		"chunks":              {evidence{framing: framedByChunks, endedAt: end, stopsAt: before}, vouched},
+		"same process":        {evidence{framedByConnection, end, after, serverCheck{sameProcess, end}}, vouched},
+		"same server":         {evidence{framedByConnection, end, after, serverCheck{sameServer, after}}, vouched},
+		"restarted":           {evidence{framedByConnection, end, after, serverCheck{restarted, after}}, crashed},
+		"other server":        {evidence{framedByConnection, end, after, serverCheck{otherServer, after}}, crashed},
+		"gone":                {evidence{framedByConnection, end, after, serverCheck{gone, after}}, crashed},
+		"silent":              {evidence{framedByConnection, end, after, serverCheck{silentServer, after}}, unproved},
+		"unidentified":        {evidence{framedByConnection, end, after, serverCheck{unidentified, after}}, unproved},
+		"not asked":           {evidence{framedByConnection, end, after, serverCheck{}}, unproved},
+		"asked before":        {evidence{framedByConnection, end, after, serverCheck{sameProcess, before}}, unproved},
+		"gone before":         {evidence{framedByConnection, end, after, serverCheck{gone, before}}, unproved},
+		"at the deadline":     {evidence{framedByConnection, end, end, serverCheck{sameProcess, after}}, overdue},
+		"after the deadline":  {evidence{framedByConnection, end, before, serverCheck{sameProcess, after}}, overdue},
+		"deadline, and gone":  {evidence{framedByConnection, end, before, serverCheck{gone, after}}, overdue},
+		"no deadline is late": {evidence{framedByConnection, end, time.Time{}, serverCheck{sameProcess, after}}, overdue},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(vouch(test.evidence), test.verdict)
+		})
+	}
+}
+
+// TestCompareIdentity guards against another server, or another process of the same one,
+// that is taken for the one that sent an answer.
+func TestCompareIdentity(t *testing.T) {
+	for name, test := range map[string]struct {
+		known, stated Identity
+		found         finding
+	}{
+		"same":                      {Identity{"a", 1}, Identity{"a", 1}, sameProcess},
+		"same start, no id":         {Identity{"a", 1}, Identity{"", 1}, sameProcess},
+		"restarted":                 {Identity{"a", 1}, Identity{"a", 2}, restarted},
+		"restarted, no id":          {Identity{"a", 1}, Identity{"", 2}, restarted},
+		"another id":                {Identity{"a", 1}, Identity{"b", 2}, otherServer},
+		"another id, same start":    {Identity{"a", 1}, Identity{"b", 1}, otherServer},
+		"another id, no start":      {Identity{"a", 1}, Identity{"b", 0}, otherServer},
+		"states no start":           {Identity{"a", 1}, Identity{"a", 0}, sameServer},
+		"start is not known":        {Identity{"a", 0}, Identity{"a", 2}, sameServer},
+		"start is not known, or id": {Identity{"a", 0}, Identity{"", 2}, unidentified},
+		"states nothing":            {Identity{"a", 1}, Identity{}, unidentified},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(compareIdentity(test.known, test.stated), test.found)
+		})
+	}
+}
--- a/internal/gatewayfile/protocol.go
+++ b/internal/gatewayfile/protocol.go
@@ -63,10 +63,33 @@
 	misdirected := r.StatusCode == http.StatusMisdirectedRequest
 	return gateway.AnswerHead{
 		Attempt: attempt, Signed: attempt != "", Misdirected: misdirected,
-		NotRun: r.Header.Get(notRunHeader) != "" || misdirected,
+		NotRun:      r.Header.Get(notRunHeader) != "" || misdirected,
+		Incarnation: epochOf(r),
 	}
 }
 
+// epochOf returns the restart epoch that an answer states, or zero.
+func epochOf(r *http.Response) uint64 {
+	epoch, err := strconv.ParseUint(r.Header.Get(engineapi.EpochHeader), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return epoch
+}
+
+// IdentityRequest implements gateway.Protocol.
+func (protocol) IdentityRequest(server string) (path string, h http.Header) {
+	h = http.Header{}
+	h.Set(serverHeader, server)
+	return engineapi.LoadPath, h
+}
+
+// ReadIdentity implements gateway.Protocol. Engines state no id, but refuse requests for
+// another server.
+func (protocol) ReadIdentity(r *http.Response, _ []byte) gateway.Identity {
+	return gateway.Identity{Incarnation: epochOf(r)}
+}
+
 // ReadAdvisory implements gateway.Protocol.
 func (protocol) ReadAdvisory(status int, h http.Header) advisory.Advisory {
 	return advisory.Read(advisory.Fields{Leaving: engineapi.LeavingHeader, RateLimit: engineapi.RateLimitHeader}, status, h, time.Now())
