eventstream, gateway: a gap in the ids breaks a stream off

Callers received streams that lacked pieces, or all of them, as complete: the reader took each id that was greater than the last one.

A run that is resumed after an event may be empty: its last event may be that one. An id to resume after that is no number counts as none, on each kind of route: the run begins at 1 or is broken off.

TestSoundStreams held that gaps and a run without events are sound under the strict rules; both are wrong by the above. They stay sound under the zero rules, and the strict ones are held to the contrary by TestBytesOfNoRunAreRejected and TestRunsThatLackTheirStartAreRejected.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -48,10 +48,15 @@
 	return fmt.Sprintf("bytes that are no event of the stream, after id %q: %s: %q", e.AfterID, e.Reason, e.Line)
 }
 
-// Rules state what events look like. The zero value accepts all server-sent events.
+// Rules state what events look like. The zero value accepts events with or without data and
+// ids. Numeric ids must increase, also after the id that the run is resumed after.
 type Rules struct {
-	// RequireIDs requires each event to carry data and a decimal id.
-	RequireIDs bool
+	// Consecutive requires each event to carry data and an id. The ids are decimal numbers
+	// without leading zeros, the first is 1, or one more than the id that the run is resumed
+	// after, and each further one is one more than the last. An id to resume after that is no
+	// decimal number counts as none. A run without events is not valid, unless it is resumed
+	// after an event: then its last event may be the one that it is resumed after.
+	Consecutive bool
 	// ExtraFields are names of fields that events may carry besides those of server-sent
 	// events.
 	ExtraFields []string
@@ -102,7 +107,8 @@
 	Shrink(n int64)
 }
 
-// NewReader returns a reader. resumeAfter is the id after which the run goes on, or empty.
+// NewReader returns a reader. resumeAfter is the id after which the run goes on. Empty means
+// that it begins.
 func NewReader(r io.Reader, rules Rules, resumeAfter string) *Reader {
 	return &Reader{source: bufio.NewReaderSize(r, bufferBytes), rules: rules, lastID: resumeAfter}
 }
@@ -116,13 +122,17 @@
 
 // Next returns the next event. At the end of the stream it returns io.EOF, or ErrPartial in
 // the middle of an event. It returns *InvalidError as soon as a line shows that the bytes are
-// no event; all bytes since the last event are to be dropped then. Other errors are those of
-// the source.
+// no event; all bytes since the last event are to be dropped then. It also returns
+// *InvalidError at the end of a run that must have an event and has none. Other errors are
+// those of the source.
 func (r *Reader) Next() (Event, error) {
 	r.reset()
 	var fields eventFields
 	for {
 		line, err := r.readLine()
+		if errors.Is(err, io.EOF) && r.lacksEvents() {
+			return Event{}, r.invalid(nil, "run without events")
+		}
 		if err != nil {
 			return Event{}, err
 		}
@@ -210,6 +220,12 @@
 	return nil
 }
 
+// lacksEvents reports whether the run may not end here because it has no events.
+func (r *Reader) lacksEvents() bool {
+	last, _ := parseID(r.lastID)
+	return r.rules.Consecutive && last == 0
+}
+
 // isField reports whether the line is a comment or a field that events may have.
 func (r *Reader) isField(line []byte) bool {
 	name, _, _ := bytes.Cut(line, []byte(":"))
@@ -229,15 +245,19 @@
 		return "second id"
 	case id == "":
 		return "empty id"
-	case !isNumber && (r.rules.RequireIDs || lastIsNumber):
+	case !isNumber && (r.rules.Consecutive || lastIsNumber):
 		return "id is no number"
-	case isNumber && lastIsNumber && number <= last:
+	case isNumber && (r.rules.Consecutive || lastIsNumber) && number <= last:
 		return "id does not come after the last one"
+	case r.rules.Consecutive && number > last+1:
+		return "events are missing before the id"
+	case r.rules.Consecutive && id[0] == '0':
+		return "id has leading zeros"
 	}
 	return ""
 }
 
-// parseID returns an id as a number. It returns false if it is none.
+// parseID returns an id as a number. It returns 0 and false if it is none.
 func parseID(id string) (int64, bool) {
 	if len(id) > maxIDDigits || slices.ContainsFunc([]byte(id), func(c byte) bool { return c < '0' || c > '9' }) {
 		return 0, false
@@ -249,9 +269,9 @@
 // finish returns the event that a blank line has ended.
 func (r *Reader) finish(fields *eventFields) (Event, error) {
 	switch {
-	case r.rules.RequireIDs && !fields.hasID:
+	case r.rules.Consecutive && !fields.hasID:
 		return Event{}, r.invalid(r.event, "event without id")
-	case r.rules.RequireIDs && !fields.data:
+	case r.rules.Consecutive && !fields.data:
 		return Event{}, r.invalid(r.event, "event without data")
 	}
 	r.record(fields)
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 )
 
-var strict = Rules{RequireIDs: true, ExtraFields: []string{"x-version"}}
+var strict = Rules{Consecutive: true, ExtraFields: []string{"x-version"}}
 
 // readAll returns what a reader passes on of a stream, and the error that ends it.
 func readAll(stream string, rules Rules, after string) (string, error) {
@@ -47,6 +47,10 @@
 		"unknown field":           "id: 3\nfoo: 1\ndata: c\n\n",
 		"comment alone":           ": ping\n\n",
 		"blank line":              "\n",
+		"gap":                     "id: 4\ndata: c\n\n",
+		"huge gap":                "id: 900719925474\ndata: c\n\n",
+		"leading zeros":           "id: 003\ndata: c\n\n",
+		"id of other digits":      "id: \u0663\ndata: c\n\n",
 		"long line of no field":   strings.Repeat("x", 2*bufferBytes),
 		"head without a line end": "HTTP/1.1 200 OK" + strings.Repeat("a", 2*bufferBytes),
 	} {
@@ -68,14 +72,18 @@
 	}{
 		"as stated":           {stream: sound, rules: strict},
 		"resumed":             {stream: "id: 13\ndata: a\n\n", after: "12", rules: strict},
-		"ids with gaps":       {stream: "id: 1\ndata: a\n\nid: 7\ndata: a\n\n", rules: strict},
+		"ids with gaps":       {stream: "id: 1\ndata: a\n\nid: 7\ndata: a\n\n"},
+		"after no number":     {stream: sound, after: "abc", rules: strict},
+		"after zero":          {stream: sound, after: "0", rules: strict},
+		"after zeros":         {stream: "id: 13\ndata: a\n\n", after: "0012", rules: strict},
+		"run had ended":       {after: "12", rules: strict},
 		"extra field first":   {stream: "x-version: 4\nid: 1\ndata: a\n\n", rules: strict},
 		"comment in an event": {stream: ": ping\nid: 1\ndata: a\n\n", rules: strict},
 		"several data lines":  {stream: "id: 1\ndata: a\ndata\ndata:b\n\n", rules: strict},
 		"long event":          {stream: "id: 1\ndata: " + strings.Repeat("x", 3*bufferBytes) + "\n\n", rules: strict},
 		"without ids":         {stream: "data: a\n\nevent: done\ndata: [DONE]\n\n: ping\n\n"},
 		"ids of any form":     {stream: "id: a\ndata: a\n\nid: b\ndata: a\n\n"},
-		"no event":            {rules: strict},
+		"no event":            {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -118,6 +126,28 @@
 	}
 }
 
+// TestRunsThatLackTheirStartAreRejected guards against a stream whose first pieces are missing.
+func TestRunsThatLackTheirStartAreRejected(t *testing.T) {
+	for name, c := range map[string]struct{ stream, after string }{
+		"starts at three":          {stream: "id: 3\ndata: a\n\n"},
+		"starts at zero":           {stream: "id: 0\ndata: a\n\n"},
+		"resumed, leaves one out":  {stream: "id: 14\ndata: a\n\n", after: "12"},
+		"resumed after no number":  {stream: "id: 13\ndata: a\n\n", after: "12abc"},
+		"resumed after too large":  {stream: "id: 2\ndata: a\n\n", after: "9999999999999999999"},
+		"no event":                 {},
+		"no event after no number": {after: "abc"},
+		"no event after zero":      {after: "0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			passed, err := readAll(c.stream, strict, c.after)
+			var invalid *InvalidError
+			is.True(errors.As(err, &invalid))
+			is.Equal(passed, "")
+		})
+	}
+}
+
 func TestUnfinishedEvents(t *testing.T) {
 	is := is.New(t)
 	passed, err := readAll(sound+"id: 3\nda", strict, "")
@@ -128,16 +158,23 @@
 }
 
 // FuzzReader checks for any bytes that a prefix of them is passed on, in events whose ids
-// are numbers that increase.
+// follow one another, and that only a run with events ends as complete.
 func FuzzReader(f *testing.F) {
-	f.Add([]byte(sound))
-	f.Add([]byte(sound + "HTTP/1.1 200 OK\r\n\r\n"))
-	f.Add([]byte("id: 1\nid: 2\ndata\n\n"))
-	f.Fuzz(func(t *testing.T, stream []byte) {
-		r := NewReader(bytes.NewReader(stream), strict, "3")
-		last, at := int64(3), 0
+	f.Add([]byte(sound), int64(0))
+	f.Add([]byte("id: 4\ndata: a\n\nid: 5\ndata: b\n\n"), int64(3))
+	f.Add([]byte(sound+"HTTP/1.1 200 OK\r\n\r\n"), int64(0))
+	f.Add([]byte("id: 1\nid: 2\ndata\n\n"), int64(0))
+	f.Add([]byte("id: 1\ndata\n\nid: 03\ndata\n\n"), int64(0))
+	f.Add([]byte{}, int64(7))
+	f.Fuzz(func(t *testing.T, stream []byte, after int64) {
+		last := max(after, 0) % 1e17
+		r := NewReader(bytes.NewReader(stream), strict, strconv.FormatInt(last, 10))
+		at := 0
 		for {
 			e, err := r.Next()
+			if errors.Is(err, io.EOF) && (last == 0 || at != len(stream)) {
+				t.Fatalf("complete after event %d and %d bytes of %q", last, at, stream)
+			}
 			if err != nil {
 				return
 			}
@@ -145,11 +182,10 @@
 				t.Fatalf("passed on %q at byte %d of %q", e.Bytes, at, stream)
 			}
 			at += len(e.Bytes)
-			id, err := strconv.ParseInt(e.ID, 10, 64)
-			if err != nil || id <= last {
-				t.Fatalf("id %q after %d", e.ID, last)
+			last++
+			if e.ID != strconv.FormatInt(last, 10) {
+				t.Fatalf("id %q instead of %d", e.ID, last)
 			}
-			last = id
 		}
 	})
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -300,5 +300,5 @@
 }
 
 func (testProtocol) EventRules() eventstream.Rules {
-	return eventstream.Rules{RequireIDs: true}
+	return eventstream.Rules{Consecutive: true}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,7 +15,7 @@
 
 // streams reports whether the answer is a stream of server-sent events.
 func (a *attempt) streams() bool {
-	return a.x.route.Kind == routes.Stream && a.response.StatusCode == http.StatusOK &&
+	return a.x.route.Kind == routes.Stream && a.response.StatusCode == http.StatusOK && a.x.r.Method != http.MethodHead &&
 		strings.HasPrefix(a.response.Header.Get("Content-Type"), "text/event-stream")
 }
 
