eventstream: only the platform's events are held to the known fields

A sound server behind the gateway's own file that adds a field of its own to its events was broken off: the reader rejected unknown fields for all, while receivers of server-sent events ignore them.

Without it, a field's name may have letters, digits, '-', '_' and '.', so that the head of a second answer and binary bytes still break a stream off (TestUnknownFieldsAreNoAnswer). Ids that go back do so too.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -49,7 +49,8 @@
 }
 
 // Rules state what events look like. The zero value accepts events with or without data and
-// ids. Numeric ids must increase, also after the id that the run is resumed after.
+// ids. Numeric ids must increase, also after the id that the run is resumed after. Unknown
+// fields are ignored if their names consist of letters, digits, '-', '_' and '.'.
 type Rules struct {
 	// Consecutive requires each event to carry data and an id. The ids are decimal numbers
 	// without leading zeros, the first is 1, or one more than the id that the run is resumed
@@ -57,8 +58,10 @@
 	// decimal number counts as none. A run without events is not valid, unless it is resumed
 	// after an event: then its last event may be the one that it is resumed after.
 	Consecutive bool
+	// KnownFieldsOnly rejects fields other than those of server-sent events and ExtraFields.
+	KnownFieldsOnly bool
 	// ExtraFields are names of fields that events may carry besides those of server-sent
-	// events.
+	// events. They have no effect without KnownFieldsOnly.
 	ExtraFields []string
 }
 
@@ -233,7 +236,15 @@
 	case "", "id", "data", "event", "retry":
 		return true
 	}
-	return slices.Contains(r.rules.ExtraFields, string(name))
+	if r.rules.KnownFieldsOnly {
+		return slices.Contains(r.rules.ExtraFields, string(name))
+	}
+	return !slices.ContainsFunc(name, isNoNameByte)
+}
+
+// isNoNameByte reports whether the names of fields lack the byte.
+func isNoNameByte(c byte) bool {
+	return !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || c == '-' || c == '_' || c == '.')
 }
 
 // checkID returns why an event may not have the id, or an empty string.
--- a/internal/gatewayfile/protocol.go
+++ b/internal/gatewayfile/protocol.go
@@ -72,7 +72,8 @@
 	return advisory.Read(advisory.Fields{Leaving: engineapi.LeavingHeader, RateLimit: engineapi.RateLimitHeader}, status, h, time.Now())
 }
 
-// EventRules implements gateway.Protocol.
+// EventRules implements gateway.Protocol. Backend servers number their events as they like
+// and may add fields of their own.
 func (protocol) EventRules() eventstream.Rules {
 	return eventstream.Rules{}
 }
