gateway: streams are checked whatever their Content-Type says

A stream that lacked a piece reached its caller as complete if its Content-Type was missing, of another type or written in upper case: streams() compared a prefix of the field, and any other answer was relayed as a plain one without a check of its events. Before this change 8 of 14 cases of TestStreamOfOtherMediaTypeIsChecked failed, and TestStreamRouteMayAnswerWithoutStream for upper case (one run).

Where runs are numbered without gaps, each answer of status 200 with a body on a route of streams is now read as events; one that is none breaks off at its first line with 502, before its head is sent, and is repeated where the route allows it. Elsewhere the media type decides, parsed by mime.ParseMediaType: behind the gateway's own files a stream route may still answer JSON to a caller that asked for no stream.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"io"
+	"mime"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/balance"
@@ -13,10 +13,22 @@
 	"github.com/hawthornwick/hawthornwick/internal/routes"
 )
 
-// streams reports whether the answer is a stream of server-sent events.
+const eventStreamType = "text/event-stream"
+
+// streams reports whether the answer is read as a stream of server-sent events. Where runs
+// are numbered without gaps, that is so for each answer of status 200 with a body on a route of
+// streams: one that is no stream breaks off at its first line. Otherwise the media type decides.
 func (a *attempt) streams() bool {
-	return a.x.route.Kind == routes.Stream && a.response.StatusCode == http.StatusOK && a.x.r.Method != http.MethodHead &&
-		strings.HasPrefix(a.response.Header.Get("Content-Type"), "text/event-stream")
+	if a.x.route.Kind != routes.Stream || a.response.StatusCode != http.StatusOK || a.x.r.Method == http.MethodHead {
+		return false
+	}
+	return a.x.gateway.options.Protocol.EventRules().Consecutive || isEventStream(a.response.Header)
+}
+
+// isEventStream reports whether the media type is that of server-sent events.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == eventStreamType && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
 
 // relayStream relays the stream one complete event at a time.
