gateway: tests of where two runs of a request could meet

Where the server does not mark the event, the caller is not told; nothing in the stream shows it.

TestCallerResumes also pins what an id to resume after means that is no number, on both kinds of route.

--- a/internal/gateway/gap_test.go
+++ b/internal/gateway/gap_test.go
@@ -103,6 +103,48 @@
 	}
 }
 
+// TestCallerResumes guards against a run that does not go on after the event that the caller
+// states, on routes that may be resumed and on others.
+func TestCallerResumes(t *testing.T) {
+	for name, c := range map[string]struct {
+		after string
+		sent  []string
+		sound bool
+	}{
+		"goes on":                   {after: "2", sent: []string{"3", "4"}, sound: true},
+		"had ended":                 {after: "2", sound: true},
+		"begins again":              {after: "2", sent: []string{"1", "2", "3"}},
+		"leaves one out":            {after: "2", sent: []string{"4", "5"}},
+		"no number, begins":         {after: "abc", sent: []string{"1", "2"}, sound: true},
+		"no number, starts inside":  {after: "abc", sent: []string{"3"}},
+		"no number, has no event":   {after: "abc"},
+		"zero, begins":              {after: "0", sent: []string{"1"}, sound: true},
+		"zero, has no event":        {after: "0"},
+		"leading zeros, goes on":    {after: "02", sent: []string{"3"}, sound: true},
+		"larger than any, starts":   {after: "9999999999999999999", sent: []string{"1"}, sound: true},
+		"larger than any, goes on":  {after: "9999999999999999999", sent: []string{"10000000000000000000"}},
+		"largest number, goes on":   {after: "999999999999999998", sent: []string{"999999999999999999"}, sound: true},
+		"negative number, goes on":  {after: "-3", sent: []string{"-2", "-1"}},
+		"negative number, at start": {after: "-3", sent: []string{"1"}, sound: true},
+	} {
+		for _, path := range []string{"/stream/x", "/plain-stream/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				s := newTestStack(t)
+				s.addRawServer("0", func(r *http.Request) (string, bool) { return streamText(r, events(c.sent...), true), true })
+				got := s.call(http.MethodPost, path, "", testLeft, "400", testResume, c.after)
+				is.Equal(got.status == http.StatusOK && !got.truncated, c.sound)
+				if c.sound {
+					is.Equal(got.body, events(c.sent...))
+					return
+				}
+				is.Equal(eventIDs(got.body), nil)
+				is.True(s.recordedFailure(result.StreamBroken, ""))
+			})
+		}
+	}
+}
+
 // TestHeadOfStreamIsRelayed guards against an answer to HEAD that is broken off as a run
 // without events.
 func TestHeadOfStreamIsRelayed(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,7 +31,9 @@
 	return mediaType == eventStreamType && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
 
-// relayStream relays the stream one complete event at a time.
+// relayStream relays the stream one complete event at a time. The run must go on after the last
+// event that the caller received or says it did, also on a route that may not be resumed: there
+// the caller would receive events twice otherwise.
 func (a *attempt) relayStream() *failure {
 	holder := a.holdBuffer()
 	defer holder.Release()
