--- a/internal/gateway/gap_test.go
+++ b/internal/gateway/gap_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -103,6 +104,41 @@
 	}
 }
 
+// TestStreamGoesOnElsewhereAfterGap guards against a stream that is lost, or holds an event
+// twice, because the server that sent its first events left some out.
+func TestStreamGoesOnElsewhereAfterGap(t *testing.T) {
+	whole := []string{"1", "2", "3", "4", "5", "6"}
+	for name, c := range map[string]struct {
+		sent, rest []string
+		after      string
+	}{
+		"inside":       {sent: []string{"1", "2", "5", "6"}, after: "2", rest: []string{"3", "4", "5", "6"}},
+		"at the start": {sent: []string{"3", "4", "5", "6"}, rest: whole},
+		"no event":     {rest: whole},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestStack(t)
+			var runs atomic.Int64
+			var after atomic.Value
+			answer := func(r *http.Request) (string, bool) {
+				if runs.Add(1) == 1 {
+					return streamText(r, events(c.sent...), true), true
+				}
+				after.Store(r.Header.Get(testResume))
+				return streamText(r, events(c.rest...), true), true
+			}
+			s.addRawServer("0", answer)
+			s.addRawServer("1", answer)
+			got := s.call(http.MethodPost, "/stream/x", "", testLeft, "2000")
+			is.True(!got.truncated)
+			is.Equal(got.body, events(whole...))
+			is.Equal(after.Load(), c.after)
+			is.Equal(runs.Load(), int64(2))
+		})
+	}
+}
+
 // TestCallerResumes guards against a run that does not go on after the event that the caller
 // states, on routes that may be resumed and on others.
 func TestCallerResumes(t *testing.T) {
