--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -275,7 +275,7 @@
 		return a.newFailure(result.AnswerCrossed, balance.Broken, errAnswerMismatch)
 	case status < http.StatusMultipleChoices && !a.answer.Signed:
 		return a.newFailure(result.AnswerCrossed, balance.Broken, errNotSigned)
-	case x.responseStarted && !a.streams():
+	case x.responseStarted && (!a.streams() || !isEventStream(a.response.Header)):
 		return a.newFailure(result.BackendServerError, balance.Failed, fmt.Errorf("server %q did not resume the stream: it answered status %d", a.assignment.Server, status))
 	case status >= http.StatusInternalServerError && x.mayRetryAnswer():
 		x.recordUsage(time.Since(a.started))
--- a/internal/gateway/mediatype_test.go
+++ b/internal/gateway/mediatype_test.go
@@ -28,6 +28,15 @@
 	return strings.Replace(streamText(r, body, true), "Content-Type: text/event-stream\r\n", line, 1)
 }
 
+// emptyText returns an answer without a body that has the given Content-Type, or none.
+func emptyText(r *http.Request, contentType string) string {
+	fields := ""
+	if contentType != "" {
+		fields = fmt.Sprintf("Content-Type: %s\r\n", contentType)
+	}
+	return plainText(r, "200 OK", fields, "")
+}
+
 // TestStreamOfOtherMediaTypeIsChecked guards against a stream that lacks pieces and is relayed
 // unchecked because its Content-Type is missing or written in another way.
 func TestStreamOfOtherMediaTypeIsChecked(t *testing.T) {
@@ -79,3 +88,25 @@
 		is.True(got.truncated)
 	}
 }
+
+// TestEmptyAnswerOfOtherMediaTypeEndsNoStream guards against a stream that ends as complete
+// because a server that was to resume it sent an empty answer that is no stream.
+func TestEmptyAnswerOfOtherMediaTypeEndsNoStream(t *testing.T) {
+	for _, contentType := range []string{"", "text/plain", "application/json"} {
+		t.Run(contentType, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestStack(t)
+			answer := func(r *http.Request) (string, bool) {
+				if r.Header.Get(testResume) == "" {
+					return streamText(r, events("1", "2")+"id: 3\nda", true), true
+				}
+				return emptyText(r, contentType), true
+			}
+			s.addRawServer("0", answer)
+			s.addRawServer("1", answer)
+			got := s.call(http.MethodPost, "/stream/x", "", testLeft, "400")
+			is.True(got.truncated)
+			is.Equal(got.body, events("1", "2"))
+		})
+	}
+}
