gateway: the raw server of the media type tests keeps its connection

TestStreamOfOtherMediaTypeIsChecked failed 10 of 36 times, 12 at once: its server closed a kept connection after a whole answer without saying so, and the next request met the closed connection and got 502.

--- a/internal/gateway/mediatype_test.go
+++ b/internal/gateway/mediatype_test.go
@@ -48,7 +48,7 @@
 				is := is.New(t)
 				body := events("1", "2")
 				s := newTestStack(t)
-				s.addRawServer("0", func(r *http.Request) (string, bool) { return typedText(r, contentType, body), true })
+				s.addRawServer("0", func(r *http.Request) (string, bool) { return typedText(r, contentType, body), false })
 				got := s.call(http.MethodPost, path, "", testLeft, "2000")
 				is.True(!got.truncated)
 				is.Equal(got.body, body)
@@ -77,7 +77,7 @@
 	s := newTestStack(t)
 	s.useLooseEvents()
 	contentType, body := "application/json", object
-	s.addRawServer("0", func(r *http.Request) (string, bool) { return typedText(r, contentType, body), true })
+	s.addRawServer("0", func(r *http.Request) (string, bool) { return typedText(r, contentType, body), false })
 	got := s.call(http.MethodPost, "/stream/x", "", testLeft, "400")
 	is.Equal(got.body, object)
 	is.True(!got.truncated)
