entry: an answer without framing that breaks off resets its caller

What callers saw: a caller of HTTP/1.0 that got a part of an answer without a length saw the end of the connection without an error, the same as after a whole answer. It is so on both fronts when we break a stream or a large answer off, at the end of the grace period, and when our process is killed.

Cause: such an answer ends with its connection. net/http closes the connection normally after http.ErrAbortHandler and in Server.Close, and the kernel does for a process that ends.

Fix: the callers' listener, which both fronts share, sets SO_LINGER 0 on the TCP connection before the handler of such a request runs, and back only after the whole answer is flushed. Until then every end of the connection is a reset, without code on those paths; over TLS the TCP connection is closed directly, since tls.Conn.Close would announce a regular end first. Answers of HTTP/1.1 (chunks, also with Connection: close) and HTTP/2 are left alone. Our own small answers (refusals, the list of models) now name their length, so that a caller with keep-alive still keeps its connection.

If the setting is never taken back, TestWholeAnswerReachesSlowHTTP10Caller and TestWholeAnswersReachHTTP10Caller fail.

--- a/internal/entry/connlimit.go
+++ b/internal/entry/connlimit.go
@@ -51,3 +51,6 @@
 	c.release()
 	return err
 }
+
+// NetConn returns the connection beneath.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
--- a/internal/entry/listener.go
+++ b/internal/entry/listener.go
@@ -52,18 +52,20 @@
 	closing  atomic.Bool // connections are closed after their next answer
 	stopped  atomic.Bool // no connections are accepted
 	arrivals *arrivals
+	unframed unframedAnswers
 }
 
 // Listen opens the listener. Connections are accepted by Serve.
 func Listen(o ListenerOptions, h http.Handler, logger hclog.Logger) (*Listener, error) {
 	listener := &Listener{arrivals: newArrivals()}
 	server := &http.Server{
-		Handler:           listener.closeAfterAnswer(h),
+		Handler:           listener.closeAfterAnswer(listener.unframed.resetUnlessComplete(h)),
 		MaxHeaderBytes:    headerLimitFactor * o.MaxHeaderBytes,
 		ReadHeaderTimeout: o.HeaderTimeout,
 		IdleTimeout:       o.IdleTimeout,
 		ErrorLog:          logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		ConnState:         listener.arrivals.connState,
+		ConnContext:       withTCPConn,
 		Protocols:         new(http.Protocols),
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:  pingIdleTime,
@@ -157,4 +159,7 @@
 }
 
 // Close closes the listener and all connections without waiting for requests.
-func (l *Listener) Close() error { return l.server.Close() }
+func (l *Listener) Close() error {
+	l.unframed.reset()
+	return l.server.Close()
+}
--- a/internal/entry/models.go
+++ b/internal/entry/models.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
 	"github.com/hawthornwick/hawthornwick/internal/result"
@@ -53,7 +54,13 @@
 
 // answerJSON answers a request that needs no backend server.
 func (x *exchange) answerJSON(v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // not reached: strings and numbers can always be encoded
+	}
+	body = append(body, '\n')
 	x.w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(x.w).Encode(v)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = x.w.Write(body)
 	x.log("request answered", "status", http.StatusOK)
 }
--- a/internal/entry/results.go
+++ b/internal/entry/results.go
@@ -39,13 +39,15 @@
 		http.Error(w, "internal", http.StatusInternalServerError)
 		return
 	}
+	body = append(body, '\n')
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set(ResultHeader, strconv.Itoa(int(e.Code)))
 	h.Set(NotRunHeader, strconv.FormatBool(e.NotRun()))
 	if e.RetryAfter > 0 {
 		setRetryAfter(h, e.RetryAfter)
 	}
 	w.WriteHeader(e.Code.HTTPStatus())
-	_, _ = w.Write(append(body, '\n'))
+	_, _ = w.Write(body)
 }
