dispatch: bytes that are no event end a stream instead of being dropped

What callers saw: a stream that lacked a piece and ended as complete. Bytes before a field ("oddata: {...}"), the head of a second answer or binary bytes inside a stream were dropped together with the event on their line; `data: null` and objects that are no chunk were passed on.

Cause: the decoder of server-sent events ignores lines that are no field, as browsers must, and any JSON value decodes into a chunk without fields.

Fix: the answer is read by eventstream.Reader, as on the other front, which ends the stream at the first line that is no field; events with neither choices nor usage nor an error are refused. The attempt fails as stream_broken: another server continues, or the caller gets an error event.

Refuted: an end between two events, inside one, before its blank line or inside the terminal event is broken off already, and events after the terminal one are dropped.

--- a/internal/dispatch/chunk.go
+++ b/internal/dispatch/chunk.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strconv"
 
@@ -45,11 +46,16 @@
 	CompletionTokens int64 `json:"completion_tokens"`
 }
 
+var errNoChunk = errors.New("the stream event is no chunk of an answer")
+
 func parseChunk(data string) (chunk, error) {
 	var c chunk
 	if err := json.Unmarshal([]byte(data), &c); err != nil {
 		return c, fmt.Errorf("decode stream event: %w", err)
 	}
+	if c.Choices == nil && c.Usage == nil && len(c.Error) == 0 {
+		return c, errNoChunk
+	}
 	return c, nil
 }
 
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -53,9 +53,9 @@
 		return err
 	}
 	x.startStreamAnswer(a)
-	for event, err := range sse.Read(a.body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	for event, err := range a.readEvents() {
 		if err != nil {
-			return a.classify(err)
+			return a.streamFailure(err)
 		}
 		done, failed := s.handle(event)
 		if failed != nil {
