dispatch: the role event of each choice reaches the caller

What callers saw: a stream of two choices lacked the role event of the second.

Cause: role events are sent once per stream, because a replay repeats them. A request for several choices is never replayed.

--- a/internal/dispatch/oddstream_test.go
+++ b/internal/dispatch/oddstream_test.go
@@ -126,6 +126,17 @@
 	})
 }
 
+func TestSoundStreamOfSeveralChoicesIsWhole(t *testing.T) {
+	is := is.New(t)
+	other := strings.NewReplacer(`"index":0`, `"index":1`)
+	body := roleEvent + other.Replace(roleEvent) + contentEvents(1, 2) + other.Replace(contentEvents(1, 3)) +
+		finishEvent + other.Replace(contentEvents(4, 4)+finishEvent) + `data: {"choices":[{"index":0,"delta":{"content":""}}],"id":"x"}` + "\n\n" + doneEvent
+	call := modelCall(strings.Replace(streamBody, "{", `{"n":2,`, 1), startRawServer(t, rawAnswer{body: body}))
+	out, w := do(t, newDispatcher(t, Options{}), call)
+	is.True(out.Err == nil)
+	is.Equal(w.Body.String(), body)
+}
+
 func TestEventsAfterTerminalEventAreDropped(t *testing.T) {
 	for _, more := range []string{contentEvents(6, 7), wholeStream, doneEvent, "HTTP/1.1 200 OK\r\n\r\nodd"} {
 		is := is.New(t)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -124,7 +124,7 @@
 		}
 		p.usageSent = true
 	case chunkRole:
-		if p.roleSent || p.contentEvents > 0 {
+		if p.singleChoice && (p.roleSent || p.contentEvents > 0) {
 			return nil
 		}
 		p.roleSent = true
