dispatch: a terminal event without the finish of each choice breaks the stream

What callers saw: a stream that ended as complete although its server had left out pieces up to the terminal event, or all of them; and content after the finish event.

Cause: the terminal event alone counted as the end. The finish event of each choice, which the OpenAI API sends before it, was not asked for.

Fix: per attempt the choices that began and finished are kept. The terminal event ends a stream only if there is a choice and each has finished; a choice that goes on after its finish (text, or a second finish) breaks the stream. Both fail as stream_broken, so that another server may continue.

A sound stream of two choices in any order, with an empty chunk after the finish, stays whole.

The raw engines of bench_test.go sent no finish event, which no engine of the API does; they send one now.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -42,7 +42,7 @@
 			_, _ = fmt.Fprintf(w, `data: {"id":"chatcmpl-1","object":"chat.completion.chunk","created":1700000000,"model":"m","choices":[{"index":0,"delta":{"content":"%d"},"finish_reason":null}]}`+"\n\n", time.Now().UnixNano())
 			_ = control.Flush()
 		}
-		_, _ = w.Write([]byte("data: [DONE]\n\n"))
+		_, _ = w.Write([]byte(finishEvent + doneEvent))
 	}))
 }
 
@@ -169,7 +169,7 @@
 	b.ReportAllocs()
 	tokens := b.N
 	event := `data: {"id":"chatcmpl-1","object":"chat.completion.chunk","created":1700000000,"model":"m","choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}` + "\n\n"
-	body := io.MultiReader(&repeatReader{text: []byte(event), remaining: tokens}, bytes.NewReader([]byte("data: [DONE]\n\n")))
+	body := io.MultiReader(&repeatReader{text: []byte(event), remaining: tokens}, bytes.NewReader([]byte(finishEvent+doneEvent)))
 	x, a := newRelayFixture(b, io.NopCloser(body), discardWriter{make(http.Header)})
 	b.ResetTimer()
 	if err := x.relayStream(a); err != nil {
--- /dev/null
+++ b/internal/dispatch/choices.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"errors"
+)
+
+var (
+	errNotFinished = errors.New("the terminal event came before the finish of each choice")
+	errAfterFinish = errors.New("the stream went on with a choice after its finish")
+)
+
+// choiceStates holds which choices one attempt's stream has begun and finished, by index.
+type choiceStates map[int]bool
+
+// add records the choices of a chunk. It returns an error if one goes on after its finish.
+func (s choiceStates) add(c *chunk) error {
+	for _, choice := range c.Choices {
+		finishes := choice.FinishReason != nil
+		if s[choice.Index] && (finishes || choice.hasText()) {
+			return errAfterFinish
+		}
+		s[choice.Index] = s[choice.Index] || finishes
+	}
+	return nil
+}
+
+// finished reports whether there is a choice and each has finished.
+func (s choiceStates) finished() bool {
+	for _, finished := range s {
+		if !finished {
+			return false
+		}
+	}
+	return len(s) > 0
+}
+
+// hasText reports whether the choice carries more than its role and empty fields.
+func (c *chunkChoice) hasText() bool {
+	if !isEmptyValue(c.Text) {
+		return true
+	}
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(c.Delta, &fields) != nil {
+		return !isEmptyValue(c.Delta)
+	}
+	for name, value := range fields {
+		if name != "role" && !isEmptyValue(value) {
+			return true
+		}
+	}
+	return false
+}
+
+func isEmptyValue(value json.RawMessage) bool {
+	switch string(value) {
+	case "", `""`, "null", "[]", "{}":
+		return true
+	}
+	return false
+}
--- a/internal/dispatch/oddstream_test.go
+++ b/internal/dispatch/oddstream_test.go
@@ -126,6 +126,24 @@
 	})
 }
 
+func TestStreamWithoutFinishOfEachChoiceIsBroken(t *testing.T) {
+	pieces := roleEvent + contentEvents(1, 3)
+	testBrokenStreams(t, map[string]string{
+		"terminal event before a finish": pieces + doneEvent,
+		"terminal event alone":           doneEvent,
+		"no content and no finish":       roleEvent + doneEvent,
+		"choice that does not finish":    pieces + `data: {"choices":[{"index":1,"delta":{"content":"other"}}]}` + "\n\n" + finishEvent + doneEvent,
+	})
+}
+
+func TestStreamThatGoesOnAfterFinishIsBroken(t *testing.T) {
+	pieces := roleEvent + contentEvents(1, 3) + finishEvent
+	testBrokenStreams(t, map[string]string{
+		"content":       pieces + strings.ReplaceAll(contentEvents(4, 4), "piece", "odd") + doneEvent,
+		"second finish": pieces + strings.ReplaceAll(finishEvent, `"x"`, `"odd"`) + doneEvent,
+	})
+}
+
 func TestSoundStreamOfSeveralChoicesIsWhole(t *testing.T) {
 	is := is.New(t)
 	other := strings.NewReplacer(`"index":0`, `"index":1`)
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -44,11 +44,12 @@
 	contentEvents int    // counted from the start of the generation
 	digest        uint64 // chained over the replayed content events
 	finishEvents  int
+	choices       choiceStates
 }
 
 // relayStream relays events up to and including the terminal event.
 func (x *exchange) relayStream(a *attempt) *attemptError {
-	s := &streamRelay{a: a, x: x}
+	s := &streamRelay{a: a, x: x, choices: choiceStates{}}
 	if err := s.readResumePoint(); err != nil {
 		return err
 	}
@@ -99,6 +100,9 @@
 		if s.contentEvents < s.x.delivered.contentEvents {
 			return false, &attemptError{code: result.StreamBroken, cause: errReplayDiffers, final: true}
 		}
+		if !s.choices.finished() {
+			return false, &attemptError{code: result.StreamBroken, cause: errNotFinished}
+		}
 		return true, nil
 	}
 	if event.Data == "" {
@@ -113,6 +117,9 @@
 
 func (s *streamRelay) relayChunk(event sse.Event, c *chunk) *attemptError {
 	p := &s.x.delivered
+	if err := s.choices.add(c); err != nil {
+		return &attemptError{code: result.StreamBroken, cause: err}
+	}
 	switch c.kind(s.contentEvents > 0) {
 	case chunkError:
 		cause := fmt.Errorf("server %q reported an error in the stream", s.a.target.Server)
