dispatch: a later attempt's run is not joined unless it continues the first

What callers saw: two runs joined to one stream. A replay that was shorter or empty put its finish event after the pieces of the first run; a replay that was longer, or a continuation with more pieces, went on after a finish event that the caller had; a server that stated to go on after the last piece, but began again, sent its pieces twice.

Cause: finish events were counted without their place, and a server's statement that it goes on was believed whatever came.

Fix: a finish event in a replay that has not reached the delivered content, and content after a delivered finish, end the stream as a replay that differs. A continued run that starts with a role event has begun again; engineapi now says that it has none.

--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -18,6 +18,7 @@
 var (
 	errNoTerminalEvent = errors.New("the stream ended without its terminal event")
 	errReplayDiffers   = errors.New("the replayed content differs from the content already sent to the caller")
+	errBegunAgain      = errors.New("the stream begins again although the server stated that it goes on")
 	errNotStream       = errors.New("the answer is not a stream but a stream has already been started for the caller")
 )
 
@@ -45,6 +46,7 @@
 	digest        uint64 // chained over the replayed content events
 	finishEvents  int
 	choices       choiceStates
+	resumed       bool // the server goes on after the delivered content
 }
 
 // relayStream relays events up to and including the terminal event.
@@ -82,6 +84,7 @@
 		return &attemptError{code: result.StreamBroken, cause: cause}
 	}
 	s.contentEvents = s.a.resumeAfter
+	s.resumed = s.a.resumeAfter > 0
 	return nil
 }
 
@@ -120,6 +123,9 @@
 	if err := s.choices.add(c); err != nil {
 		return &attemptError{code: result.StreamBroken, cause: err}
 	}
+	if s.resumed && c.kind(false) == chunkRole {
+		return &attemptError{code: result.StreamBroken, cause: errBegunAgain}
+	}
 	switch c.kind(s.contentEvents > 0) {
 	case chunkError:
 		cause := fmt.Errorf("server %q reported an error in the stream", s.a.target.Server)
@@ -141,6 +147,9 @@
 			return err
 		}
 	case chunkFinish:
+		if s.contentEvents < p.contentEvents {
+			return &attemptError{code: result.StreamBroken, cause: errReplayDiffers, final: true}
+		}
 		s.finishEvents++
 		if s.finishEvents <= p.finishEvents {
 			return nil
@@ -161,6 +170,9 @@
 	s.contentEvents++
 	s.a.receivedEvents++
 	if s.contentEvents > p.contentEvents {
+		if p.singleChoice && p.finishEvents > 0 {
+			return false, &attemptError{code: result.StreamBroken, cause: errReplayDiffers, final: true}
+		}
 		p.digest = c.chainDigest(p.digest)
 		p.contentEvents = s.contentEvents
 		return true, nil
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -13,7 +13,8 @@
 	// number of content events.
 	ResumeHeader = "Hawthornwick-Resume-After"
 	// ResumedHeader is set in the response of an engine that continues the stream.
-	// Without it, the stream starts from the beginning.
+	// Its first event is the next content event, without a role event before it. Without
+	// the header, the stream starts from the beginning.
 	ResumedHeader = "Hawthornwick-Resumed"
 	// GenerationHeader carries the id of the generation, with which another engine can
 	// continue or replay it with the same output.
