dispatch: the check for a crash begins after the answer has ended

What was seen: a crash that went unnoticed. The quarantine counted the run as ended without a crash, and its request went on to the next server.

Cause: checks of one server share a request for its load report. One that had begun before the crash, for another request, answered with the epoch from before it.

Fix: a check joins only a request for the report that began after its own answer had ended; else it waits for the running one and begins again (at most two).

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 	"github.com/hawthornwick/hawthornwick/internal/traffic"
@@ -40,6 +41,7 @@
 
 // probeResult is the result of probing a server over a new connection.
 type probeResult struct {
+	began     time.Time
 	reachable bool
 	epoch     uint64 // 0 if unknown or not reported
 }
@@ -48,10 +50,7 @@
 // fetches the server's epoch over a new connection. An unreachable server
 // counts as crashed. An unknown earlier epoch, 0, counts as older.
 func (d *Dispatcher) hasCrashed(target traffic.Target, epoch uint64, plain bool) bool {
-	answer, _, _ := d.probes.Do(target.Address, func() (any, error) {
-		return d.probe(target, plain), nil
-	})
-	probe := answer.(probeResult)
+	probe := d.probeAfter(time.Now(), target, plain)
 	switch {
 	case !probe.reachable:
 		return true
@@ -61,6 +60,22 @@
 	return probe.epoch > epoch
 }
 
+// probeAfter probes the server. Concurrent calls share a probe that began after all of
+// them; one that began earlier may have found the server before it crashed.
+func (d *Dispatcher) probeAfter(earliest time.Time, target traffic.Target, plain bool) probeResult {
+	for {
+		answer, _, _ := d.probes.Do(target.Address, func() (any, error) {
+			began := time.Now()
+			result := d.probe(target, plain)
+			result.began = began
+			return result, nil
+		})
+		if probe := answer.(probeResult); !probe.began.Before(earliest) {
+			return probe
+		}
+	}
+}
+
 func (d *Dispatcher) probe(target traffic.Target, plain bool) probeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), d.options.ProbeTimeout)
 	defer cancel()
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -1,16 +1,22 @@
 package dispatch
 
 import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/standin/engine"
 	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
+	"github.com/hawthornwick/hawthornwick/internal/traffic"
 )
 
 // A crashed server must be distinguished from a broken connection, so that the
@@ -85,3 +91,46 @@
 func (s *countingSuspects) Ended(bool, time.Time) { s.ended++ }
 
 func (s *countingSuspects) Crashed(time.Time) { s.crashed++ }
+
+// loadServer serves load reports with the current epoch. Its first report is held back
+// after its epoch was read.
+type loadServer struct {
+	*httptest.Server
+	epoch   atomic.Uint64
+	reports atomic.Int64
+	read    chan struct{} // closed when the first report has its epoch
+	release chan struct{} // lets the first report go
+}
+
+func startLoadServer(t *testing.T) *loadServer {
+	s := &loadServer{read: make(chan struct{}), release: make(chan struct{})}
+	s.epoch.Store(1)
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		report := engineapi.LoadReport{Epoch: s.epoch.Load()}
+		if s.reports.Add(1) == 1 {
+			close(s.read)
+			<-s.release
+		}
+		_ = json.NewEncoder(w).Encode(report)
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// A check of the server that began before an answer ended knows nothing of that end.
+func TestCrashCheckBeginsAfterEndOfAnswer(t *testing.T) {
+	is := is.New(t)
+	s := startLoadServer(t)
+	d := newDispatcher(t, Options{ProbeTimeout: 10 * time.Second})
+	target := traffic.Target{Server: "s", Address: s.Listener.Addr().String()}
+	early, late := make(chan bool, 1), make(chan bool, 1)
+	go func() { early <- d.hasCrashed(target, 1, false) }()
+	<-s.read
+	s.epoch.Store(2)
+	go func() { late <- d.hasCrashed(target, 1, false) }()
+	time.Sleep(50 * time.Millisecond) // the second check finds the first one running
+	close(s.release)
+	is.True(!<-early)
+	is.True(<-late)
+	is.Equal(s.reports.Load(), int64(2))
+}
