dispatch: a server whose epoch went back is another incarnation

What was seen: a server's process died, another took over its address and name, and the run counted as ended without a crash, because its epoch was lower than the one of the answer.

Fix: once the answer's own head has named the epoch, every other epoch in the load report is another incarnation. Without that head the epoch known before may be old, so that only a higher one counts, as before.

What remains: another server at the address with the same epoch is not told apart.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -26,7 +26,7 @@
 	target         traffic.Target
 	fresh          bool // sent on a new connection
 	resumeAfter    int  // content events that the caller has received
-	epoch          uint64
+	incarnation    incarnation
 	ctx            context.Context
 	cancel         context.CancelCauseFunc
 	watchdog       *watchdog
@@ -56,7 +56,7 @@
 		x: x, id: x.nextAttemptID(), target: target, fresh: fresh,
 		resumeAfter: x.delivered.contentEvents, started: time.Now(),
 	}
-	a.epoch = max(target.Epoch, x.d.epochs.get(target.Server))
+	a.incarnation.epoch = max(target.Epoch, x.d.epochs.get(target.Server))
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	a.watchdog = newWatchdog(a.cancel)
 	a.watchdog.extend = a.shouldKeepWaiting
@@ -182,7 +182,7 @@
 	if !ok {
 		return
 	}
-	a.epoch = epoch
+	a.incarnation = incarnation{epoch: epoch, exact: epoch > 0}
 	a.x.d.epochs.update(a.target.Server, epoch)
 }
 
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -46,10 +46,16 @@
 	epoch     uint64 // 0 if unknown or not reported
 }
 
+// incarnation is the run of a server's process that an attempt was sent to.
+type incarnation struct {
+	epoch uint64 // 0 if unknown
+	exact bool   // the epoch is that of the attempt's answer; else the process may be newer
+}
+
 // hasCrashed distinguishes a crashed server from a broken connection: it
 // fetches the server's epoch over a new connection. An unreachable server
 // counts as crashed. An unknown earlier epoch, 0, counts as older.
-func (d *Dispatcher) hasCrashed(target traffic.Target, epoch uint64, plain bool) bool {
+func (d *Dispatcher) hasCrashed(target traffic.Target, i incarnation, plain bool) bool {
 	probe := d.probeAfter(time.Now(), target, plain)
 	switch {
 	case !probe.reachable:
@@ -57,7 +63,7 @@
 	case probe.epoch == 0:
 		return false
 	}
-	return probe.epoch > epoch
+	return probe.epoch > i.epoch || i.exact && probe.epoch != i.epoch
 }
 
 // probeAfter probes the server. Concurrent calls share a probe that began after all of
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -124,13 +124,24 @@
 	d := newDispatcher(t, Options{ProbeTimeout: 10 * time.Second})
 	target := traffic.Target{Server: "s", Address: s.Listener.Addr().String()}
 	early, late := make(chan bool, 1), make(chan bool, 1)
-	go func() { early <- d.hasCrashed(target, 1, false) }()
+	go func() { early <- d.hasCrashed(target, incarnation{epoch: 1}, false) }()
 	<-s.read
 	s.epoch.Store(2)
-	go func() { late <- d.hasCrashed(target, 1, false) }()
+	go func() { late <- d.hasCrashed(target, incarnation{epoch: 1}, false) }()
 	time.Sleep(50 * time.Millisecond) // the second check finds the first one running
 	close(s.release)
 	is.True(!<-early)
 	is.True(<-late)
 	is.Equal(s.reports.Load(), int64(2))
 }
+
+func TestLowerEpochAfterAnswerHeadIsAnotherIncarnation(t *testing.T) {
+	is := is.New(t)
+	answering := startRawServer(t, rawAnswer{body: roleEvent + contentEvents(1, 3), epoch: 5})
+	runs := &countingSuspects{}
+	c := modelCall(streamBody, answering)
+	c.Request.Fingerprint = 7
+	out, _ := do(t, newDispatcher(t, Options{Suspects: runs, MaxAttempts: 1}), c)
+	is.True(out.Err != nil)
+	is.Equal(*runs, countingSuspects{started: 1, crashed: 1}) // the load report names epoch 1
+}
--- a/internal/dispatch/finish.go
+++ b/internal/dispatch/finish.go
@@ -20,7 +20,7 @@
 		Complete: err == nil,
 	}
 	if a.response != nil {
-		o.Epoch = a.epoch
+		o.Epoch = a.incarnation.epoch
 	}
 	if err == nil {
 		o.OutputTokens = max(o.OutputTokens, a.usage.OutputTokens)
@@ -49,7 +49,7 @@
 		a.x.preempted = a.preempted
 	}
 	if err.connectionBroken && a.sent() {
-		a.crashed = a.x.d.hasCrashed(a.target, a.epoch, a.x.call.Request.Plain)
+		a.crashed = a.x.d.hasCrashed(a.target, a.incarnation, a.x.call.Request.Plain)
 	}
 	a.settleRun(false)
 	if err.code == result.AnswerCrossed {
--- a/internal/dispatch/oddstream_test.go
+++ b/internal/dispatch/oddstream_test.go
@@ -37,6 +37,7 @@
 // rawAnswer is an answer of a raw server without framing. The connection ends after it.
 type rawAnswer struct {
 	resumed int // ResumedHeader; 0 means none
+	epoch   int // EpochHeader; 0 means none
 	body    string
 }
 
@@ -77,6 +78,9 @@
 	if answer.resumed > 0 {
 		head += engineapi.ResumedHeader + ": " + strconv.Itoa(answer.resumed) + "\r\n"
 	}
+	if answer.epoch > 0 {
+		head += engineapi.EpochHeader + ": " + strconv.Itoa(answer.epoch) + "\r\n"
+	}
 	_, _ = io.WriteString(c, head+"\r\n"+answer.body)
 }
 
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -36,7 +36,7 @@
 // start registers the run with Suspects and sends the request.
 func (a *attempt) start() *attemptError {
 	r := a.x.call.Request
-	run, ok := a.x.d.options.Suspects.Start(r.Suspect(), a.target.Server, a.epoch, time.Now())
+	run, ok := a.x.d.options.Suspects.Start(r.Suspect(), a.target.Server, a.incarnation.epoch, time.Now())
 	if !ok {
 		return &attemptError{code: result.NoBackendServer, cause: errSuspectIsolated}
 	}
