standin/engine: a crash forgets the last load report

What was seen: a crash of a stand-in engine went unnoticed for as long as its cached load report lived, because the report named the epoch from before. A process that ends leaves no report behind.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -135,6 +135,17 @@
 	is.Equal(s.reports.Load(), int64(2))
 }
 
+// The engine of this test renews its load report once an hour.
+func TestCrashIsSeenAfterRecentLoadReport(t *testing.T) {
+	is := is.New(t)
+	e := startEngine(t, engine.Options{ReportLag: time.Hour})
+	d := newDispatcher(t, Options{})
+	target := engineTargets(e).targets[0]
+	is.True(!d.hasCrashed(target, incarnation{epoch: e.Epoch()}, false))
+	e.Crash()
+	is.True(d.hasCrashed(target, incarnation{epoch: e.Epoch() - 1}, false))
+}
+
 func TestLowerEpochAfterAnswerHeadIsAnotherIncarnation(t *testing.T) {
 	is := is.New(t)
 	answering := startRawServer(t, rawAnswer{body: roleEvent + contentEvents(1, 3), epoch: 5})
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -72,12 +72,13 @@
 func (e *Engine) ColdViolations() int { return e.cold.violationCount() }
 
 // Crash simulates a crash and restart: it empties the cache, resets every
-// connection, increments the epoch and makes the engine cold again if it has a
-// cold limit.
+// connection, increments the epoch, forgets its last load report and makes the engine
+// cold again if it has a cold limit.
 func (e *Engine) Crash() {
 	e.cache.clear()
 	e.cold.restart()
 	e.Restart()
+	e.reports.clear()
 	e.recordColdLimit()
 }
 
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -16,6 +16,12 @@
 	tokens int64
 }
 
+func (r *reports) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last, r.at, r.tokens = engineapi.LoadReport{}, time.Time{}, 0
+}
+
 func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
 	if err := e.Delay(r.Context(), 0); err != nil {
 		return
