dispatch: tests that unframed answers of plain services are not relayed

Refuted: an unframed answer in one piece, of a plain service or a model server, that a crash cuts short does not reach a caller with a length of ours. checkFraming refuses every such answer before any byte is relayed, whole or not: an idempotent request goes to another server, any other ends as outcome_unknown and is not sent again.

--- a/internal/dispatch/plain_test.go
+++ b/internal/dispatch/plain_test.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
 	"github.com/hawthornwick/hawthornwick/internal/standin/plain"
@@ -98,3 +100,43 @@
 	err := &attemptError{code: result.ConnectFailed, cause: io.EOF}
 	is.True(unsent.finalError(err, &traffic.Failure{}, 1) != nil)
 }
+
+// unframedPlainServer answers with neither a length nor chunks, and counts its answers.
+func unframedPlainServer(t *testing.T, body string) (target traffic.Target, answers *atomic.Int64) {
+	t.Helper()
+	answers = new(atomic.Int64)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answers.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.0 200 OK\r\n"+engineapi.AttemptHeader+": "+r.Header.Get(engineapi.AttemptHeader)+"\r\n\r\n"+body)
+	}))
+	t.Cleanup(s.Close)
+	return traffic.Target{Server: "unframed", Address: s.Listener.Addr().String()}, answers
+}
+
+// A document that ends with its connection may be a part of the answer, even if it parses.
+func TestUnframedPlainAnswerIsNotRelayed(t *testing.T) {
+	for _, body := range []string{`{"sound":true}`, `{"half":`, ""} {
+		is := is.New(t)
+		unframed, answers := unframedPlainServer(t, body)
+		c := plainCall(&targetList{targets: []traffic.Target{unframed}})
+		out, w := do(t, newDispatcher(t, Options{}), c)
+		is.Equal(out.Err.Code, result.OutcomeUnknown)
+		is.True(!out.Err.NotRun())
+		is.Equal(w.Body.Len(), 0)
+		is.Equal(answers.Load(), int64(1)) // a non-idempotent request is not sent again
+
+		backend := startPlain(t)
+		c = plainCall(&targetList{targets: []traffic.Target{unframed, {Server: backend.Name(), Address: backend.Address()}}})
+		c.Request.Idempotent, c.Method = true, http.MethodPut
+		out, w = do(t, newDispatcher(t, Options{}), c)
+		is.True(out.Err == nil)
+		is.Equal(out.Attempts, 2)
+		is.True(strings.Contains(w.Body.String(), `"run"`))
+	}
+}
