dispatch: a crash inside an unframed answer of a model server is counted

What was seen: a request that crashes model servers inside an answer with neither a length nor chunks went on from server to server. Such an answer is refused at its head, the connection closed, and the quarantine was told of an end without a crash.

Fix: the answer is read to its end (within the limits of any answer) and dropped, and the server is then asked for its epoch, as after any broken connection. A plain service has no epoch; it is only dialled.

A server that is still the same incarnation is not blamed (same test).

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -156,3 +156,20 @@
 	is.True(out.Err != nil)
 	is.Equal(*runs, countingSuspects{started: 1, crashed: 1}) // the load report names epoch 1
 }
+
+// A model server crashes inside an answer that has neither a length nor chunks.
+func TestCrashInsideUnframedAnswerIsCounted(t *testing.T) {
+	for epoch, want := range map[int]countingSuspects{
+		1: {started: 1, ended: 1}, // the load report names the same epoch
+		5: {started: 1, crashed: 1},
+	} {
+		is := is.New(t)
+		runs := &countingSuspects{}
+		c := modelCall(chatBody, startRawServer(t, rawAnswer{body: `{"half":`, epoch: epoch}))
+		c.Request.Fingerprint = 7
+		out, w := do(t, newDispatcher(t, Options{Suspects: runs, MaxAttempts: 1}), c)
+		is.True(out.Err != nil)
+		is.Equal(w.Body.Len(), 0)
+		is.Equal(*runs, want)
+	}
+}
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
@@ -109,8 +110,17 @@
 	if a.x.model.stream && isStream(r) {
 		return nil
 	}
+	if !a.x.call.Request.Plain {
+		a.skipAnswer()
+	}
 	cause := fmt.Errorf("answer of server %q has neither Content-Length nor chunked encoding", a.target.Server)
-	return &attemptError{code: result.BackendServerError, cause: cause}
+	return &attemptError{code: result.BackendServerError, cause: cause, connectionBroken: true}
+}
+
+// skipAnswer reads the answer to its end, so that a crash that ends it is seen.
+func (a *attempt) skipAnswer() {
+	body := io.LimitReader(&answerBody{a: a}, a.x.d.options.MaxAnswerBytes)
+	_, _ = io.Copy(io.Discard, body) // any error ends the answer
 }
 
 // checkStatus turns statuses that mean a failure of the backend server into an
