--- a/internal/entry/unframed_test.go
+++ b/internal/entry/unframed_test.go
@@ -128,6 +128,21 @@
 	is.True(err != nil)
 }
 
+func TestBrokenAnswerFailsAtFramedCaller(t *testing.T) {
+	for _, client := range clients(t) {
+		for _, closing := range []bool{false, true} {
+			is := is.New(t)
+			e := startTestServer(t, testServerOptions{})
+			e.entries.Set(fault.Settings{BreakAfter: 3})
+			r := e.request(http.MethodPut, "/services/entries"+plain.EchoPath, clubKey, "a longer body")
+			r.Close = closing
+			got, err := send(client.http, r)
+			is.Equal(got.StatusCode, http.StatusOK)
+			is.True(err != nil)
+		}
+	}
+}
+
 // rawTLS is like raw with TLS.
 func (e *testServer) rawTLS(text string) net.Conn {
 	e.t.Helper()
