--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 	"github.com/hawthornwick/hawthornwick/internal/traffic"
@@ -40,25 +41,45 @@
 
 // probeResult is the result of probing a server over a new connection.
 type probeResult struct {
+	began     time.Time
 	reachable bool
 	epoch     uint64 // 0 if unknown or not reported
 }
 
+// incarnation is the run of a server's process that an attempt was sent to.
+type incarnation struct {
+	epoch uint64 // 0 if unknown
+	exact bool   // the epoch is that of the attempt's answer; else the process may be newer
+}
+
 // hasCrashed distinguishes a crashed server from a broken connection: it
 // fetches the server's epoch over a new connection. An unreachable server
 // counts as crashed. An unknown earlier epoch, 0, counts as older.
-func (d *Dispatcher) hasCrashed(target traffic.Target, epoch uint64, plain bool) bool {
-	answer, _, _ := d.probes.Do(target.Address, func() (any, error) {
-		return d.probe(target, plain), nil
-	})
-	probe := answer.(probeResult)
+func (d *Dispatcher) hasCrashed(target traffic.Target, i incarnation, plain bool) bool {
+	probe := d.probeAfter(time.Now(), target, plain)
 	switch {
 	case !probe.reachable:
 		return true
 	case probe.epoch == 0:
 		return false
 	}
-	return probe.epoch > epoch
+	return probe.epoch > i.epoch || i.exact && probe.epoch != i.epoch
+}
+
+// probeAfter probes the server. Concurrent calls share a probe that began after all of
+// them; one that began earlier may have found the server before it crashed.
+func (d *Dispatcher) probeAfter(earliest time.Time, target traffic.Target, plain bool) probeResult {
+	for {
+		answer, _, _ := d.probes.Do(target.Address, func() (any, error) {
+			began := time.Now()
+			result := d.probe(target, plain)
+			result.began = began
+			return result, nil
+		})
+		if probe := answer.(probeResult); !probe.began.Before(earliest) {
+			return probe
+		}
+	}
 }
 
 func (d *Dispatcher) probe(target traffic.Target, plain bool) probeResult {
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -18,6 +18,7 @@
 var (
 	errNoTerminalEvent = errors.New("the stream ended without its terminal event")
 	errReplayDiffers   = errors.New("the replayed content differs from the content already sent to the caller")
+	errBegunAgain      = errors.New("the stream begins again although the server stated that it goes on")
 	errNotStream       = errors.New("the answer is not a stream but a stream has already been started for the caller")
 )
 
@@ -44,18 +45,20 @@
 	contentEvents int    // counted from the start of the generation
 	digest        uint64 // chained over the replayed content events
 	finishEvents  int
+	choices       choiceStates
+	resumed       bool // the server goes on after the delivered content
 }
 
 // relayStream relays events up to and including the terminal event.
 func (x *exchange) relayStream(a *attempt) *attemptError {
-	s := &streamRelay{a: a, x: x}
+	s := &streamRelay{a: a, x: x, choices: choiceStates{}}
 	if err := s.readResumePoint(); err != nil {
 		return err
 	}
 	x.startStreamAnswer(a)
-	for event, err := range sse.Read(a.body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	for event, err := range a.readEvents() {
 		if err != nil {
-			return a.classify(err)
+			return a.streamFailure(err)
 		}
 		done, failed := s.handle(event)
 		if failed != nil {
@@ -81,6 +84,7 @@
 		return &attemptError{code: result.StreamBroken, cause: cause}
 	}
 	s.contentEvents = s.a.resumeAfter
+	s.resumed = s.a.resumeAfter > 0
 	return nil
 }
 
@@ -99,6 +103,9 @@
 		if s.contentEvents < s.x.delivered.contentEvents {
 			return false, &attemptError{code: result.StreamBroken, cause: errReplayDiffers, final: true}
 		}
+		if !s.choices.finished() {
+			return false, &attemptError{code: result.StreamBroken, cause: errNotFinished}
+		}
 		return true, nil
 	}
 	if event.Data == "" {
@@ -113,6 +120,12 @@
 
 func (s *streamRelay) relayChunk(event sse.Event, c *chunk) *attemptError {
 	p := &s.x.delivered
+	if err := s.choices.add(c); err != nil {
+		return &attemptError{code: result.StreamBroken, cause: err}
+	}
+	if s.resumed && c.kind(false) == chunkRole {
+		return &attemptError{code: result.StreamBroken, cause: errBegunAgain}
+	}
 	switch c.kind(s.contentEvents > 0) {
 	case chunkError:
 		cause := fmt.Errorf("server %q reported an error in the stream", s.a.target.Server)
@@ -124,7 +137,7 @@
 		}
 		p.usageSent = true
 	case chunkRole:
-		if p.roleSent || p.contentEvents > 0 {
+		if p.singleChoice && (p.roleSent || p.contentEvents > 0) {
 			return nil
 		}
 		p.roleSent = true
@@ -134,6 +147,9 @@
 			return err
 		}
 	case chunkFinish:
+		if s.contentEvents < p.contentEvents {
+			return &attemptError{code: result.StreamBroken, cause: errReplayDiffers, final: true}
+		}
 		s.finishEvents++
 		if s.finishEvents <= p.finishEvents {
 			return nil
@@ -154,6 +170,9 @@
 	s.contentEvents++
 	s.a.receivedEvents++
 	if s.contentEvents > p.contentEvents {
+		if p.singleChoice && p.finishEvents > 0 {
+			return false, &attemptError{code: result.StreamBroken, cause: errReplayDiffers, final: true}
+		}
 		p.digest = c.chainDigest(p.digest)
 		p.contentEvents = s.contentEvents
 		return true, nil
