explain, timeline: the story of a request tells the runs of its stream

Callers saw streams with an end that came too early or with pieces missing; explain printed the fields of their lines unsorted, so that one had to compare ids by eye.

Change: timeline.Streams collects the attempts of each stream from the events of a request (framing, events, ids, largest step, id resumed after, check of the server); explain prints one line an attempt, one for the check and its age, and how the stream ended for the caller. Requests that were no stream print as before, but for the age of a check.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -49,7 +49,7 @@
 	MalformedLines int
 }
 
-// New returns an empty Story of the request with this id.
+// New returns an empty History of the request with this id.
 func New(request string) *History { return &History{request: request} }
 
 // AddLog adds the events of one log. If reading fails, the events read so far are kept.
@@ -81,6 +81,7 @@
 	for _, e := range s.events {
 		writeEvent(out, first.Time, e)
 	}
+	writeStreams(out, first.Time, timeline.Streams(s.events))
 	fmt.Fprintln(out, "state then:")
 	for _, e := range s.stateEvents() {
 		writeEvent(out, first.Time, e)
@@ -170,6 +171,7 @@
 	add("count", e.Count, e.Count > 0)
 	add("state", e.State, e.State != "")
 	add("for", e.Duration, e.Kind == timeline.ServerPaused)
+	add("age", e.Duration, e.Kind == timeline.AttemptUnframed)
 	return list
 }
 
