invariant: whole_stream, a stream that is answered in full joins and its end is confirmed

Change: the check reads the runs of each stream (timeline.Streams). Each run is resumed after the last id that the caller has and begins above it; ids that count the events have no gap; the runs add up to what was delivered; a last run that ends with its connection was followed by a check that found the same process or server before the answer was vouched for. That ids count the events is no field of the log: it is taken from a first id of 1, or of one more than the id that the caller resumed after. Streams without these fields, with lines left out, or of two requests with one id at once are not judged.

--- a/internal/explain/stream.go
+++ b/internal/explain/stream.go
@@ -13,6 +13,9 @@
 func writeStreams(w io.Writer, start time.Time, streams []timeline.Stream) {
 	for _, s := range streams {
 		fmt.Fprintf(w, "stream from %s:\n", s.Instance)
+		if s.Ambiguous {
+			fmt.Fprintln(w, "  two requests with this id ran at once: their attempts cannot be told apart")
+		}
 		for i, run := range s.Runs {
 			fmt.Fprintf(w, "  attempt %d: %s\n", i+1, describeRun(run))
 			if run.Check != nil {
@@ -61,11 +64,11 @@
 func describeCheck(start time.Time, r timeline.StreamRun) string {
 	text := fmt.Sprintf("without framing: at %s the server was found %s, %s after the end",
 		since(start, r.Check.Time), r.Check.State, r.Check.Duration.Round(time.Millisecond))
-	if r.Check.Detail != "" {
-		text += "; " + r.Check.Detail
+	if r.Conclusion != "" {
+		text += "; concluded: " + r.Conclusion
 	}
 	if r.End != nil && r.End.Kind == timeline.RequestAnswered && r.Check.Sequence > r.End.Sequence {
-		text += "; the answer had been vouched for already"
+		text += "; the request had been answered already"
 	}
 	return text
 }
--- a/internal/explain/stream_test.go
+++ b/internal/explain/stream_test.go
@@ -36,11 +36,11 @@
 func TestStreamWithConfirmedUnframedEnd(t *testing.T) {
 	is := is.New(t)
 	is.Equal(streamPart(t, sentFirst+
-		`{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"attempt.unframed","request":"r1","server":"s1","count":43,"state":"same","duration":2400000,"detail":"believed"}
+		`{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"attempt.unframed","request":"r1","server":"s1","count":43,"state":"same_process","duration":2400000,"detail":"conclusion=vouched framing=connection run_events=43 first_id=\"1\" last_id=\"43\" id_step=1"}
 {"time":"2026-12-06T05:00:03.1Z","instance":"edge-1","sequence":3,"kind":"request.answered","request":"r1","server":"s1","count":43,"state":"200","detail":"first_event_ms=9 framing=connection run_events=43 first_id=\"1\" last_id=\"43\" id_step=1"}
 `), `edge-1:
   attempt 1: server s1; framing connection; 43 events, ids 1 to 43, largest step 1; complete
-    end without framing: at +3.000s the server was found same, 2ms after the end; believed
+    end without framing: at +3.000s the server was found same_process, 2ms after the end; concluded: vouched
   to the caller: complete, 43 events
 `)
 }
@@ -48,12 +48,12 @@
 func TestStreamOfLostServerResumedElsewhere(t *testing.T) {
 	is := is.New(t)
 	is.Equal(streamPart(t, sentFirst+
-		`{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"attempt.unframed","request":"r1","server":"s1","count":16,"state":"refused","duration":1000000}
+		`{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"attempt.unframed","request":"r1","server":"s1","count":16,"state":"gone","duration":1000000,"detail":"conclusion=crashed framing=connection run_events=16 first_id=\"1\" last_id=\"16\" id_step=1"}
 `+failedFirst+sentSecond+
 		`{"time":"2026-12-06T05:00:05Z","instance":"edge-1","sequence":5,"kind":"request.answered","request":"r1","server":"s2","count":43,"state":"200","detail":"first_event_ms=9 framing=chunks run_events=27 first_id=\"17\" last_id=\"43\" id_step=1"}
 `), `edge-1:
   attempt 1: server s1; framing connection; 16 events, ids 1 to 16, largest step 1; failed: result 4005 (stream_broken)
-    end without framing: at +3.000s the server was found refused, 1ms after the end
+    end without framing: at +3.000s the server was found gone, 1ms after the end; concluded: crashed
   attempt 2: server s2 resumed after id 16; framing chunks; 27 events, ids 17 to 43, largest step 1; complete
   to the caller: complete, 43 events
 `)
@@ -86,24 +86,34 @@
 	is := is.New(t)
 	is.Equal(streamPart(t, sentFirst+
 		`{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"request.answered","request":"r1","server":"s1","count":2,"state":"200","detail":"framing=connection run_events=2 first_id=\"\" last_id=\"\" id_step=0"}
-{"time":"2026-12-06T05:00:03.1Z","instance":"edge-1","sequence":3,"kind":"attempt.unframed","request":"r1","server":"s1","count":2,"state":"refused"}
+{"time":"2026-12-06T05:00:03.1Z","instance":"edge-1","sequence":3,"kind":"attempt.unframed","request":"r1","server":"s1","count":2,"state":"gone"}
 `), `edge-1:
   attempt 1: server s1; framing connection; 2 events without ids; complete
-    end without framing: at +3.100s the server was found refused, 0s after the end; the answer had been vouched for already
+    end without framing: at +3.100s the server was found gone, 0s after the end; the request had been answered already
   to the caller: complete, 2 events
 `)
 }
 
+// TestStreamsOfOneIDAtOnce guards against attempts of two streams that pass for one.
+func TestStreamsOfOneIDAtOnce(t *testing.T) {
+	is := is.New(t)
+	received := `{"time":"2026-12-06T04:59:59Z","instance":"edge-1","kind":"request.received","request":"r1"}
+`
+	is.True(strings.HasPrefix(streamPart(t, received+sentFirst+received+failedFirst), `edge-1:
+  two requests with this id ran at once: their attempts cannot be told apart
+`))
+}
+
 // TestPlainAnswerShowsItsCheck guards against an end without framing whose check has no age.
 func TestPlainAnswerShowsItsCheck(t *testing.T) {
 	is := is.New(t)
 	h := New("r1")
-	is.NoErr(h.AddLog(strings.NewReader(sentFirst + `{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"attempt.unframed","request":"r1","server":"s1","state":"refused","duration":250000000}
+	is.NoErr(h.AddLog(strings.NewReader(sentFirst + `{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"attempt.unframed","request":"r1","server":"s1","state":"gone","duration":250000000}
 `)))
 	var out bytes.Buffer
 	_, err := h.Write(&out)
 	is.NoErr(err)
-	is.True(strings.Contains(out.String(), "    +3.000s  edge-1  attempt.unframed  server s1  state refused  age 250ms\n"))
+	is.True(strings.Contains(out.String(), "    +3.000s  edge-1  attempt.unframed  server s1  state gone  age 250ms\n"))
 }
 
 func TestPlainAnswerHasNoStream(t *testing.T) {
--- a/internal/invariant/check.go
+++ b/internal/invariant/check.go
@@ -109,6 +109,7 @@
 	{Info{"cold_limit", "A cold backend server gets no more than it bears."}, checkColdLimit},
 	{Info{"zone_out", "An availability zone that was taken out gets no new work."}, checkZoneOut},
 	{Info{"whole_answer", "A caller gets the whole answer to its own request."}, checkWholeAnswer},
+	{Info{"whole_stream", "A stream that is answered in full has no piece missing, none twice, and an end that its server confirmed."}, checkWholeStream},
 	{Info{"not_run_is_true", "A refusal marked as not run is true."}, checkNotRunIsTrue},
 	{Info{"at_most_once", "A non-idempotent request runs at most once."}, checkAtMostOnce},
 	{Info{"leaving_server", "A leaving backend server gets no new work."}, checkLeavingServer},
--- a/internal/invariant/check_test.go
+++ b/internal/invariant/check_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math"
+	"regexp"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -264,6 +266,44 @@
 			"no stored answer":    {at(41, "b", event{Kind: timeline.RequestAnswered, Request: "r2", Record: "rec"})},
 		},
 	},
+	"whole_stream": {
+		valid: map[string][]event{
+			"one run":                resumedStream(ids(1, 43), ids(44, 43)),
+			"resumed elsewhere":      resumedStream(ids(1, 16), ids(17, 43)),
+			"resumed by the caller":  edit(resumedStream(ids(8, 16), ids(17, 43)), timeline.AttemptSent, func(e *event) { e.Detail = strings.Replace(e.Detail, `""`, `"7"`, 1) }),
+			"resumed before a piece": edit(resumedStream(ids(1, 0), ids(1, 43)), timeline.AttemptSent, func(e *event) { e.Detail = `resume_after=""` }),
+			"asked for more":         resumedStream(ids(1, 43), ids(1, 0)),
+			"ids count no events":    resumedStream(runOf{100, 900, 16, 70}, runOf{950, 2000, 27, 50}),
+			"without ids":            withoutIDs(resumedStream(ids(1, 16), ids(17, 43))),
+			"no details":             edit(resumedStream(ids(1, 16), ids(19, 43)), timeline.RequestAnswered, func(e *event) { e.Detail = "" }),
+			"end confirmed":          unframedStream(timeline.SameProcess),
+			"start not stated":       unframedStream(timeline.SameServer),
+			"broken off":             edit(resumedStream(ids(1, 16), ids(19, 43)), timeline.RequestAnswered, func(e *event) { e.Kind = timeline.RequestFailed }),
+			"served twice at once":   append(unframedStream("gone"), at(4, "a", event{Kind: timeline.RequestReceived, Request: "r"})),
+		},
+		invalid: map[string][]event{
+			"gap between runs":          resumedStream(ids(1, 16), ids(18, 43)),
+			"run starts again":          resumedStream(ids(1, 16), ids(1, 43)),
+			"overlap of one":            resumedStream(ids(1, 16), ids(16, 43)),
+			"overlap of uncounted ids":  resumedStream(runOf{100, 900, 16, 70}, runOf{880, 2000, 27, 50}),
+			"gap within a run":          resumedStream(runOf{1, 18, 16, 3}, ids(19, 43)),
+			"fewer events than ids":     resumedStream(runOf{1, 18, 16, 1}, ids(19, 43)),
+			"gap beside ids left out":   resumedStream(runOf{1, 18, 18, 3}, ids(19, 43)),
+			"ids that fall":             resumedStream(runOf{900, 100, 16, 0}, ids(101, 143)),
+			"ids of another form":       edit(resumedStream(ids(1, 16), ids(17, 43)), timeline.RequestAnswered, func(e *event) { e.Detail = strings.Replace(e.Detail, `"43"`, `"x43"`, 1) }),
+			"ids that jump":             resumedStream(ids(1, 2), runOf{3, 900719925474, 2, 900719925471}),
+			"resumed after another id":  edit(resumedStream(ids(1, 16), ids(17, 43)), timeline.AttemptSent, func(e *event) { e.Detail = strings.Replace(e.Detail, `"16"`, `"15"`, 1) }),
+			"event not received":        edit(resumedStream(ids(1, 16), ids(17, 43)), timeline.RequestAnswered, func(e *event) { e.Count++ }),
+			"end of a server that left": unframedStream("gone"),
+			"end of a new process":      unframedStream("restarted"),
+			"end without an answer":     unframedStream("silent"),
+			"end not checked":           drop(unframedStream(timeline.SameProcess), timeline.AttemptUnframed),
+			"end checked too late": append(drop(unframedStream(""), timeline.AttemptUnframed),
+				at(20, "a", event{Kind: timeline.AttemptUnframed, Request: "r", Attempt: "r", Server: "s1", State: timeline.SameProcess})),
+			"check of an earlier run": append(resumedUnframed(),
+				at(5, "a", event{Kind: timeline.AttemptUnframed, Request: "r", Attempt: "r", Server: "s1", State: timeline.SameProcess})),
+		},
+	},
 	"not_run_is_true": {
 		valid: map[string][]event{
 			"refused in the queue": {at(0, "a", event{Kind: timeline.RequestReceived, Request: "r"}), refusedNotRun(1, "r", result.Shed, "")},
@@ -335,6 +375,58 @@
 	},
 }
 
+// runOf describes the events of one run of a stream.
+type runOf struct{ first, last, events, step int64 }
+
+// ids returns a run whose ids count its events; without events if last is below first.
+func ids(first, last int64) runOf { return runOf{first, last, max(0, last-first+1), 1} }
+
+// detail returns the run's fields as the gateway writes them.
+func (r runOf) detail(framing string) string {
+	if r.events == 0 {
+		return "framing=" + framing + ` run_events=0 first_id="" last_id="" id_step=0`
+	}
+	return fmt.Sprintf("framing=%s run_events=%d first_id=%q last_id=%q id_step=%d", framing, r.events, fmt.Sprint(r.first), fmt.Sprint(r.last), r.step)
+}
+
+// resumedStream returns the events of a stream that breaks off on s1 and ends on s2.
+func resumedStream(a, b runOf) []event {
+	after := func(id int64) string { return fmt.Sprintf("repeat=false resume_after=%q", fmt.Sprint(id)) }
+	return []event{
+		at(0, "a", event{Kind: timeline.RequestReceived, Request: "r"}),
+		at(1, "a", event{Kind: timeline.AttemptSent, Request: "r", Attempt: "r", Server: "s1", Detail: `repeat=false resume_after=""`}),
+		at(6, "a", event{Kind: timeline.AttemptFailed, Request: "r", Attempt: "r", Server: "s1", Count: a.events, Detail: "EOF " + a.detail("chunks")}),
+		at(7, "a", event{Kind: timeline.AttemptSent, Request: "r", Attempt: "r", Server: "s2", Detail: after(a.last)}),
+		at(9, "a", event{Kind: timeline.RequestAnswered, Request: "r", Attempt: "r", Server: "s2", Count: a.events + b.events, Detail: "first_event_ms=2 " + b.detail("chunks")}),
+	}
+}
+
+// resumedUnframed returns resumedStream with a last run that ends with its connection.
+func resumedUnframed() []event {
+	return edit(resumedStream(ids(1, 16), ids(17, 43)), timeline.RequestAnswered, func(e *event) { e.Detail = ids(17, 43).detail("connection") })
+}
+
+// unframedStream returns the events of a stream on s1 that ends with its connection.
+func unframedStream(found string) []event {
+	return []event{
+		at(0, "a", event{Kind: timeline.RequestReceived, Request: "r"}),
+		at(1, "a", event{Kind: timeline.AttemptSent, Request: "r", Attempt: "r", Server: "s1", Detail: `resume_after=""`}),
+		at(8, "a", event{Kind: timeline.AttemptUnframed, Request: "r", Attempt: "r", Server: "s1", Count: 43, State: found}),
+		at(9, "a", event{Kind: timeline.RequestAnswered, Request: "r", Attempt: "r", Server: "s1", Count: 43, Detail: ids(1, 43).detail("connection")}),
+	}
+}
+
+// withoutIDs removes the ids from the details of attempts.
+func withoutIDs(events []event) []event {
+	events = slices.Clone(events)
+	for i := range events {
+		events[i].Detail = idPattern.ReplaceAllString(events[i].Detail, `$1""`)
+	}
+	return events
+}
+
+var idPattern = regexp.MustCompile(`((?:first_id|last_id|resume_after)=)"\d+"`)
+
 // ownRecord returns the sending of an attempt whose record is its own id.
 func ownRecord(ms int, id string) event {
 	return at(ms, "a", event{Kind: timeline.AttemptSent, Request: id, Attempt: id, Record: id})
@@ -407,7 +499,7 @@
 var kinds = []timeline.Kind{
 	timeline.RequestReceived, timeline.RequestQueued, timeline.RequestAdmitted, timeline.RequestShed, timeline.RequestPreempted,
 	timeline.RequestAnswered, timeline.RequestRefused, timeline.RequestFailed, timeline.AttemptStarted, timeline.AttemptSent,
-	timeline.AttemptAnswered, timeline.AttemptFailed, timeline.AttemptDiscarded, timeline.KeyAccepted, timeline.RecordInserted,
+	timeline.AttemptAnswered, timeline.AttemptFailed, timeline.AttemptDeclined, timeline.AttemptUnframed, timeline.AttemptDiscarded, timeline.KeyAccepted, timeline.RecordInserted,
 	timeline.RecordAnswered, timeline.RecordReleased, timeline.ConfigAccepted, timeline.ConfigApplied, timeline.KeyGranted,
 	timeline.KeyWithdrawn, timeline.ZoneDrained, timeline.ZoneRestored, timeline.InstanceStarted, timeline.InstanceDraining,
 	timeline.InstanceStopped, timeline.InstanceStale, timeline.LeaseAcquired, timeline.LeaseRenewed, timeline.LeaseLost,
--- a/internal/timeline/stream.go
+++ b/internal/timeline/stream.go
@@ -1,6 +1,7 @@
 package timeline
 
 import (
+	"maps"
 	"regexp"
 	"strconv"
 )
@@ -10,12 +11,22 @@
 var (
 	runPattern    = regexp.MustCompile(`framing=(\w+) run_events=(\d+) first_id=("(?:[^"\\]|\\.)*") last_id=("(?:[^"\\]|\\.)*") id_step=(\d+)`)
 	resumePattern = regexp.MustCompile(`resume_after=("(?:[^"\\]|\\.)*")`)
+	// conclusionPattern matches the detail of AttemptUnframed.
+	conclusionPattern = regexp.MustCompile(`^conclusion=(\w+)`)
 )
 
 // FramingConnection is the Framing of an answer that has neither a length nor chunks and
 // ends with its connection.
 const FramingConnection = "connection"
 
+// States of AttemptUnframed events whose check confirmed the server.
+const (
+	// SameProcess: the process that gave the answer still answers.
+	SameProcess = "same_process"
+	// SameServer: the server still answers, but does not state which process it is.
+	SameServer = "same_server"
+)
+
 // Stream is what one instance recorded about a request that was answered with a stream
 // of server-sent events.
 type Stream struct {
@@ -24,6 +35,9 @@
 	Runs []StreamRun
 	// End is the event that ended the request. Its Kind is empty if there is none.
 	End Event
+	// Ambiguous reports whether the instance served two requests with this id at once, so
+	// that their events cannot be told apart.
+	Ambiguous bool
 }
 
 // StreamRun is one attempt at a stream. Fields whose events are missing are zero.
@@ -46,6 +60,8 @@
 	LargestStep int64
 	// Check is the check of the server after the answer ended with its connection, or nil.
 	Check *Event
+	// Conclusion is what was concluded from Check.
+	Conclusion string
 	// End is the event that ended the attempt, or nil.
 	End *Event
 }
@@ -100,13 +116,16 @@
 }
 
 func (b *streamBuilder) add(e *Event) {
+	if e.Kind == InstanceStarted {
+		b.closeAll(e.Instance)
+	}
 	if e.Request == "" {
 		return
 	}
 	key := streamKey{e.Instance, e.Request}
 	switch e.Kind {
 	case RequestReceived:
-		b.start(key)
+		b.receive(key)
 	case AttemptSent:
 		s := b.current(key)
 		s.Runs = append(s.Runs, StreamRun{Server: e.Server, Sent: true, ResumeAfter: resumeAfter(e.Detail)})
@@ -125,8 +144,25 @@
 	}
 }
 
+// receive starts a stream. One that is open under the same key is then ambiguous too.
+func (b *streamBuilder) receive(key streamKey) {
+	previous := b.open[key]
+	s := b.start(key)
+	if previous != nil {
+		previous.Ambiguous, s.Ambiguous = true, true
+	}
+}
+
+// closeAll closes the open streams of an instance, whose process ended with them.
+func (b *streamBuilder) closeAll(instance string) {
+	maps.DeleteFunc(b.open, func(key streamKey, _ *Stream) bool { return key.instance == instance })
+}
+
 func (b *streamBuilder) start(key streamKey) *Stream {
 	s := &Stream{Request: key.request, Instance: key.instance}
+	if last := b.last[key]; last != nil {
+		s.Ambiguous = last.Ambiguous
+	}
 	b.streams = append(b.streams, s)
 	b.open[key], b.last[key] = s, s
 	return s
@@ -149,11 +185,26 @@
 	}
 	for i := len(s.Runs) - 1; i >= 0; i-- {
 		if s.Runs[i].Server == e.Server {
-			s.Runs[i].Check = e
+			s.Runs[i].setCheck(e)
 			return
 		}
 	}
-	s.Runs = append(s.Runs, StreamRun{Server: e.Server, Check: e})
+	run := StreamRun{Server: e.Server}
+	run.setCheck(e)
+	s.Runs = append(s.Runs, run)
+}
+
+func (r *StreamRun) setCheck(e *Event) {
+	r.Check = e
+	if fields := conclusionPattern.FindStringSubmatch(e.Detail); fields != nil {
+		r.Conclusion = fields[1]
+	}
+}
+
+// Confirmed reports whether a check confirmed the server after the answer ended with its
+// connection.
+func (r StreamRun) Confirmed() bool {
+	return r.Check != nil && (r.Check.State == SameProcess || r.Check.State == SameServer)
 }
 
 // endRun ends the last run, or adds one if its sending was not recorded.
--- a/internal/timeline/stream_test.go
+++ b/internal/timeline/stream_test.go
@@ -40,20 +40,20 @@
 		at(0, "a", Event{Kind: RequestReceived, Request: "r"}),
 		at(0, "a", Event{Kind: RequestReceived, Request: "plain"}),
 		at(1, "a", Event{Kind: AttemptSent, Request: "r", Server: "s1", Detail: `resume_after=""`}),
-		at(2, "a", Event{Kind: AttemptUnframed, Request: "r", Server: "s1", State: "refused"}),
+		at(2, "a", Event{Kind: AttemptUnframed, Request: "r", Server: "s1", State: "gone"}),
 		at(3, "a", failed),
 		at(3, "b", Event{Kind: AttemptFailed, Request: "r", Server: "s1", Detail: failed.Detail}), // another instance
 		at(4, "a", Event{Kind: AttemptSent, Request: "r", Server: "s2", Detail: `resume_after="2"`}),
 		at(5, "a", Event{Kind: RequestAnswered, Request: "plain", Server: "s1", Count: 1}),
 		answeredEvent(6, "s2", eventstream.Seen{Events: 1, FirstID: "3", LastID: "3", LargestStep: 1}),
-		at(7, "a", Event{Kind: AttemptUnframed, Request: "r", Server: "s2", State: "reachable"}), // after the end
+		at(7, "a", Event{Kind: AttemptUnframed, Request: "r", Server: "s2", State: SameProcess}), // after the end
 	})
 	is.Equal(len(streams), 2)
 	is.Equal(streams[0].Delivered(), int64(3))
 	is.Equal(len(streams[0].Runs), 2)
-	is.Equal(streams[0].Runs[0].Check.State, "refused")
+	is.Equal(streams[0].Runs[0].Check.State, "gone")
 	is.Equal(streams[0].Runs[1].ResumeAfter, "2")
-	is.Equal(streams[0].Runs[1].Check.State, "reachable")
+	is.Equal(streams[0].Runs[1].Check.State, SameProcess)
 	is.Equal(streams[1].Instance, "b")
 	is.True(!streams[1].Complete())
 	is.True(!streams[1].Runs[0].Sent)
