--- a/internal/explain/stream.go
+++ b/internal/explain/stream.go
@@ -63,7 +63,7 @@
 // how long after that end, and when.
 func describeCheck(start time.Time, r timeline.StreamRun) string {
 	text := fmt.Sprintf("without framing: at %s the server was found %s, %s after the end",
-		since(start, r.Check.Time), r.Check.State, r.Check.Duration.Round(time.Millisecond))
+		since(start, r.Check.Time), r.Check.State, r.Check.Duration.Round(time.Microsecond))
 	if r.Conclusion != "" {
 		text += "; concluded: " + r.Conclusion
 	}
--- a/internal/invariant/streams.go
+++ b/internal/invariant/streams.go
@@ -120,7 +120,7 @@
 			report(s.End, "request %q was answered by %q without framing, and the server was not checked", s.Request, last.Server)
 		}
 	case last.Check.Sequence > s.End.Sequence:
-		report(s.End, "request %q was answered by %q without framing, and the server was checked only later", s.Request, last.Server)
+		report(s.End, "request %q was answered by %q without framing, and the server was found %s only later", s.Request, last.Server, last.Check.State)
 	case !last.Confirmed():
 		report(s.End, "request %q was answered by %q without framing, and the server was found %s", s.Request, last.Server, last.Check.State)
 	}
