--- a/internal/invariant/history.go
+++ b/internal/invariant/history.go
@@ -119,22 +119,20 @@
 	}
 }
 
-func (h *history) request(id string) *request {
-	r, ok := h.requests[id]
-	if !ok {
-		r = &request{id: id}
-		h.requests[id] = r
-	}
-	return r
-}
+func (h *history) request(id string) *request { return entry(h.requests, id, request{id: id}) }
+
+func (h *history) attempt(id string) *attempt { return entry(h.attempts, id, attempt{id: id}) }
 
-func (h *history) attempt(id string) *attempt {
-	a, ok := h.attempts[id]
-	if !ok {
-		a = &attempt{id: id}
-		h.attempts[id] = a
+// entry returns the entry of m with this id, which it adds as a copy of added if there is
+// none.
+func entry[T any](m map[string]*T, id string, added T) *T {
+	if e, ok := m[id]; ok {
+		return e
 	}
-	return a
+	e := new(T)
+	*e = added
+	m[id] = e
+	return e
 }
 
 // requestOf returns the request of an attempt, or nil if it is unknown.
