--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -27,6 +27,7 @@
 	part int
 
 	mu    sync.Mutex
+	ended bool
 	conns []net.Conn
 }
 
@@ -56,9 +57,10 @@
 			if err != nil {
 				return
 			}
-			e.mu.Lock()
-			e.conns = append(e.conns, c)
-			e.mu.Unlock()
+			if !e.track(c) {
+				_ = c.Close()
+				return
+			}
 			go e.serve(c)
 		}
 	}()
@@ -74,7 +76,17 @@
 	for _, c := range e.conns {
 		_ = c.Close()
 	}
-	e.conns = nil
+	e.ended = true
+}
+
+// track adds a connection that ends with the process. It returns false if that has ended.
+func (e *endingServer) track(c net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.ended {
+		e.conns = append(e.conns, c)
+	}
+	return !e.ended
 }
 
 func (e *endingServer) serve(c net.Conn) {
