--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -33,7 +33,7 @@
 
 // readEvents decodes the events of the attempt's answer.
 func (a *attempt) readEvents() func(func(sse.Event, error) bool) {
-	source := &eventReader{events: eventstream.NewReader(a.body, eventstream.Rules{}, "")}
+	source := &eventReader{events: eventstream.NewReader(a.body, eventstream.Rules{KnownFieldsOnly: true}, "")}
 	return sse.Read(source, &sse.ReadConfig{MaxEventSize: maxEventBytes})
 }
 
