gateway: a server whose connection breaks is asked again who it is

What callers saw: a sound answer without framing would be broken off, or answered 502, when the connection of the question after it was reset, as servers do with connections beyond their limit.

The question is repeated up to three times, 20 ms apart, within the same 500 ms. A crashed server refuses the second one, so that its end also counts as a crash.

TestUnprovedEndWithoutRetryBudget is new and passes before this change too.

--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -287,6 +288,46 @@
 	}
 }
 
+// TestServerThatResetsConnectionsIsAskedAgain guards against a sound answer that is lost
+// because its server resets connections beyond its limit.
+func TestServerThatResetsConnectionsIsAskedAgain(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/plain-stream/x", "/safe/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestStack(t)
+			var asked atomic.Int64
+			s.addEndingServer(&endingServer{id: "0", part: testPieces, endScript: endScript{identify: func(c net.Conn) {
+				if asked.Add(1) < serverCheckTries {
+					_ = c.Close()
+					return
+				}
+				states("0", testStarted)(c)
+			}}})
+			got := s.call(http.MethodPost, path, "ask")
+			is.Equal(got.status, http.StatusOK)
+			is.True(!got.truncated)
+			is.Equal(asked.Load(), int64(serverCheckTries))
+			is.Equal(s.suspects.recorded(), []runEnd{runComplete})
+		})
+	}
+}
+
+// TestUnprovedEndWithoutRetryBudget guards against a stream that ends as complete, or is
+// repeated beyond the budget, when its server crashes and no retry is left.
+func TestUnprovedEndWithoutRetryBudget(t *testing.T) {
+	is := is.New(t)
+	s := newTestStack(t)
+	s.addEndingServer(&endingServer{id: "0", part: 2, endScript: endScript{beforeEnd: killed}})
+	s.addEndingServer(&endingServer{id: "1", part: testPieces, endScript: endScript{identify: states("1", testStarted)}})
+	s.preferFirst()
+	for s.balancer.TryRetry("s") {
+	}
+	got := s.call(http.MethodPost, "/stream/x", "ask")
+	is.True(got.truncated)
+	is.Equal(eventIDs(got.body), []string{"1", "2"})
+	is.Equal(len(s.suspects.recorded()), 1)
+}
+
 // TestAnswerToHeadNeedsNoProof guards against an answer to a HEAD request that is refused
 // since it has neither a length nor chunks.
 func TestAnswerToHeadNeedsNoProof(t *testing.T) {
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -14,12 +14,17 @@
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 const (
 	// serverCheckTimeout bounds the check of a server after an answer that ended with its
 	// connection. A process takes longer to start.
 	serverCheckTimeout = 500 * time.Millisecond
+	// serverCheckTries is how often a server is asked whose connections break, and
+	// serverCheckPause the time before it is asked again.
+	serverCheckTries = 3
+	serverCheckPause = 20 * time.Millisecond
 	// maxIdentityBytes bounds the body in which a server states its identity.
 	maxIdentityBytes = 256 << 10
 )
@@ -90,17 +95,25 @@
 	return e, v
 }
 
-// checkServer asks the server who it is. It starts no run.
+// checkServer asks the server who it is, within serverCheckTimeout. A connection that breaks
+// shows nothing: a server resets those beyond its limit. It starts no run.
 func (a *attempt) checkServer(ctx context.Context) serverCheck {
-	c := serverCheck{askedAt: time.Now()}
-	stated, err := a.x.gateway.identify(ctx, a.assignment.Address, a.assignment.Server)
-	switch {
-	case err == nil:
-		c.found = compareIdentity(a.knownIdentity(), stated)
-	case reachabilityOf(err) == refused:
-		c.found = gone
-	default:
-		c.found = silentServer
+	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
+	defer cancel()
+	c := serverCheck{askedAt: time.Now(), found: silentServer}
+	for range serverCheckTries {
+		stated, err := a.x.gateway.identify(ctx, a.assignment.Address, a.assignment.Server)
+		if err == nil {
+			c.found = compareIdentity(a.knownIdentity(), stated)
+			return c
+		}
+		if reachabilityOf(err) == refused {
+			c.found = gone
+			return c
+		}
+		if wait.For(ctx, serverCheckPause) != nil {
+			return c
+		}
 	}
 	return c
 }
@@ -114,10 +127,8 @@
 	return known
 }
 
-// identify asks the process at the address who it is, within serverCheckTimeout.
+// identify asks the process at the address who it is.
 func (g *Gateway) identify(ctx context.Context, address, server string) (Identity, error) {
-	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
-	defer cancel()
 	permit := guardconn.NewPermit(func() guardconn.Grant { return guardconn.Allow(serverCheckTimeout) })
 	defer permit.End()
 	path, header := g.options.Protocol.IdentityRequest(server)
