gateway: a stream is not joined to a part of another answer

What callers saw: on a route of resumable streams the first server answered with a status other than 200 and more than 1 MiB, and broke off after part of it had been sent on; the whole stream of the next server was written after that part, with a clean last chunk.

Cause: mayRetry allowed another attempt whenever the answer had begun on a resumable route, also if what had begun was no stream.

The answer is broken off instead.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -62,6 +62,7 @@
 	possibleRuns    int    // attempts that a server may have run
 	usageRecorded   bool   // the request was reported to the usage meter
 	responseStarted bool   // the head of the answer was sent to the caller
+	streamStarted   bool   // it was that of a stream
 	lastEventID     string // of the last event that the caller received; empty if none
 	events          int64  // complete events sent to the caller
 	pauses          pauses // between these events
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -155,7 +155,7 @@
 	switch {
 	case f.final || x.ctx.Err() != nil || x.timeLeft() < minTimeLeft || tries >= maxTries:
 		return false
-	case x.responseStarted && !x.route.Resumable:
+	case x.responseStarted && !(x.streamStarted && x.route.Resumable):
 		return false
 	case x.possibleRuns > 0 && !x.route.Retryable():
 		return false
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,6 +87,7 @@
 	if err := x.control.Flush(); err != nil {
 		return a.connectionFailure(err)
 	}
+	x.streamStarted = true
 	x.events++
 	x.pauses.record(time.Now())
 	if event.ID != "" {
