gateway: a probe that began before a crash does not hide it

What was seen: a crash that the quarantine did not count, and a server that stayed in use: a probe of its address shared a dial that another request had begun before the crash.

Fix: as in internal/dispatch, a shared dial counts only if it began after the call.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -31,7 +31,7 @@
 func (r reachability) String() string { return reachabilityNames[r] }
 
 // prober checks whether servers still accept connections. Concurrent checks of
-// one address share a dial.
+// one address share a dial that began after all of them.
 type prober struct {
 	group singleflight.Group
 	dial  func(ctx context.Context, network, address string) (net.Conn, error)
@@ -39,22 +39,33 @@
 
 func newProber() *prober { return &prober{dial: (&net.Dialer{}).DialContext} }
 
-// probe connects to the address within probeTimeout.
+// dialResult is what a dial found, and when it began.
+type dialResult struct {
+	began time.Time
+	found reachability
+}
+
+// probe connects to the address within probeTimeout. A dial that began before the call does
+// not count, since it may have found the server before it crashed.
 func (p *prober) probe(address string) reachability {
-	result, _, _ := p.group.Do(address, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		c, err := p.dial(ctx, "tcp", address)
-		if err == nil {
-			_ = c.Close()
+	earliest := time.Now()
+	for {
+		shared, _, _ := p.group.Do(address, func() (any, error) { return p.dialOnce(address), nil })
+		if result, ok := shared.(dialResult); ok && !result.began.Before(earliest) {
+			return result.found
 		}
-		return reachabilityOf(err), nil
-	})
-	found, ok := result.(reachability)
-	if !ok {
-		return reachable
 	}
-	return found
+}
+
+func (p *prober) dialOnce(address string) dialResult {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, "tcp", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	return dialResult{began: began, found: reachabilityOf(err)}
 }
 
 // reachabilityOf classifies the error of a dial.
