gateway: an end that is seen late is not believed of a server that may have restarted

What callers saw: a stream of a killed server that ended as complete after 2 of 4 events. A slow caller held the relay up, so that the end of the connection was read only when the server was back under its id; it states its id and no start, and was taken for the same process.

Fix: the time for which nothing was read before the end counts.

What remains: an instance whose process is frozen inside the read that sees the end.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,6 +42,7 @@
 	response   *http.Response
 	answer     AnswerHead
 	framing    framing
+	body       *unreadBody         // of the response
 	events     *eventstream.Reader // of an answer that is a stream; nil otherwise
 	stopsAt    time.Time           // when the server stops work on the request
 	vouched    bool                // the answer ended with its connection and was found to be complete
@@ -153,6 +154,8 @@
 		return a.connectionFailure(err)
 	}
 	a.response = response
+	a.body = &unreadBody{ReadCloser: response.Body}
+	response.Body = a.body
 	a.framing = framingOf(response, a.x.r.Method)
 	a.answer = a.x.gateway.options.Protocol.ReadAnswerHead(response)
 	a.observe(balance.Answer{
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -86,7 +86,7 @@
 
 // examineEnd collects the evidence for an answer that has just ended with its connection.
 func (a *attempt) examineEnd(ctx context.Context) (evidence, verdict) {
-	e := evidence{framing: a.framing, endedAt: time.Now(), stopsAt: a.stopsAt}
+	e := evidence{framing: a.framing, endedAt: time.Now(), stopsAt: a.stopsAt, unread: a.body.unread}
 	if e.endedAt.Before(e.stopsAt) {
 		e.check = a.checkServer(ctx)
 	}
--- a/internal/gateway/vouch.go
+++ b/internal/gateway/vouch.go
@@ -62,6 +62,8 @@
 	// stopsAt is when the server stops work on the request.
 	stopsAt time.Time
 	check   serverCheck
+	// unread is how long the end of the answer may have waited until endedAt.
+	unread time.Duration
 }
 
 // verdict is whether the end of an answer shows that the answer is complete.
@@ -85,7 +87,8 @@
 
 // vouch decides whether an answer that ended is complete. An answer that ends with its
 // connection is, if the process that sent it answers a question asked after that end: when
-// a process ends, all its connections end with it.
+// a process ends, all its connections end with it. A server that does not state its start
+// may be another process by now if the end was seen late.
 func vouch(e evidence) verdict {
 	switch {
 	case e.framing != framedByConnection:
@@ -96,8 +99,12 @@
 		return unproved
 	}
 	switch e.check.found {
-	case sameProcess, sameServer:
+	case sameProcess:
 		return vouched
+	case sameServer:
+		if e.unread <= serverCheckTimeout {
+			return vouched
+		}
 	case restarted, otherServer, gone:
 		return crashed
 	case notAsked, silentServer, unidentified:
