gateway: unframed answers of servers that cannot be asked who they are are not all lost

What callers saw: behind the gateway's own file each answer without framing of a service whose servers state no restart epoch became 502, and the servers got GET /engine/load, which a catch-all handler runs.

Fix: a server that states no epoch is not asked. Its answer counts as complete while its address accepts connections right after the end (finding `listens`), and not if the end may have been seen late. That tells a crash from an end, but not a process that is back at once.

--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -87,9 +87,10 @@
 	// states about the server that sent it.
 	ReadAdvisory(status int, h http.Header) advisory.Advisory
 	// IdentityRequest returns the path and the header fields of a GET request with which
-	// a backend server, whose id is assumed to be server, is asked who it is. The server
-	// must answer it at once, without running anything.
-	IdentityRequest(server string) (path string, h http.Header)
+	// a backend server, which is assumed to be known, is asked who it is. The server must
+	// answer it at once, without running anything. An empty path means that the server
+	// cannot be asked.
+	IdentityRequest(known Identity) (path string, h http.Header)
 	// ReadIdentity reads the answer to an IdentityRequest. Fields that are missing or
 	// malformed count as not stated.
 	ReadIdentity(r *http.Response, body []byte) Identity
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -79,7 +79,7 @@
 		return balance.Unreached
 	case otherServer:
 		return balance.Misdirected
-	case notAsked, sameProcess, sameServer, restarted, unidentified:
+	case notAsked, sameProcess, sameServer, listens, restarted, unidentified:
 	}
 	return balance.Broken
 }
@@ -101,10 +101,16 @@
 	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
 	defer cancel()
 	c := serverCheck{askedAt: time.Now(), found: silentServer}
+	known := a.knownIdentity()
+	path, header := a.x.gateway.options.Protocol.IdentityRequest(known)
+	if path == "" {
+		c.found = findingOfProbe(a.x.gateway.probes.probe(a.assignment.Address))
+		return c
+	}
 	for range serverCheckTries {
-		stated, err := a.x.gateway.identify(ctx, a.assignment.Address, a.assignment.Server)
+		stated, err := a.x.gateway.identify(ctx, a.assignment.Address, path, header.Clone())
 		if err == nil {
-			c.found = compareIdentity(a.knownIdentity(), stated)
+			c.found = compareIdentity(known, stated)
 			return c
 		}
 		if reachabilityOf(err) == refused {
@@ -118,6 +124,18 @@
 	return c
 }
 
+// findingOfProbe returns what a probe shows of a server that cannot be asked.
+func findingOfProbe(r reachability) finding {
+	switch r {
+	case reachable:
+		return listens
+	case refused:
+		return gone
+	case silent:
+	}
+	return silentServer
+}
+
 // knownIdentity returns the process that sent the answer, as far as it is known.
 func (a *attempt) knownIdentity() Identity {
 	known := Identity{Server: a.assignment.Server, Incarnation: a.answer.Incarnation}
@@ -128,10 +146,9 @@
 }
 
 // identify asks the process at the address who it is.
-func (g *Gateway) identify(ctx context.Context, address, server string) (Identity, error) {
+func (g *Gateway) identify(ctx context.Context, address, path string, header http.Header) (Identity, error) {
 	permit := guardconn.NewPermit(func() guardconn.Grant { return guardconn.Allow(serverCheckTimeout) })
 	defer permit.End()
-	path, header := g.options.Protocol.IdentityRequest(server)
 	r := (&http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: path}, Header: header,
 	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: permit.Attach}))
--- a/internal/gateway/vouch.go
+++ b/internal/gateway/vouch.go
@@ -12,6 +12,8 @@
 	sameProcess
 	// sameServer: the same server, which does not state when it started.
 	sameServer
+	// listens: a server accepts connections that cannot be asked who it is.
+	listens
 	// restarted: the same server, but another process.
 	restarted
 	// otherServer: another server owns the address.
@@ -25,7 +27,7 @@
 )
 
 var findingNames = [...]string{
-	notAsked: "not_asked", sameProcess: "same_process", sameServer: "same_server", restarted: "restarted",
+	notAsked: "not_asked", sameProcess: "same_process", sameServer: "same_server", listens: "listens", restarted: "restarted",
 	otherServer: "other_server", gone: "gone", silentServer: "silent", unidentified: "unidentified",
 }
 
@@ -101,7 +103,7 @@
 	switch e.check.found {
 	case sameProcess:
 		return vouched
-	case sameServer:
+	case sameServer, listens:
 		if e.unread <= serverCheckTimeout {
 			return vouched
 		}
--- a/internal/gateway/vouch_test.go
+++ b/internal/gateway/vouch_test.go
@@ -21,6 +21,8 @@
 		"same process":        {evidence{framedByConnection, end, after, serverCheck{sameProcess, end}, 0}, vouched},
 		"same server":         {evidence{framedByConnection, end, after, serverCheck{sameServer, after}, 0}, vouched},
 		"same server, late":   {evidence{framedByConnection, end, after, serverCheck{sameServer, after}, serverCheckTimeout + 1}, unproved},
+		"listens":             {evidence{framedByConnection, end, after, serverCheck{listens, after}, 0}, vouched},
+		"listens, late":       {evidence{framedByConnection, end, after, serverCheck{listens, after}, serverCheckTimeout + 1}, unproved},
 		"same process, late":  {evidence{framedByConnection, end, after, serverCheck{sameProcess, after}, time.Hour}, vouched},
 		"restarted":           {evidence{framedByConnection, end, after, serverCheck{restarted, after}, 0}, crashed},
 		"other server":        {evidence{framedByConnection, end, after, serverCheck{otherServer, after}, 0}, crashed},
--- a/internal/gatewayfile/protocol.go
+++ b/internal/gatewayfile/protocol.go
@@ -77,10 +77,14 @@
 	return epoch
 }
 
-// IdentityRequest implements gateway.Protocol.
-func (protocol) IdentityRequest(server string) (path string, h http.Header) {
+// IdentityRequest implements gateway.Protocol. Servers that state no restart epoch in their
+// answers need not be engines, so they are not asked.
+func (protocol) IdentityRequest(known gateway.Identity) (path string, h http.Header) {
+	if known.Incarnation == 0 {
+		return "", nil
+	}
 	h = http.Header{}
-	h.Set(serverHeader, server)
+	h.Set(serverHeader, known.Server)
 	return engineapi.LoadPath, h
 }
 
--- a/internal/timeline/stream.go
+++ b/internal/timeline/stream.go
@@ -25,6 +25,8 @@
 	SameProcess = "same_process"
 	// SameServer: the server still answers, but does not state which process it is.
 	SameServer = "same_server"
+	// Listens: the server, which cannot be asked who it is, accepts connections.
+	Listens = "listens"
 )
 
 // Stream is what one instance recorded about a request that was answered with a stream
@@ -204,7 +206,14 @@
 // Confirmed reports whether a check confirmed the server after the answer ended with its
 // connection.
 func (r StreamRun) Confirmed() bool {
-	return r.Check != nil && (r.Check.State == SameProcess || r.Check.State == SameServer)
+	if r.Check == nil {
+		return false
+	}
+	switch r.Check.State {
+	case SameProcess, SameServer, Listens:
+		return true
+	}
+	return false
 }
 
 // endRun ends the last run, or adds one if its sending was not recorded.
