soak: servers that end, answer without framing and spoil streams; the check is by piece

Callers saw streams with pieces missing and streams that ended too early. The soak could not: its servers sent eight events, always in chunks, and broke off only inside an event.

Servers now also - answer every second request with neither a length nor chunks; - die between events (all connections end with FIN, the address refuses connections) and come back under their id or as another server, each time with a new `born`; stop as planned right after a whole answer without framing. Streams have 24 events, there is a route that may not be resumed, and every fifth caller speaks HTTP/1.0. Each piece names its request and its run. The checker wants each piece once, in order, of a run that started where the last one ended, and the end after the last piece, also in streams broken off. A whole answer of a server that lived must arrive; how many are lost of servers that ended right after is printed as a figure.

The proxy passed a FIN on after bytes it had dropped, which TCP never does: a stream of a live server then looked cut short and complete. It no longer does. Requests that may run once and whose server spoiled that run no longer count in the share answered after the troubles; the router cannot answer them.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -24,6 +24,8 @@
 	// Mismatch describes how a complete response differs from the expected one. Empty
 	// means that it does not.
 	Mismatch string
+	// Stream is the body of a 200 response on a streaming route. It is nil for others.
+	Stream *Stream
 }
 
 // Checker collects what callers and backend servers observe and finds violations of
@@ -43,6 +45,7 @@
 	stops         []interval // planned stops
 	faults        []interval // injected faults that may cut off a response
 	statements    statements
+	ran           runs
 	violations    []string
 }
 
@@ -65,7 +68,7 @@
 	return &Checker{
 		revocation: revocation, runs: map[string][]time.Time{}, serverAborts: map[string]int{}, keys: map[string]string{},
 		withdrawn: map[string]time.Time{}, usageByWindow: map[int64]string{}, holderByToken: map[uint64]string{},
-		statements: newStatements(),
+		statements: newStatements(), ran: newRuns(),
 	}
 }
 
@@ -151,7 +154,10 @@
 	Requests, Answered, Refused, Failed int
 	// EndAnswered is the fraction of the requests sent after the last fault that got
 	// a 2xx response. Requests with withdrawn keys are not counted.
+	// Neither are those that may run once and whose server spoiled that run.
 	EndAnswered float64
+	// Unframed counts the sound answers with neither a length nor chunks.
+	Unframed SoundCount
 }
 
 // Finish runs the checks that need the whole run and returns all violations. faultsOver
@@ -163,6 +169,7 @@
 	afterFaults, answeredAfterFaults := 0, 0
 	for _, o := range c.outcomes {
 		c.checkOutcome(o)
+		c.checkSound(o, &s)
 		s.Requests++
 		switch {
 		case o.NotRun:
@@ -172,7 +179,7 @@
 		default:
 			s.Failed++
 		}
-		if o.Sent.After(faultsOver) && c.withdrawn[o.Key].IsZero() {
+		if o.Sent.After(faultsOver) && c.withdrawn[o.Key].IsZero() && (o.Idempotent || len(c.ran.spoiled[o.ID]) == 0) {
 			afterFaults++
 			if o.Status/100 == 2 {
 				answeredAfterFaults++
@@ -202,8 +209,9 @@
 		c.addViolation("request %s was answered %d as not run, and ran", o.ID, o.Status)
 	}
 	if o.Mismatch != "" {
-		c.addViolation("request %s got a wrong answer: %s", o.ID, o.Mismatch)
+		c.addViolation("request %s got a wrong answer: %s%s", o.ID, o.Mismatch, c.spoiledNote(o.ID))
 	}
+	c.checkStream(o)
 	if len(runs) > 0 && c.cutByStop(o) {
 		c.addViolation("request %s was cut off by the planned stop of %s", o.ID, o.Instance)
 	}
@@ -217,7 +225,7 @@
 // of its instance is the only possible cause.
 func (c *Checker) cutByStop(o Outcome) bool {
 	overlaps := func(i interval) bool { return i.overlaps(o) }
-	if o.Status != 0 || o.TimedOut || c.serverAborts[o.ID] == len(c.runs[o.ID]) {
+	if o.Status != 0 || o.TimedOut || c.serverAborts[o.ID]+c.endedRuns(o) == len(c.runs[o.ID]) {
 		return false // answered, timed out at the caller, or every run was aborted by its backend server
 	}
 	return slices.ContainsFunc(c.stops, overlaps) && !slices.ContainsFunc(c.faults, overlaps)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,9 @@
 	ServerLimits   FaultKind = "a backend server names a rate limit"
 	StoreHeld      FaultKind = "bytes between one instance and the store arrive late"
 	ServerHeld     FaultKind = "bytes to and from a backend server arrive late"
+	ServerCrash    FaultKind = "a backend server's process dies and is back under its id"
+	ServerReplaced FaultKind = "a backend server's process dies and another one takes its address"
+	ServerStops    FaultKind = "a backend server stops right after a whole answer"
 )
 
 var faultKinds = []FaultKind{
@@ -46,6 +49,9 @@
 // their sender has given up, unless it resets the connection.
 var heldKinds = []FaultKind{StoreHeld, ServerHeld}
 
+// endKinds are the faults in which the process of a backend server ends.
+var endKinds = []FaultKind{ServerCrash, ServerReplaced, ServerStops}
+
 // Fault is one fault of a plan.
 type Fault struct {
 	At, Duration time.Duration
@@ -68,19 +74,22 @@
 	meanStatementInterval = 2 * time.Second
 	// meanHeldInterval is the same for faults of heldKinds.
 	meanHeldInterval = 4 * time.Second
+	// meanEndInterval is the same for faults of endKinds.
+	meanEndInterval  = 1500 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
 )
 
 // NewPlan generates the faults of a run from its seed, in order of time. The intervals
 // between their starts are exponentially distributed, so that faults overlap. Statements of
-// backend servers and late bytes have random numbers of their own, which leaves the other
-// faults of a seed as they are.
+// backend servers, late bytes and ends of backend servers have random numbers of their own,
+// which leaves the other faults of a seed as they are.
 func NewPlan(seed uint64, length time.Duration, instances, servers int) []Fault {
 	targets := max(instances, servers)
 	plan := randomFaults(rand.New(rand.NewPCG(seed, seed)), length, meanFaultInterval, faultKinds, targets)
 	stated := randomFaults(rand.New(rand.NewPCG(seed, ^seed)), length, meanStatementInterval, statementKinds, targets)
 	held := randomFaults(rand.New(rand.NewPCG(^seed, seed)), length, meanHeldInterval, heldKinds, targets)
-	plan = append(append(plan, stated...), held...)
+	ends := randomFaults(rand.New(rand.NewPCG(^seed, ^seed)), length, meanEndInterval, endKinds, targets)
+	plan = slices.Concat(plan, stated, held, ends)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -19,15 +20,17 @@
 // Proxy is a TCP proxy to one address that can inject network faults. It is safe for
 // concurrent use.
 type Proxy struct {
-	listener      net.Listener
+	address       string
 	target        atomic.Pointer[string]
 	delay         atomic.Int64 // nanoseconds before each write
 	blackhole     atomic.Bool  // drop all bytes, also those of new connections
 	dropResponses atomic.Bool  // drop the bytes from the target to the caller
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-	held  chan struct{} // closed when bytes are no longer held; nil if none are
+	mu       sync.Mutex
+	listener net.Listener
+	down     bool // the listener is closed
+	conns    map[net.Conn]struct{}
+	held     chan struct{} // closed when bytes are no longer held; nil if none are
 }
 
 // NewProxy returns a proxy to target that listens on a free loopback port.
@@ -36,14 +39,14 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, conns: map[net.Conn]struct{}{}}
+	p := &Proxy{address: l.Addr().String(), listener: l, conns: map[net.Conn]struct{}{}}
 	p.target.Store(&target)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
 // Address returns the IP and port that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // SetDelay delays every write. Zero means no delay.
 func (p *Proxy) SetDelay(d time.Duration) { p.delay.Store(int64(d)) }
@@ -98,6 +101,56 @@
 	}
 }
 
+// Refuse closes the listener. Open connections stay.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = true
+	_ = p.listener.Close()
+}
+
+// Crash closes the listener and ends every open connection with a FIN, as the kernel does
+// when a process dies.
+func (p *Proxy) Crash() {
+	p.Refuse()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		closeWrite(c)
+	}
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+// Listen undoes Refuse and Crash. It waits up to a second for its port.
+func (p *Proxy) Listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.down {
+		return nil
+	}
+	var err error
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(portRetryInterval) {
+		var l net.Listener
+		if l, err = net.Listen("tcp", p.address); err == nil {
+			p.listener, p.down = l, false
+			go p.accept(l)
+			return nil
+		}
+	}
+	return fmt.Errorf("listen again: %w", err)
+}
+
+// portRetryInterval is the interval at which Listen tries to get its port.
+const portRetryInterval = 20 * time.Millisecond
+
+func (p *Proxy) isDown() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down
+}
+
 // Reset resets every open connection with a TCP RST.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -116,13 +169,13 @@
 
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.Refuse()
 	p.Reset()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -136,7 +189,11 @@
 		_ = caller.Close()
 		return
 	}
-	p.track(caller, server)
+	if !p.track(caller, server) {
+		_ = caller.Close()
+		_ = server.Close()
+		return
+	}
 	var both sync.WaitGroup
 	both.Go(func() { p.copy(server, caller, false) })
 	both.Go(func() { p.copy(caller, server, true) })
@@ -144,12 +201,17 @@
 	p.untrack(caller, server)
 }
 
-func (p *Proxy) track(conns ...net.Conn) {
+// track registers connections. It returns false if the proxy is down.
+func (p *Proxy) track(conns ...net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.down {
+		return false
+	}
 	for _, c := range conns {
 		p.conns[c] = struct{}{}
 	}
+	return true
 }
 
 func (p *Proxy) untrack(conns ...net.Conn) {
@@ -162,17 +224,20 @@
 }
 
 // copy copies bytes in one direction. It propagates an EOF as a half-close and a reset as
-// a reset, and closes to if it cannot be written to.
+// a reset, and closes to if it cannot be written to. Once it has dropped bytes it does not
+// propagate an EOF, which TCP delivers only after all bytes.
 func (p *Proxy) copy(to, from net.Conn, responses bool) {
 	received := make(chan []byte, maxHeldSegments)
 	reset := make(chan struct{})
 	go readSegments(from, received, reset)
+	dropped := false
 	for segment := range received {
 		if !p.awaitDelivery(reset) {
 			break
 		}
 		time.Sleep(time.Duration(p.delay.Load()))
-		if p.blackhole.Load() || responses && p.dropResponses.Load() {
+		if p.drops(responses) {
+			dropped = true
 			continue
 		}
 		if _, err := to.Write(segment); err != nil {
@@ -180,17 +245,43 @@
 			break
 		}
 	}
+	for dropped && p.drops(responses) && !p.isDown() {
+		time.Sleep(dropPollInterval)
+	}
 	select {
 	case <-reset:
-		resetConn(to)
+		p.propagateReset(to)
 	default:
-		closeWrite(to)
+		if dropped {
+			p.propagateReset(to)
+		} else {
+			closeWrite(to)
+		}
 	}
 	for range received {
 		continue // until from is closed
 	}
 }
 
+// drops reports whether the bytes of a direction are dropped at present.
+func (p *Proxy) drops(responses bool) bool {
+	return p.blackhole.Load() || responses && p.dropResponses.Load()
+}
+
+// dropPollInterval is the interval at which an EOF after dropped bytes waits for the end of
+// the fault.
+const dropPollInterval = 10 * time.Millisecond
+
+// propagateReset resets a connection whose other side has failed. While the proxy is down,
+// that failure is its own, and the connection ends with a FIN.
+func (p *Proxy) propagateReset(to net.Conn) {
+	if p.isDown() {
+		closeWrite(to)
+		return
+	}
+	resetConn(to)
+}
+
 // readSegments reads until an error and then closes received. Before that it closes reset
 // if the error is not EOF.
 func readSegments(from net.Conn, received chan<- []byte, reset chan<- struct{}) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,9 +24,8 @@
 	// CompactStore discards the store's change history, so that its readers must read
 	// whole tables again.
 	CompactStore()
-	// AddServer registers a backend server at the address that wrap returns, such as
-	// that of a proxy.
-	AddServer(wrap func(address string) (string, error)) error
+	// AddServer registers a backend server at the address of the proxy that wrap returns.
+	AddServer(wrap func(address string) (*Proxy, error)) error
 	// SetDraining marks a backend server as draining, or as ready again.
 	SetDraining(server int, draining bool)
 	// SetLeaving makes a backend server state that it leaves, or replaces it by another
@@ -37,6 +36,15 @@
 	SetPausing(server int, pausing bool)
 	// SetLimited makes a backend server name a rate limit, or none again.
 	SetLimited(server int, limited bool)
+	// Crash ends the process of a backend server, and all its connections. The server comes
+	// back with Return.
+	Crash(server int)
+	// StopAfterAnswer makes a backend server stop as planned right after its next whole
+	// answer without framing. It comes back with Return.
+	StopAfterAnswer(server int)
+	// Return starts the process of a backend server again, under its id or a new one. It
+	// does nothing if the process has not ended.
+	Return(server int, newID bool)
 	// WithdrawKey withdraws one more API key. It does nothing if only one is left.
 	WithdrawKey()
 	// Call sends one request to an instance and records its outcome with the checker.
@@ -100,13 +108,13 @@
 
 func (r *run) provision() error {
 	for range r.options.Servers {
-		err := r.site.AddServer(func(address string) (string, error) {
+		err := r.site.AddServer(func(address string) (*Proxy, error) {
 			p, err := NewProxy(address)
 			if err != nil {
-				return "", err
+				return nil, err
 			}
 			r.servers = append(r.servers, p)
-			return p.Address(), nil
+			return p, nil
 		})
 		if err != nil {
 			return err
@@ -167,14 +175,15 @@
 	}
 	process := r.processes[f.Target%len(r.processes)]
 	storeLink := r.stores[f.Target%len(r.stores)]
-	serverLink := r.servers[f.Target%len(r.servers)]
+	server := f.Target % len(r.servers)
+	serverLink := r.servers[server]
 	apply := func(begin, end func()) {
 		begin()
 		sleep(ctx, f.Duration)
 		end()
 	}
 	from := time.Now()
-	defer func() { r.reportFault(f.Kind, process.Name, from) }()
+	defer func() { r.reportFault(f.Kind, process.Name, server, from) }()
 	switch f.Kind {
 	case KillInstance:
 		apply(func() { process.Signal(syscall.SIGKILL) }, func() { r.restart(process) })
@@ -213,24 +222,25 @@
 	case WithdrawKey:
 		r.site.WithdrawKey()
 	case ServerLeaves:
-		server := f.Target % len(r.servers)
 		apply(func() { r.site.SetLeaving(server, true) }, func() { r.site.SetLeaving(server, false) })
 	case ServerPauses:
-		server := f.Target % len(r.servers)
 		apply(func() { r.site.SetPausing(server, true) }, func() { r.site.SetPausing(server, false) })
 	case ServerLimits:
-		server := f.Target % len(r.servers)
 		f.Duration += minLimitTime
 		apply(func() { r.site.SetLimited(server, true) }, func() { r.site.SetLimited(server, false) })
+	case ServerCrash, ServerReplaced:
+		f.Duration /= downtimeFraction
+		apply(func() { r.site.Crash(server) }, func() { r.site.Return(server, f.Kind == ServerReplaced) })
+	case ServerStops:
+		apply(func() { r.site.StopAfterAnswer(server) }, func() { r.site.Return(server, true) })
 	case ServerDraining:
-		server := f.Target % len(r.servers)
 		apply(func() { r.site.SetDraining(server, true) }, func() { r.site.SetDraining(server, false) })
 	}
 }
 
 // reportFault reports to the checker a stop, or a fault that may cut off responses,
 // that began at from and has just ended.
-func (r *run) reportFault(k FaultKind, instance string, from time.Time) {
+func (r *run) reportFault(k FaultKind, instance string, server int, from time.Time) {
 	now := time.Now()
 	switch k {
 	case StopInstance:
@@ -239,6 +249,11 @@
 		r.options.Checker.RecordFault(instance, from, now.Add(faultAftermath))
 	case ServerReset, ServerSilent, ServerSlow, ServerHeld:
 		r.options.Checker.RecordFault("", from, now.Add(faultAftermath))
+		r.options.Checker.RecordLinkFault(server, from, now.Add(linkAftermath))
+	case StoreSilent, StoreOneWay, StoreSlow, StoreReset, StoreHeld:
+		r.options.Checker.RecordStale(instance, from, now.Add(faultAftermath))
+	case StoreDown, StoreCompact:
+		r.options.Checker.RecordStale("", from, now.Add(faultAftermath))
 	}
 }
 
@@ -246,11 +261,17 @@
 // responses.
 const faultAftermath = 2 * time.Second
 
+// linkAftermath is the same for a fault of the link to a backend server, whose
+// connections end with the fault.
+const linkAftermath = 200 * time.Millisecond
+
 const (
 	stopTimeout     = 9 * time.Second
 	minReloadUptime = 3 * time.Second // a process that has just started does not handle SIGHUP yet
 	slowLinkDelay   = 150 * time.Millisecond
-	minLimitTime    = 6 * time.Second // a limit binds only some seconds after it was named
+	// downtimeFraction divides the time of a fault to get the downtime of a crashed server.
+	downtimeFraction = 4
+	minLimitTime     = 6 * time.Second // a limit binds only some seconds after it was named
 )
 
 // restart starts a process again after it has exited.
