--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -100,6 +100,35 @@
 	}
 }
 
+// TestCheckerIgnoresPauseOfUnknownIncarnation checks that an instance may forget the pause of
+// a server only if it could not know that this incarnation had started.
+func TestCheckerIgnoresPauseOfUnknownIncarnation(t *testing.T) {
+	for name, c := range map[string]struct {
+		instance  string        // that may not know the present servers
+		stale     time.Duration // after the start of the incarnation
+		violation bool
+	}{
+		"started while the store was silent":                     {"a", -time.Second, false},
+		"started while the store was down":                       {"", -time.Second, false},
+		"started before the store was silent":                    {"a", time.Millisecond, true},
+		"started while the store was silent to another instance": {"b", -time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			checker := NewChecker(revocation)
+			checker.RecordStart("s")
+			started := checker.statements.started["s"]
+			checker.RecordStale(c.instance, started.Add(c.stale), started.Add(time.Minute))
+			checker.RecordSent("x", "a")
+			checker.RecordPause("x", "s", 3*time.Second)
+			for range maxPauseArrivals + 1 {
+				checker.statements.arrivals = append(checker.statements.arrivals, arrival{"x", "s", 0, started.Add(pauseSlack + time.Second)})
+			}
+			is.Equal(len(finish(checker)) > 0, c.violation)
+		})
+	}
+}
+
 func TestCheckerAcceptsAllowedOutcomes(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -33,6 +33,7 @@
 	limits    map[namedLimit]time.Time
 	named     map[namedLimit]time.Time // by server alone: when it first named the limit
 	pauses    []pause
+	started   map[string]time.Time // by server
 }
 
 // namedLimit is a rate limit, in requests per second, that a server has named. Each one has
@@ -60,7 +61,8 @@
 
 func newStatements() statements {
 	return statements{instances: map[string]string{}, sent: map[string]time.Time{}, leaving: map[link]time.Time{},
-		limits: map[namedLimit]time.Time{}, named: map[namedLimit]time.Time{}}
+		limits: map[namedLimit]time.Time{}, named: map[namedLimit]time.Time{},
+		started: map[string]time.Time{}}
 }
 
 // RecordSent records that a caller is about to send a request to an instance.
@@ -81,6 +83,13 @@
 	recordFirst(c.statements.named, namedLimit{link{server: server}, rate}, now)
 }
 
+// RecordStart records that an incarnation of a backend server starts.
+func (c *Checker) RecordStart(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.statements.started[server] = time.Now()
+}
+
 // RecordLimit records that an instance has passed on an answer in which a server names a
 // rate limit.
 func (c *Checker) RecordLimit(instance, server string, rate float64) {
@@ -170,12 +179,21 @@
 			arrived++
 		}
 	}
-	if arrived <= maxPauseArrivals || c.restarted(instance, p.at, p.until) || c.restarted("", p.at, p.until) {
+	if arrived <= maxPauseArrivals || c.restarted(instance, p.at, p.until) || c.restarted("", p.at, p.until) || c.mistaken(instance, p) {
 		return
 	}
 	c.addViolation("%d requests of %s reached %s in a pause of %v", arrived, instance, p.server, p.until.Sub(p.at))
 }
 
+// mistaken reports whether an instance may have taken the server that asked for a pause for
+// an earlier incarnation, because it could not yet know of the present one.
+func (c *Checker) mistaken(instance string, p pause) bool {
+	started, ok := c.statements.started[p.server]
+	return ok && slices.ContainsFunc(c.ran.stale, func(i interval) bool {
+		return (i.instance == "" || i.instance == instance) && i.from.Before(started) && started.Before(i.to) && p.at.Before(i.to)
+	})
+}
+
 // restarted reports whether an instance was stopped, restarted or faulty within a time. An
 // empty instance stands for faults of the links to backend servers.
 func (c *Checker) restarted(instance string, from, to time.Time) bool {
