soak: a whole answer may be lost to a silent store only if its server had just started

The check let a lost whole answer pass whenever the store's link to the instance was faulty. An instance that knows the server's incarnation can ask it without the store, so the check now passes over it only if that incarnation started during the fault.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -13,9 +13,9 @@
 const soakHelp = `Run instances as processes of their own before stand-ins on loopback, break links,
 processes and the store by a seeded plan, and check from outside what callers and
 backend servers see: at most one run of what is not idempotent, refusals that say
-"not run", whole answers, streams without gaps, withdrawn keys, usage reported once,
-one holder of the duties. Ends only processes that it started. Settings and logs
-stay in the directory. Exit code 1 when a promise broke.`
+"not run", whole answers and none lost, streams by piece, withdrawn keys, usage
+reported once, one holder of the duties. Ends only processes that it started.
+Settings and logs stay in the directory. Exit code 1 when a promise broke.`
 
 // soakCommand runs the soak test with one or more seeds.
 type soakCommand struct {
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -206,8 +206,7 @@
 	if o.TimedOut || o.Status == gatewayTimeout || c.instanceFailed(o) {
 		return true
 	}
-	overlaps := func(i interval) bool { return i.overlaps(o) }
-	if slices.ContainsFunc(c.ran.stale, overlaps) {
+	if c.unknownStart(o, run) {
 		return true
 	}
 	return slices.ContainsFunc(c.ran.links, func(e serverEnd) bool {
@@ -215,6 +214,16 @@
 	})
 }
 
+// unknownStart reports whether the server of a run started while the instance may not have
+// known the present servers, and may still not have known this one.
+func (c *Checker) unknownStart(o Outcome, run soundRun) bool {
+	return slices.ContainsFunc(c.ran.stale, func(i interval) bool {
+		return i.overlaps(o) && slices.ContainsFunc(c.ran.ends, func(e serverEnd) bool {
+			return e.server == run.server && e.from.After(i.from) && e.from.Before(run.from)
+		})
+	})
+}
+
 const gatewayTimeout = 504 // HTTP status
 
 // SoundCount counts whole answers without framing.
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -115,8 +115,14 @@
 			count: SoundCount{Answers: 1, Lost: 1}},
 		"lost, instance failed": {happened: func(c *Checker, now time.Time) { c.RecordFault("i", now, now.Add(time.Minute)) },
 			count: SoundCount{Answers: 1, Lost: 1}},
-		"lost, servers not known": {happened: func(c *Checker, now time.Time) { c.RecordStale("i", now, now.Add(time.Minute)) },
-			count: SoundCount{Answers: 1, Lost: 1}},
+		"lost, start of the server not known": {happened: func(c *Checker, now time.Time) {
+			c.RecordStale("i", now.Add(-time.Minute), now.Add(time.Minute))
+			c.ran.ends = append(c.ran.ends, serverEnd{server: 1, from: now.Add(-2 * time.Second)})
+		}, count: SoundCount{Answers: 1, Lost: 1}},
+		"lost, server started before the store was silent": {happened: func(c *Checker, now time.Time) {
+			c.RecordStale("i", now.Add(-time.Minute), now.Add(time.Minute))
+			c.ran.ends = append(c.ran.ends, serverEnd{server: 1, from: now.Add(-2 * time.Minute)})
+		}, violation: true, count: SoundCount{Answers: 1, Lost: 1}},
 		"late": {timedOut: true, count: SoundCount{Answers: 1, Lost: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
