--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -214,16 +214,32 @@
 	})
 }
 
-// unknownStart reports whether the server of a run started while the instance may not have
-// known the present servers, and may still not have known this one.
+// unknownStart reports whether the server of a run started so late that the instance may not
+// have known that it had.
 func (c *Checker) unknownStart(o Outcome, run soundRun) bool {
-	return slices.ContainsFunc(c.ran.stale, func(i interval) bool {
-		return i.overlaps(o) && slices.ContainsFunc(c.ran.ends, func(e serverEnd) bool {
-			return e.server == run.server && e.from.After(i.from) && e.from.Before(run.from)
-		})
+	return slices.ContainsFunc(c.ran.ends, func(e serverEnd) bool {
+		return e.server == run.server && e.from.Before(run.from) && run.from.Before(c.knownBy(o.Instance, e.from))
 	})
 }
 
+// tableDelay is the time in which an instance that reaches the store reads a change.
+const tableDelay = 500 * time.Millisecond
+
+// knownBy returns the time by which an instance must know a server that started at start:
+// after the faults of the store that kept the instance from reading its row.
+func (c *Checker) knownBy(instance string, start time.Time) time.Time {
+	by := start.Add(tableDelay)
+	for extended := true; extended; {
+		extended = false
+		for _, i := range c.ran.stale {
+			if (i.instance == "" || i.instance == instance) && i.from.Before(by) && i.to.After(by) {
+				by, extended = i.to, true
+			}
+		}
+	}
+	return by
+}
+
 const gatewayTimeout = 504 // HTTP status
 
 // SoundCount counts whole answers without framing.
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -119,6 +119,20 @@
 			c.RecordStale("i", now.Add(-time.Minute), now.Add(time.Minute))
 			c.ran.ends = append(c.ran.ends, serverEnd{server: 1, from: now.Add(-2 * time.Second)})
 		}, count: SoundCount{Answers: 1, Lost: 1}},
+		"lost, start of the server not known for two faults": {happened: func(c *Checker, now time.Time) {
+			c.RecordStale("i", now.Add(-11*time.Second), now.Add(-5*time.Second))
+			c.RecordStale("", now.Add(-6*time.Second), now.Add(time.Minute))
+			c.ran.ends = append(c.ran.ends, serverEnd{server: 1, from: now.Add(-10 * time.Second)})
+		}, count: SoundCount{Answers: 1, Lost: 1}},
+		"lost, server known between two faults": {happened: func(c *Checker, now time.Time) {
+			c.RecordStale("i", now.Add(-11*time.Second), now.Add(-7*time.Second))
+			c.RecordStale("", now.Add(-6*time.Second), now.Add(time.Minute))
+			c.ran.ends = append(c.ran.ends, serverEnd{server: 1, from: now.Add(-10 * time.Second)})
+		}, violation: true, count: SoundCount{Answers: 1, Lost: 1}},
+		"lost, start not known to another instance": {happened: func(c *Checker, now time.Time) {
+			c.RecordStale("j", now.Add(-time.Minute), now.Add(time.Minute))
+			c.ran.ends = append(c.ran.ends, serverEnd{server: 1, from: now.Add(-2 * time.Second)})
+		}, violation: true, count: SoundCount{Answers: 1, Lost: 1}},
 		"lost, server started before the store was silent": {happened: func(c *Checker, now time.Time) {
 			c.RecordStale("i", now.Add(-time.Minute), now.Add(time.Minute))
 			c.ran.ends = append(c.ran.ends, serverEnd{server: 1, from: now.Add(-2 * time.Minute)})
