dispatch: an empty finish reason is no finish

Callers saw: streams of engines that send "finish_reason":"" in each chunk before the last ended with stream_broken at the second chunk.

Cause: any finish_reason but null counted as the finish of its choice.

Why it works: a finish names a reason; the empty string names none.

--- a/internal/dispatch/choices.go
+++ b/internal/dispatch/choices.go
@@ -16,7 +16,7 @@
 // add records the choices of a chunk. It returns an error if one goes on after its finish.
 func (s choiceStates) add(c *chunk) error {
 	for _, choice := range c.Choices {
-		finishes := choice.FinishReason != nil
+		finishes := choice.finishes()
 		if s[choice.Index] && (finishes || choice.hasText()) {
 			return errAfterFinish
 		}
--- a/internal/dispatch/chunk.go
+++ b/internal/dispatch/chunk.go
@@ -41,6 +41,10 @@
 	FinishReason *string         `json:"finish_reason"`
 }
 
+// finishes reports whether the choice names a finish reason. Some engines send an empty one
+// before the last chunk.
+func (c *chunkChoice) finishes() bool { return c.FinishReason != nil && *c.FinishReason != "" }
+
 type engineUsage struct {
 	PromptTokens     int64 `json:"prompt_tokens"`
 	CompletionTokens int64 `json:"completion_tokens"`
@@ -69,7 +73,7 @@
 		return chunkUsage
 	case len(c.Choices) == 0:
 		return chunkOther
-	case c.Choices[0].FinishReason != nil:
+	case c.Choices[0].finishes():
 		return chunkFinish
 	case !contentSeen && hasOnlyRole(c.Choices[0].Delta):
 		return chunkRole
