dispatch: a chunk without text after the finish is passed on

Callers saw: streams of one choice whose engine sends results of a content filter or the like after the finish event ended with stream_broken: "the replayed content differs".

Cause: each chunk that was no finish and no usage counted as content, and content after a delivered finish breaks the stream.

Why it works: a chunk whose choices have all finished, in this attempt or for the caller, and that carries no text is relayed without being counted. Text after a finish still breaks the stream.

--- a/internal/dispatch/choices.go
+++ b/internal/dispatch/choices.go
@@ -25,6 +25,16 @@
 	return nil
 }
 
+// allFinished reports whether each choice of the chunk has finished.
+func (s choiceStates) allFinished(c *chunk) bool {
+	for _, choice := range c.Choices {
+		if !s[choice.Index] {
+			return false
+		}
+	}
+	return true
+}
+
 // finished reports whether there is a choice and each has finished.
 func (s choiceStates) finished() bool {
 	for _, finished := range s {
@@ -35,6 +45,16 @@
 	return len(s) > 0
 }
 
+// hasText reports whether a choice of the chunk carries text.
+func (c *chunk) hasText() bool {
+	for i := range c.Choices {
+		if c.Choices[i].hasText() {
+			return true
+		}
+	}
+	return false
+}
+
 // hasText reports whether the choice carries more than its role and empty fields.
 func (c *chunkChoice) hasText() bool {
 	if !isEmptyValue(c.Text) {
--- a/internal/dispatch/sound_engine_test.go
+++ b/internal/dispatch/sound_engine_test.go
@@ -16,6 +16,7 @@
 		"keep-alive comments":                 roleEvent + ": ping\n\n" + pieces + finishEvent + ": ping\n\n" + doneEvent,
 		"event fields":                        strings.ReplaceAll(roleEvent+pieces+finishEvent+doneEvent, "data: ", "event: message\ndata: "),
 		"line ends of CR LF":                  strings.ReplaceAll(wholeStream, "\n", "\r\n"),
+		"filter results after the finish":     roleEvent + pieces + finishEvent + `data: {"choices":[{"index":0,"finish_reason":null,"content_filter_results":{"x":1},"content_filter_offsets":{"y":2}}]}` + "\n\n" + doneEvent,
 		"usage after the finish":              roleEvent + pieces + finishEvent + `data: {"choices":[],"usage":{"prompt_tokens":1,"completion_tokens":3}}` + "\n\n" + doneEvent,
 		"finish with the last piece":          roleEvent + contentEvents(1, 2) + `data: {"choices":[{"index":0,"delta":{"content":"z"},"finish_reason":"stop"}]}` + "\n\n" + doneEvent,
 	} {
@@ -34,3 +35,17 @@
 	}
 	return o.Err
 }
+
+// TestChunkWithoutTextAfterDeliveredFinishIsPassedOn guards against a continuation that is
+// broken off although no text follows the finish that the caller has.
+func TestChunkWithoutTextAfterDeliveredFinishIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	results := `data: {"choices":[{"index":0,"content_filter_results":{"x":1}}],"id":"x"}` + "\n\n"
+	first := rawAnswer{body: roleEvent + contentEvents(1, 5) + finishEvent}
+	second := rawAnswer{resumed: 5, body: results + finishEvent + results + doneEvent}
+	out, w := do(t, newDispatcher(t, Options{MaxAttempts: 2}), modelCall(streamBody, startRawServer(t, first, second)))
+	is.NoErr(errOf(out))
+	is.Equal(strings.Count(w.Body.String(), "content_filter_results"), 2)
+	is.Equal(strings.Count(w.Body.String(), `"stop"`), 1)
+	is.Equal(out.Usage.OutputTokens, int64(5))
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -120,13 +120,14 @@
 
 func (s *streamRelay) relayChunk(event sse.Event, c *chunk) *attemptError {
 	p := &s.x.delivered
+	kind := s.kind(c)
 	if err := s.choices.add(c); err != nil {
 		return &attemptError{code: result.StreamBroken, cause: err}
 	}
 	if s.resumed && c.kind(false) == chunkRole {
 		return &attemptError{code: result.StreamBroken, cause: errBegunAgain}
 	}
-	switch c.kind(s.contentEvents > 0) {
+	switch kind {
 	case chunkError:
 		cause := fmt.Errorf("server %q reported an error in the stream", s.a.target.Server)
 		return &attemptError{code: result.BackendServerError, cause: cause}
@@ -163,6 +164,21 @@
 	return s.deliver(event)
 }
 
+// kind classifies the chunk. One without text that follows the finish of its choices, for
+// example with results of a content filter, is no content.
+func (s *streamRelay) kind(c *chunk) chunkKind {
+	kind := c.kind(s.contentEvents > 0)
+	if kind != chunkContent || c.hasText() {
+		return kind
+	}
+	p := &s.x.delivered
+	finishDelivered := p.singleChoice && p.finishEvents > 0 && s.contentEvents >= p.contentEvents
+	if finishDelivered || s.choices.allFinished(c) {
+		return chunkOther
+	}
+	return kind
+}
+
 // countContent counts a content event and reports whether it is new to the
 // caller.
 func (s *streamRelay) countContent(c *chunk) (fresh bool, failed *attemptError) {
