dispatch: a repeated finish event does not break the stream

Callers saw: streams of engines that send the finish event twice ended with stream_broken.

Cause: any second finish of a choice counted as a stream that goes on after its finish.

Why it works: the event that finished a choice is kept; a copy of it, byte by byte, without text is dropped. It is dropped, not delivered, because the caller has it, and because finish events are counted to continue a stream elsewhere: the replay may come from an engine that sends one. A second finish with other content, and a repeated one that carries text, still break the stream.

--- a/internal/dispatch/choices.go
+++ b/internal/dispatch/choices.go
@@ -10,25 +10,45 @@
 	errAfterFinish = errors.New("the stream went on with a choice after its finish")
 )
 
-// choiceStates holds which choices one attempt's stream has begun and finished, by index.
-type choiceStates map[int]bool
+// choiceStates holds the choices that one attempt's stream has begun, by index: the data of the
+// event that finished the choice, or an empty string.
+type choiceStates map[int]string
 
-// add records the choices of a chunk. It returns an error if one goes on after its finish.
-func (s choiceStates) add(c *chunk) error {
+// add records the choices of a chunk. It returns an error if one goes on after its finish. It
+// reports whether the chunk is a copy of the event that finished its choices, without text:
+// some engines repeat that event.
+func (s choiceStates) add(c *chunk, data string) (repeated bool, err error) {
+	if s.isRepeated(c, data) && !c.hasText() {
+		return true, nil
+	}
+	for _, choice := range c.Choices {
+		finished := s[choice.Index] != ""
+		if finished && (choice.finishes() || choice.hasText()) {
+			return false, errAfterFinish
+		}
+		if choice.finishes() {
+			s[choice.Index] = data
+		} else if !finished {
+			s[choice.Index] = ""
+		}
+	}
+	return false, nil
+}
+
+// isRepeated reports whether the data finished each choice of the chunk.
+func (s choiceStates) isRepeated(c *chunk, data string) bool {
 	for _, choice := range c.Choices {
-		finishes := choice.finishes()
-		if s[choice.Index] && (finishes || choice.hasText()) {
-			return errAfterFinish
+		if s[choice.Index] != data {
+			return false
 		}
-		s[choice.Index] = s[choice.Index] || finishes
 	}
-	return nil
+	return len(c.Choices) > 0
 }
 
 // allFinished reports whether each choice of the chunk has finished.
 func (s choiceStates) allFinished(c *chunk) bool {
 	for _, choice := range c.Choices {
-		if !s[choice.Index] {
+		if s[choice.Index] == "" {
 			return false
 		}
 	}
@@ -37,8 +57,8 @@
 
 // finished reports whether there is a choice and each has finished.
 func (s choiceStates) finished() bool {
-	for _, finished := range s {
-		if !finished {
+	for _, finish := range s {
+		if finish == "" {
 			return false
 		}
 	}
--- a/internal/dispatch/sound_engine_test.go
+++ b/internal/dispatch/sound_engine_test.go
@@ -16,6 +16,7 @@
 		"keep-alive comments":                 roleEvent + ": ping\n\n" + pieces + finishEvent + ": ping\n\n" + doneEvent,
 		"event fields":                        strings.ReplaceAll(roleEvent+pieces+finishEvent+doneEvent, "data: ", "event: message\ndata: "),
 		"line ends of CR LF":                  strings.ReplaceAll(wholeStream, "\n", "\r\n"),
+		"finish reason repeated":              roleEvent + pieces + finishEvent + finishEvent + doneEvent,
 		"filter results after the finish":     roleEvent + pieces + finishEvent + `data: {"choices":[{"index":0,"finish_reason":null,"content_filter_results":{"x":1},"content_filter_offsets":{"y":2}}]}` + "\n\n" + doneEvent,
 		"usage after the finish":              roleEvent + pieces + finishEvent + `data: {"choices":[],"usage":{"prompt_tokens":1,"completion_tokens":3}}` + "\n\n" + doneEvent,
 		"finish with the last piece":          roleEvent + contentEvents(1, 2) + `data: {"choices":[{"index":0,"delta":{"content":"z"},"finish_reason":"stop"}]}` + "\n\n" + doneEvent,
@@ -49,3 +50,26 @@
 	is.Equal(strings.Count(w.Body.String(), `"stop"`), 1)
 	is.Equal(out.Usage.OutputTokens, int64(5))
 }
+
+// TestRepeatedFinishIsDeliveredOnce guards against a caller that gets two finish events, and
+// against a repeated one that hides text or another finish reason.
+func TestRepeatedFinishIsDeliveredOnce(t *testing.T) {
+	pieces := roleEvent + contentEvents(1, 3)
+	withText := strings.ReplaceAll(finishEvent, `"delta":{}`, `"delta":{"content":"z"}`)
+	for name, c := range map[string]struct {
+		repeated string
+		broken   bool
+	}{
+		"identical":      {repeated: finishEvent + finishEvent + finishEvent},
+		"with text":      {repeated: withText + withText, broken: true},
+		"another reason": {repeated: finishEvent + strings.ReplaceAll(finishEvent, `"stop"`, `"length"`), broken: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			call := modelCall(streamBody, startRawServer(t, rawAnswer{body: pieces + c.repeated + doneEvent}))
+			out, w := do(t, newDispatcher(t, Options{MaxAttempts: 1}), call)
+			is.Equal(out.Err != nil, c.broken)
+			is.Equal(strings.Count(w.Body.String(), "finish_reason"), 1)
+		})
+	}
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -121,9 +121,13 @@
 func (s *streamRelay) relayChunk(event sse.Event, c *chunk) *attemptError {
 	p := &s.x.delivered
 	kind := s.kind(c)
-	if err := s.choices.add(c); err != nil {
+	repeated, err := s.choices.add(c, event.Data)
+	if err != nil {
 		return &attemptError{code: result.StreamBroken, cause: err}
 	}
+	if repeated {
+		return nil
+	}
 	if s.resumed && c.kind(false) == chunkRole {
 		return &attemptError{code: result.StreamBroken, cause: errBegunAgain}
 	}
