dispatch: a stream event whose choices and usage are null is a chunk

Callers saw: streams of engines that send {"choices":null,"usage":null} between their chunks ended with stream_broken: "the stream event is no chunk of an answer".

Cause: a field of null counted as a field that is absent.

Why it works: an object that has one of the fields choices, usage and error is a chunk, whatever their values. `null` and an object without any of them still break the stream, as the tests of odd streams require. The second decoding runs only for events that have none of the three values.

--- a/internal/dispatch/chunk.go
+++ b/internal/dispatch/chunk.go
@@ -57,12 +57,26 @@
 	if err := json.Unmarshal([]byte(data), &c); err != nil {
 		return c, fmt.Errorf("decode stream event: %w", err)
 	}
-	if c.Choices == nil && c.Usage == nil && len(c.Error) == 0 {
+	if c.Choices == nil && c.Usage == nil && len(c.Error) == 0 && !hasChunkField(data) {
 		return c, errNoChunk
 	}
 	return c, nil
 }
 
+// hasChunkField reports whether the object has a field of a chunk, of whatever value.
+func hasChunkField(data string) bool {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal([]byte(data), &fields) != nil {
+		return false
+	}
+	for _, name := range []string{"choices", "usage", "error"} {
+		if _, ok := fields[name]; ok {
+			return true
+		}
+	}
+	return false
+}
+
 // kind classifies the chunk. A chunk that carries only the role counts as
 // chunkRole only before the first content event.
 func (c *chunk) kind(contentSeen bool) chunkKind {
--- a/internal/dispatch/sound_engine_test.go
+++ b/internal/dispatch/sound_engine_test.go
@@ -16,6 +16,7 @@
 		"keep-alive comments":                 roleEvent + ": ping\n\n" + pieces + finishEvent + ": ping\n\n" + doneEvent,
 		"event fields":                        strings.ReplaceAll(roleEvent+pieces+finishEvent+doneEvent, "data: ", "event: message\ndata: "),
 		"line ends of CR LF":                  strings.ReplaceAll(wholeStream, "\n", "\r\n"),
+		"choices of null":                     roleEvent + pieces + `data: {"id":"x","choices":null,"usage":null}` + "\n\n" + finishEvent + doneEvent,
 		"finish reason repeated":              roleEvent + pieces + finishEvent + finishEvent + doneEvent,
 		"filter results after the finish":     roleEvent + pieces + finishEvent + `data: {"choices":[{"index":0,"finish_reason":null,"content_filter_results":{"x":1},"content_filter_offsets":{"y":2}}]}` + "\n\n" + doneEvent,
 		"usage after the finish":              roleEvent + pieces + finishEvent + `data: {"choices":[],"usage":{"prompt_tokens":1,"completion_tokens":3}}` + "\n\n" + doneEvent,
