dispatch, eventstream: ids of stream events do not break a model's stream

Callers saw: streams of engines that send the same id on each event, or an id field without a value, ended with stream_broken.

Cause: the listener reads events with the reader of package eventstream, whose rules want ids that increase. This listener continues a stream by its pieces and does not use ids.

Why it works: the new rule IgnoreIDs reads no id field. Only this listener sets it. Fields other than those of server-sent events still end the stream there; a test of the reader holds both.

--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -33,7 +33,8 @@
 
 // readEvents decodes the events of the attempt's answer.
 func (a *attempt) readEvents() func(func(sse.Event, error) bool) {
-	source := &eventReader{events: eventstream.NewReader(a.body, eventstream.Rules{KnownFieldsOnly: true}, "")}
+	rules := eventstream.Rules{KnownFieldsOnly: true, IgnoreIDs: true}
+	source := &eventReader{events: eventstream.NewReader(a.body, rules, "")}
 	return sse.Read(source, &sse.ReadConfig{MaxEventSize: maxEventBytes})
 }
 
--- a/internal/dispatch/sound_engine_test.go
+++ b/internal/dispatch/sound_engine_test.go
@@ -13,6 +13,8 @@
 	pieces := contentEvents(1, 3)
 	for name, body := range map[string]string{
 		"empty finish reason before the last": strings.ReplaceAll(roleEvent+pieces, `"index":0,`, `"index":0,"finish_reason":"",`) + finishEvent + doneEvent,
+		"same id on each event":               roleEvent + strings.ReplaceAll(pieces, "data: ", "id: 1\ndata: ") + finishEvent + doneEvent,
+		"empty ids":                           roleEvent + strings.ReplaceAll(pieces, "data: ", "id\ndata: ") + finishEvent + doneEvent,
 		"keep-alive comments":                 roleEvent + ": ping\n\n" + pieces + finishEvent + ": ping\n\n" + doneEvent,
 		"event fields":                        strings.ReplaceAll(roleEvent+pieces+finishEvent+doneEvent, "data: ", "event: message\ndata: "),
 		"line ends of CR LF":                  strings.ReplaceAll(wholeStream, "\n", "\r\n"),
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -63,6 +63,9 @@
 	// ExtraFields are names of fields that events may carry besides those of server-sent
 	// events. They have no effect without KnownFieldsOnly.
 	ExtraFields []string
+	// IgnoreIDs accepts id fields of any value and number and reads none of them: Event.ID,
+	// Seen and InvalidError have no ids. It excludes Consecutive.
+	IgnoreIDs bool
 }
 
 // Event is one event.
@@ -214,6 +217,9 @@
 	case "data":
 		fields.data = true
 	case "id":
+		if r.rules.IgnoreIDs {
+			return nil
+		}
 		id := string(bytes.TrimPrefix(value, []byte(" ")))
 		if reason := r.checkID(fields, id); reason != "" {
 			return r.invalid(line, reason)
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -95,6 +95,26 @@
 	}
 }
 
+// TestIgnoredIDsEndNoStream guards against streams that are refused for ids that nobody reads,
+// and against other bytes that pass because ids are not read.
+func TestIgnoredIDsEndNoStream(t *testing.T) {
+	is := is.New(t)
+	ids := "id: 7\ndata: a\n\nid: 7\ndata: b\n\nid\ndata: c\n\nid: x\nid: 1\ndata: d\n\n"
+	r := NewReader(strings.NewReader(ids+"odd: 1\n\n"), Rules{KnownFieldsOnly: true, IgnoreIDs: true}, "")
+	var passed strings.Builder
+	for range 4 {
+		e, err := r.Next()
+		is.NoErr(err)
+		is.Equal(e.ID, "")
+		passed.Write(e.Bytes)
+	}
+	is.Equal(passed.String(), ids)
+	is.Equal(r.Seen(), Seen{Events: 4})
+	_, err := r.Next()
+	var invalid *InvalidError
+	is.True(errors.As(err, &invalid))
+}
+
 func TestSeen(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct {
