dispatch: a stream that lacks a choice is not complete

Callers saw: a stream of a request with n=2 whose second choice never began ended with the terminal event, as if it were whole.

Cause: the end of a stream was believed when each choice that had begun had finished; one that never began did not count.

Why it works: the terminal event needs as many finished choices as the request names. A number that is not a positive integer counts as not known: then one choice is enough, as before.

--- a/internal/dispatch/choices.go
+++ b/internal/dispatch/choices.go
@@ -55,14 +55,15 @@
 	return true
 }
 
-// finished reports whether there is a choice and each has finished.
-func (s choiceStates) finished() bool {
+// finished reports whether there are as many choices as requested, at least one, and each has
+// finished. A requested number of 0 or less is not known; one choice is enough then.
+func (s choiceStates) finished(requested int) bool {
 	for _, finish := range s {
 		if finish == "" {
 			return false
 		}
 	}
-	return len(s) > 0
+	return len(s) >= max(requested, 1)
 }
 
 // hasText reports whether a choice of the chunk carries text.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -10,7 +10,7 @@
 	body         []byte
 	stream       bool
 	includeUsage bool // the caller requested the usage event
-	choices      int  // number of choices requested; 0 and 1 both mean one
+	choices      int  // number of choices requested; 0 means one, or not known
 }
 
 type usageOption struct {
--- a/internal/dispatch/sound_engine_test.go
+++ b/internal/dispatch/sound_engine_test.go
@@ -76,3 +76,26 @@
 		})
 	}
 }
+
+// TestStreamWithoutAllChoicesIsBroken guards against a stream that ends as complete although a
+// choice that the caller asked for never began.
+func TestStreamWithoutAllChoicesIsBroken(t *testing.T) {
+	is := is.New(t)
+	body := strings.Replace(streamBody, `{`, `{"n":2,`, 1)
+	out, w := do(t, newDispatcher(t, Options{MaxAttempts: 1}), modelCall(body, startRawServer(t, rawAnswer{body: wholeStream})))
+	is.True(out.Err != nil)
+	is.True(!strings.Contains(w.Body.String(), doneEvent))
+}
+
+// TestNumberOfChoicesThatIsNotKnownBreaksNoStream guards against streams that are broken off
+// because the number of choices was misread.
+func TestNumberOfChoicesThatIsNotKnownBreaksNoStream(t *testing.T) {
+	other := strings.NewReplacer(`"index":0`, `"index":1`)
+	more := roleEvent + contentEvents(1, 2) + other.Replace(contentEvents(1, 2)) + finishEvent + other.Replace(finishEvent) + doneEvent
+	for n, stream := range map[string]string{"0": wholeStream, "-3": wholeStream, "2.5": wholeStream, `"2"`: wholeStream, "null": wholeStream, "1": more} {
+		is := is.New(t)
+		body := strings.Replace(streamBody, `{`, `{"n":`+n+`,`, 1)
+		out, _ := do(t, newDispatcher(t, Options{MaxAttempts: 1}), modelCall(body, startRawServer(t, rawAnswer{body: stream})))
+		is.NoErr(errOf(out))
+	}
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -103,7 +103,7 @@
 		if s.contentEvents < s.x.delivered.contentEvents {
 			return false, &attemptError{code: result.StreamBroken, cause: errReplayDiffers, final: true}
 		}
-		if !s.choices.finished() {
+		if !s.choices.finished(s.x.model.choices) {
 			return false, &attemptError{code: result.StreamBroken, cause: errNotFinished}
 		}
 		return true, nil
