standin: a stand-in that refuses connections keeps its port

Seen: TestRandomFaults failed once under -race with "listen again on 127.0.0.1:PORT: address already in use" (reported by the lead; not seen again here).

Cause, by reading: Refuse closes the listener, so the port is free until the listener opens again. Any connection or listener of the machine may get it meanwhile; a connection that has it as its local port lacks SO_REUSEADDR, and the listener cannot bind.

Why it works: from Listen to Close a bound socket that does not listen keeps the port. The kernel refuses connections to it and gives the port to nobody who asks for any port; the listener, which has SO_REUSEADDR as all of Go's, may bind beside it. Stand-ins now listen at IPv4 addresses only; all callers leave the address empty, which means 127.0.0.1.

--- a/internal/standin/fault/listener.go
+++ b/internal/standin/fault/listener.go
@@ -3,6 +3,7 @@
 package fault
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -13,6 +14,7 @@
 // It is safe for concurrent use.
 type Listener struct {
 	address string
+	port    *port
 
 	mu     sync.Mutex
 	opened *sync.Cond
@@ -21,16 +23,21 @@
 	closed bool
 }
 
-// Listen opens a listener. If address is empty, a free port of 127.0.0.1 is used.
+// Listen opens a listener at an IPv4 address. If address is empty, a free port of 127.0.0.1 is
+// used. The listener keeps its port until Close, also while it refuses connections.
 func Listen(address string) (*Listener, error) {
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
-	inner, err := net.Listen("tcp", address)
+	reserved, err := reservePort(address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	l := &Listener{address: inner.Addr().String(), inner: inner, conns: make(map[*conn]struct{})}
+	inner, err := net.Listen("tcp4", reserved.address)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), reserved.release())
+	}
+	l := &Listener{address: reserved.address, port: reserved, inner: inner, conns: make(map[*conn]struct{})}
 	l.opened = sync.NewCond(&l.mu)
 	return l, nil
 }
@@ -91,7 +98,7 @@
 		l.inner = nil
 		return err
 	}
-	inner, err := net.Listen("tcp", l.address)
+	inner, err := net.Listen("tcp4", l.address)
 	if err != nil {
 		return fmt.Errorf("listen again on %s: %w", l.address, err)
 	}
@@ -137,10 +144,11 @@
 	}
 	l.closed = true
 	l.opened.Broadcast()
+	released := l.port.release()
 	if l.inner == nil {
-		return nil
+		return released
 	}
 	err := l.inner.Close()
 	l.inner = nil
-	return err
+	return errors.Join(err, released)
 }
