dispatch: a chunk that names the role after the finish is no role event

Callers saw: when an engine names the role again in a chunk after the finish, for example with its usage, a continued stream ended with stream_broken and an answer without text lost that chunk.

Cause: such a chunk counted as a role event: of a stream that begins again, or as a second one.

Evidence: "resumed" and "no content" of the new test failed in one run of one before; its other two cases passed.

Why it works: after the finish of its choices in the same attempt a chunk without text is relayed without being counted, also with a role. A role event before the finish of a continued stream, or first in a continuation after a delivered finish, still breaks it.

Measured: go test ./internal/dispatch ./internal/eventstream passed, one run.

--- a/internal/dispatch/sound_engine_test.go
+++ b/internal/dispatch/sound_engine_test.go
@@ -33,6 +33,28 @@
 	}
 }
 
+// TestRoleAfterFinishIsPassedOn guards against streams that are broken off, or lose the last
+// event, because the engine names the role again with its usage.
+func TestRoleAfterFinishIsPassedOn(t *testing.T) {
+	usage := `data: {"choices":[{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}],"usage":{"completion_tokens":5},"id":"x"}` + "\n\n"
+	cut := rawAnswer{body: roleEvent + contentEvents(1, 3)}
+	for name, answers := range map[string][]rawAnswer{
+		"content":    {{body: roleEvent + contentEvents(1, 5) + finishEvent + usage + doneEvent}},
+		"no content": {{body: roleEvent + finishEvent + usage + doneEvent}},
+		"resumed":    {cut, {resumed: 3, body: contentEvents(4, 5) + finishEvent + usage + doneEvent}},
+		"replay":     {cut, {body: roleEvent + contentEvents(1, 5) + finishEvent + usage + doneEvent}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			call := modelCall(streamBody, startRawServer(t, answers...))
+			out, w := do(t, newDispatcher(t, Options{MaxAttempts: len(answers)}), call)
+			is.NoErr(errOf(out))
+			is.Equal(strings.Count(w.Body.String(), `"usage"`), 1)
+			is.Equal(strings.Count(w.Body.String(), `"stop"`), 1)
+		})
+	}
+}
+
 func errOf(o Outcome) error {
 	if o.Err == nil {
 		return nil
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -128,7 +128,7 @@
 	if repeated {
 		return nil
 	}
-	if s.resumed && c.kind(false) == chunkRole {
+	if s.resumed && c.kind(false) == chunkRole && !s.choices.allFinished(c) {
 		return &attemptError{code: result.StreamBroken, cause: errBegunAgain}
 	}
 	switch kind {
@@ -169,15 +169,15 @@
 }
 
 // kind classifies the chunk. One without text that follows the finish of its choices, for
-// example with results of a content filter, is no content.
+// example with results of a content filter, is neither content nor a role event.
 func (s *streamRelay) kind(c *chunk) chunkKind {
 	kind := c.kind(s.contentEvents > 0)
-	if kind != chunkContent || c.hasText() {
+	if kind != chunkContent && kind != chunkRole || c.hasText() {
 		return kind
 	}
 	p := &s.x.delivered
 	finishDelivered := p.singleChoice && p.finishEvents > 0 && s.contentEvents >= p.contentEvents
-	if finishDelivered || s.choices.allFinished(c) {
+	if s.choices.allFinished(c) || kind == chunkContent && finishDelivered {
 		return chunkOther
 	}
 	return kind
