--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -425,3 +425,25 @@
 	s.servers[1].Capacity = 1
 	s.balancer.SetServers(s.servers)
 }
+
+// TestOtherAnswerToTheCheckIsNotFinal guards against a sound answer that is lost because a late
+// answer to an earlier request met the question who the server is.
+func TestOtherAnswerToTheCheckIsNotFinal(t *testing.T) {
+	for _, path := range []string{"/stream/x", "/plain-stream/x", "/safe/x", "/once/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestStack(t)
+			var asked atomic.Int64
+			s.addEndingServer(&endingServer{id: "0", part: testPieces, endScript: endScript{identify: func(c net.Conn) {
+				if asked.Add(1) == 1 {
+					answersNotFound(c)
+					return
+				}
+				states("0", testStarted)(c)
+			}}})
+			got := s.call(http.MethodPost, path, "ask")
+			is.Equal(got.status, http.StatusOK)
+			is.True(!got.truncated)
+		})
+	}
+}
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -96,7 +96,9 @@
 }
 
 // checkServer asks the server who it is, within serverCheckTimeout. A connection that breaks
-// shows nothing: a server resets those beyond its limit. It starts no run.
+// shows nothing, since a server resets those beyond its limit; neither does an answer to an
+// earlier request, which may arrive late on a kept connection. The server is asked again then.
+// It starts no run.
 func (a *attempt) checkServer(ctx context.Context) serverCheck {
 	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
 	defer cancel()
@@ -111,6 +113,8 @@
 		stated, err := a.x.gateway.identify(ctx, a.assignment.Address, path, header.Clone())
 		if err == nil {
 			c.found = compareIdentity(known, stated)
+		}
+		if c.found != silentServer && c.found != unidentified {
 			return c
 		}
 		if reachabilityOf(err) == refused {
