gateway: a server that restarted before a request was sent is not taken for a crashed one

The quarantine counted a crash.

Cause: the server's start was compared with the instance's copy of its row, which may be older than the process that got the request.

--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -70,6 +70,9 @@
 	// server: its start in Unix milliseconds, or a restart epoch. Zero means that it was
 	// not stated.
 	Incarnation uint64
+	// StartedAt is when the process started, by its server's clock. Zero means that it was
+	// not stated.
+	StartedAt time.Time
 }
 
 // Protocol reads and writes header fields. Implementations must be safe for
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -112,7 +112,7 @@
 	for range serverCheckTries {
 		stated, err := a.x.gateway.identify(ctx, a.assignment.Address, path, header.Clone())
 		if err == nil {
-			c.found = compareIdentity(known, stated)
+			c.found = compareIdentity(known, stated, a.started)
 		}
 		if c.found != silentServer && c.found != unidentified {
 			return c
--- a/internal/gateway/vouch.go
+++ b/internal/gateway/vouch.go
@@ -10,7 +10,8 @@
 	notAsked finding = iota
 	// sameProcess: the process that was known when the request was assigned.
 	sameProcess
-	// sameServer: the same server, which does not state when it started.
+	// sameServer: the same server, which does not state when it started, or started before
+	// the request was sent but after what is known of it.
 	sameServer
 	// listens: a server accepts connections that cannot be asked who it is.
 	listens
@@ -34,12 +35,19 @@
 // String returns the name, as used in metrics and the timeline.
 func (f finding) String() string { return findingNames[f] }
 
+// startMargin allows for the difference between the clocks of an instance and a backend
+// server.
+const startMargin = 500 * time.Millisecond
+
 // compareIdentity returns what a server's statement shows if the request was assigned to
-// the server known.
-func compareIdentity(known, stated Identity) finding {
+// the server known and sent at sentAt. What is known may be older than the process that
+// answered: one that started before the request was sent is the one that it was sent to.
+func compareIdentity(known, stated Identity, sentAt time.Time) finding {
 	switch {
 	case stated.Server != "" && stated.Server != known.Server:
 		return otherServer
+	case stated.Incarnation != known.Incarnation && !stated.StartedAt.IsZero() && stated.StartedAt.Add(startMargin).Before(sentAt):
+		return sameServer
 	case stated.Incarnation != 0 && known.Incarnation != 0 && stated.Incarnation != known.Incarnation:
 		return restarted
 	case stated.Incarnation != 0 && known.Incarnation != 0:
