soak: a feed that failed with the store takes some seconds to read again

Runs whose server's start the instance could not know now count there like runs of servers that ended.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -225,7 +225,7 @@
 // of its instance is the only possible cause.
 func (c *Checker) cutByStop(o Outcome) bool {
 	overlaps := func(i interval) bool { return i.overlaps(o) }
-	if o.Status != 0 || o.TimedOut || c.serverAborts[o.ID]+c.endedRuns(o) == len(c.runs[o.ID]) {
+	if o.Status != 0 || o.TimedOut || c.serverAborts[o.ID]+c.doubtfulRuns(o) == len(c.runs[o.ID]) {
 		return false // answered, timed out at the caller, or every run was aborted by its backend server
 	}
 	return slices.ContainsFunc(c.stops, overlaps) && !slices.ContainsFunc(c.faults, overlaps)
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -189,12 +189,12 @@
 	})
 }
 
-// endedRuns counts the runs that were answered whole by servers that ended before the
-// caller saw the end.
-func (c *Checker) endedRuns(o Outcome) int {
+// doubtfulRuns counts the runs that were answered whole by servers that ended before the
+// caller saw the end, or of whose start the instance may not have known.
+func (c *Checker) doubtfulRuns(o Outcome) int {
 	count := 0
 	for _, run := range c.ran.sound[o.ID] {
-		if c.serverEnded(run, o.Ended) {
+		if c.serverEnded(run, o.Ended) || c.unknownStart(o, run) {
 			count++
 		}
 	}
