--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -251,9 +251,9 @@
 		r.options.Checker.RecordFault("", from, now.Add(faultAftermath))
 		r.options.Checker.RecordLinkFault(server, from, now.Add(linkAftermath))
 	case StoreSilent, StoreOneWay, StoreSlow, StoreReset, StoreHeld:
-		r.options.Checker.RecordStale(instance, from, now.Add(staleAftermath))
+		r.options.Checker.RecordStale(instance, from, now.Add(faultAftermath))
 	case StoreDown, StoreCompact:
-		r.options.Checker.RecordStale("", from, now.Add(staleAftermath))
+		r.options.Checker.RecordStale("", from, now.Add(faultAftermath))
 	}
 }
 
@@ -261,10 +261,6 @@
 // responses.
 const faultAftermath = 2 * time.Second
 
-// staleAftermath is the time after the end of a fault of the store in which an instance
-// notices that its feed has failed and reads the table again.
-const staleAftermath = 4 * time.Second
-
 // linkAftermath is the same for a fault of the link to a backend server, whose
 // connections end with the fault.
 const linkAftermath = 200 * time.Millisecond
