logsink: the lines about answers without framing are rate limited

A server that always answers without framing caused one line for each answer that no limit held. What such a line tells of an answer that is not believed stands in attempt.failed as well, which is not limited.

--- a/internal/logsink/events.go
+++ b/internal/logsink/events.go
@@ -23,11 +23,13 @@
 	dropReportInterval = time.Second
 )
 
-// ordinary holds the kinds that every request causes. They are rate limited.
+// ordinary holds the kinds that every request causes, or may cause if its server answers
+// without framing. They are rate limited.
 var ordinary = map[timeline.Kind]bool{
 	timeline.RequestReceived: true,
 	timeline.RequestQueued:   true,
 	timeline.AttemptSent:     true,
+	timeline.AttemptUnframed: true,
 	timeline.RequestAnswered: true,
 }
 
