soak: the address of a server that is down stays its own

What was seen: internal/demo's TestScalerOrdersMinimumOnce failed once (two requests without an attempt id at a stand-in) while soaks ran beside it. The soak's new kinds close a proxy's listener for seconds, which frees its port; a listener of another test on the machine may get it, and with it what the soak's instances go on sending there.

Change: a proxy keeps its port by a bound socket, as internal/standin/fault does (its Port is exported for that), and needs no retries to listen again.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,12 +5,15 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
 )
 
 // maxHeldSegments bounds the segments of one direction of a connection that are held
@@ -20,7 +23,7 @@
 // Proxy is a TCP proxy to one address that can inject network faults. It is safe for
 // concurrent use.
 type Proxy struct {
-	address       string
+	port          *fault.Port
 	target        atomic.Pointer[string]
 	delay         atomic.Int64 // nanoseconds before each write
 	blackhole     atomic.Bool  // drop all bytes, also those of new connections
@@ -35,18 +38,22 @@
 
 // NewProxy returns a proxy to target that listens on a free loopback port.
 func NewProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := fault.ReservePort("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{address: l.Addr().String(), listener: l, conns: map[net.Conn]struct{}{}}
+	l, err := net.Listen("tcp4", port.Address())
+	if err != nil {
+		return nil, errors.Join(err, port.Release())
+	}
+	p := &Proxy{port: port, listener: l, conns: map[net.Conn]struct{}{}}
 	p.target.Store(&target)
 	go p.accept(l)
 	return p, nil
 }
 
 // Address returns the IP and port that the proxy listens on.
-func (p *Proxy) Address() string { return p.address }
+func (p *Proxy) Address() string { return p.port.Address() }
 
 // SetDelay delays every write. Zero means no delay.
 func (p *Proxy) SetDelay(d time.Duration) { p.delay.Store(int64(d)) }
@@ -101,7 +108,8 @@
 	}
 }
 
-// Refuse closes the listener. Open connections stay.
+// Refuse closes the listener. Open connections stay. The port stays the proxy's own, so that
+// no other listener of the machine gets what is sent to it.
 func (p *Proxy) Refuse() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -123,28 +131,22 @@
 	}
 }
 
-// Listen undoes Refuse and Crash. It waits up to a second for its port.
+// Listen undoes Refuse and Crash.
 func (p *Proxy) Listen() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.down {
 		return nil
 	}
-	var err error
-	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(portRetryInterval) {
-		var l net.Listener
-		if l, err = net.Listen("tcp", p.address); err == nil {
-			p.listener, p.down = l, false
-			go p.accept(l)
-			return nil
-		}
+	l, err := net.Listen("tcp4", p.port.Address())
+	if err != nil {
+		return fmt.Errorf("listen again: %w", err)
 	}
-	return fmt.Errorf("listen again: %w", err)
+	p.listener, p.down = l, false
+	go p.accept(l)
+	return nil
 }
 
-// portRetryInterval is the interval at which Listen tries to get its port.
-const portRetryInterval = 20 * time.Millisecond
-
 func (p *Proxy) isDown() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -171,6 +173,7 @@
 func (p *Proxy) Close() {
 	p.Refuse()
 	p.Reset()
+	_ = p.port.Release() // the socket has no bytes that could be lost
 }
 
 func (p *Proxy) accept(l net.Listener) {
--- a/internal/standin/fault/listener.go
+++ b/internal/standin/fault/listener.go
@@ -14,7 +14,7 @@
 // It is safe for concurrent use.
 type Listener struct {
 	address string
-	port    *port
+	port    *Port
 
 	mu     sync.Mutex
 	opened *sync.Cond
@@ -29,13 +29,13 @@
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
-	reserved, err := reservePort(address)
+	reserved, err := ReservePort(address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	inner, err := net.Listen("tcp4", reserved.address)
 	if err != nil {
-		return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), reserved.release())
+		return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), reserved.Release())
 	}
 	l := &Listener{address: reserved.address, port: reserved, inner: inner, conns: make(map[*conn]struct{})}
 	l.opened = sync.NewCond(&l.mu)
@@ -144,7 +144,7 @@
 	}
 	l.closed = true
 	l.opened.Broadcast()
-	released := l.port.release()
+	released := l.port.Release()
 	if l.inner == nil {
 		return released
 	}
--- a/internal/standin/fault/port.go
+++ b/internal/standin/fault/port.go
@@ -12,16 +12,15 @@
 
 var errNoIPv4 = errors.New("no IPv4 address")
 
-// port keeps a TCP port of an IPv4 address. A listener of this package can be opened at it; the
-// system gives it to no other socket that names no port. Without a listener, connections to it
-// are refused.
-type port struct {
+// Port keeps a TCP port of an IPv4 address. A listener can be opened at it; the system gives it
+// to no other socket that names no port. Without a listener, connections to it are refused.
+type Port struct {
 	fd      int
 	address string
 }
 
-// reservePort reserves the port of an address; 0 means any free one.
-func reservePort(address string) (*port, error) {
+// ReservePort reserves the port of an address; 0 means any free one.
+func ReservePort(address string) (*Port, error) {
 	resolved, err := net.ResolveTCPAddr("tcp4", address)
 	if err != nil {
 		return nil, err
@@ -34,15 +33,18 @@
 	if err != nil {
 		return nil, os.NewSyscallError("socket", err)
 	}
-	p := &port{fd: fd}
+	p := &Port{fd: fd}
 	if err := p.bind(&unix.SockaddrInet4{Port: resolved.Port, Addr: [4]byte(ip)}); err != nil {
-		return nil, errors.Join(err, p.release())
+		return nil, errors.Join(err, p.Release())
 	}
 	return p, nil
 }
 
+// Address returns the IP and port.
+func (p *Port) Address() string { return p.address }
+
 // bind binds the socket, so that a listener, which has SO_REUSEADDR too, can be bound as well.
-func (p *port) bind(to *unix.SockaddrInet4) error {
+func (p *Port) bind(to *unix.SockaddrInet4) error {
 	if err := unix.SetsockoptInt(p.fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
 		return os.NewSyscallError("setsockopt SO_REUSEADDR", err)
 	}
@@ -61,5 +63,5 @@
 	return nil
 }
 
-// release gives the port back. It must be called once.
-func (p *port) release() error { return os.NewSyscallError("close", unix.Close(p.fd)) }
+// Release gives the port back. It must be called once.
+func (p *Port) Release() error { return os.NewSyscallError("close", unix.Close(p.fd)) }
