gateway: a stream that ends at its server's deadline is not complete, whatever its framing

What callers saw: a stream whose server stopped at the deadline that it was sent, after 2 of more events, looked complete: a handler that returns at its deadline ends its chunks properly.

Fix: a stream whose end is seen at or after the server's deadline is broken off, as one without framing was already. A whole stream that ends in the last moment before the deadline and arrives after it is broken off as well; its pieces are delivered.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,7 +45,7 @@
 	body       *unreadBody         // of the response
 	events     *eventstream.Reader // of an answer that is a stream; nil otherwise
 	stopsAt    time.Time           // when the server stops work on the request
-	vouched    bool                // the answer ended with its connection and was found to be complete
+	vouched    bool                // the end of the answer was in doubt, and the answer was found to be complete
 	// denial is why the request may not be sent after all, or nil. It is set before the
 	// permit is denied.
 	denial error
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -102,7 +102,7 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_answers_framed_total{framing=%q}`, f)).Inc()
 }
 
-// endChecked counts an answer that ended with its connection by what a check of its server
+// endChecked counts an answer whose end was in doubt by what a check of its server
 // found and what was concluded.
 func (c *counters) endChecked(found finding, v verdict) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_unframed_ends_total{server=%q,conclusion=%q}`, found, v)).Inc()
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -29,7 +29,7 @@
 	maxIdentityBytes = 256 << 10
 )
 
-// unprovedError reports an answer that ended with its connection and may be incomplete.
+// unprovedError reports an answer whose end does not show that it is complete.
 type unprovedError struct {
 	server  string
 	found   finding
@@ -38,13 +38,13 @@
 
 // Error implements error.
 func (e *unprovedError) Error() string {
-	return fmt.Sprintf("the answer of server %q ended with its connection and may be incomplete: conclusion=%s check=%s", e.server, e.verdict, e.found)
+	return fmt.Sprintf("the answer of server %q may be incomplete: conclusion=%s check=%s", e.server, e.verdict, e.found)
 }
 
 // vouchForEnd returns nil if the answer that has just ended may be passed on as complete.
 // Otherwise it returns the failure. Answers other than successes need no proof.
 func (a *attempt) vouchForEnd() *failure {
-	if a.framing != framedByConnection || !a.succeeded() {
+	if !a.end().inDoubt() || !a.succeeded() {
 		return nil
 	}
 	if a.watchdog != nil {
@@ -84,9 +84,14 @@
 	return balance.Broken
 }
 
-// examineEnd collects the evidence for an answer that has just ended with its connection.
+// end returns what the end of the answer, which is now, shows by itself.
+func (a *attempt) end() evidence {
+	return evidence{framing: a.framing, endedAt: time.Now(), stopsAt: a.stopsAt, unread: a.body.unread, stream: a.events != nil}
+}
+
+// examineEnd collects the evidence for an answer whose end is in doubt.
 func (a *attempt) examineEnd(ctx context.Context) (evidence, verdict) {
-	e := evidence{framing: a.framing, endedAt: time.Now(), stopsAt: a.stopsAt, unread: a.body.unread}
+	e := a.end()
 	if e.endedAt.Before(e.stopsAt) {
 		e.check = a.checkServer(ctx)
 	}
@@ -165,8 +170,8 @@
 	return g.options.Protocol.ReadIdentity(response, body), err
 }
 
-// recordEndCheck records what is known of an answer that ended with its connection, and
-// what was concluded.
+// recordEndCheck records what is known of an answer whose end is in doubt, and what was
+// concluded.
 func (a *attempt) recordEndCheck(e evidence, v verdict) {
 	a.x.gateway.counters.endChecked(e.check.found, v)
 	a.x.record(timeline.Event{
--- a/internal/gateway/vouch.go
+++ b/internal/gateway/vouch.go
@@ -74,6 +74,8 @@
 	check   serverCheck
 	// unread is how long the end of the answer may have waited until endedAt.
 	unread time.Duration
+	// stream is true for a stream of events.
+	stream bool
 }
 
 // verdict is whether the end of an answer shows that the answer is complete.
@@ -95,13 +97,20 @@
 // String returns the name, as used in the timeline.
 func (v verdict) String() string { return verdictNames[v] }
 
+// inDoubt reports whether the end alone does not show that the answer is complete: that of a
+// connection, and that of a stream at its server's deadline, which a handler that returns
+// there gives a last chunk.
+func (e evidence) inDoubt() bool {
+	return e.framing == framedByConnection || e.stream && !e.endedAt.Before(e.stopsAt)
+}
+
 // vouch decides whether an answer that ended is complete. An answer that ends with its
 // connection is, if the process that sent it answers a question asked after that end: when
 // a process ends, all its connections end with it. A server that does not state its start
 // may be another process by now if the end was seen late.
 func vouch(e evidence) verdict {
 	switch {
-	case e.framing != framedByConnection:
+	case !e.inDoubt():
 		return vouched
 	case !e.endedAt.Before(e.stopsAt):
 		return overdue
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -26,7 +26,7 @@
 	AttemptAnswered   Kind = "attempt.answered"   // Attempt, Server; Count: events of the complete response, including those before a resume
 	AttemptFailed     Kind = "attempt.failed"     // Attempt, Server, Code, Detail
 	AttemptDeclined   Kind = "attempt.declined"   // Attempt, Server, Code, Detail; the backend server confirmed that it did not run the request
-	AttemptUnframed   Kind = "attempt.unframed"   // an answer ended with its connection; Attempt, Server, Count: events; State: what a check of the server found, Duration: from the end to its result, Detail: what was concluded
+	AttemptUnframed   Kind = "attempt.unframed"   // an answer ended with its connection, or a stream at its server's deadline; Attempt, Server, Count: events; State: what a check of the server found, Duration: from the end to its result, Detail: what was concluded
 	AttemptDiscarded  Kind = "attempt.discarded"  // Attempt; Detail: attempt id in the response
 	KeyAccepted       Kind = "key.accepted"       // Request, Organisation, KeyDigest
 	RecordInserted    Kind = "record.inserted"    // Record, Attempt: the only attempt that may be sent
