gateway: the conclusion on an answer's end is named confirmed or unconfirmed

Names only: vouched and unproved take a second read, confirmed and unconfirmed are the usual words. No behaviour changes; tests of gateway, explain, invariant, timeline, platform and gatewayfile pass.

--- a/internal/explain/stream_test.go
+++ b/internal/explain/stream_test.go
@@ -36,11 +36,11 @@
 func TestStreamWithConfirmedUnframedEnd(t *testing.T) {
 	is := is.New(t)
 	is.Equal(streamPart(t, sentFirst+
-		`{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"attempt.unframed","request":"r1","server":"s1","count":43,"state":"same_process","duration":2400000,"detail":"conclusion=vouched framing=connection run_events=43 first_id=\"1\" last_id=\"43\" id_step=1"}
+		`{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"attempt.unframed","request":"r1","server":"s1","count":43,"state":"same_process","duration":2400000,"detail":"conclusion=confirmed framing=connection run_events=43 first_id=\"1\" last_id=\"43\" id_step=1"}
 {"time":"2026-12-06T05:00:03.1Z","instance":"edge-1","sequence":3,"kind":"request.answered","request":"r1","server":"s1","count":43,"state":"200","detail":"first_event_ms=9 framing=connection run_events=43 first_id=\"1\" last_id=\"43\" id_step=1"}
 `), `edge-1:
   attempt 1: server s1; framing connection; 43 events, ids 1 to 43, largest step 1; complete
-    end without framing: at +3.000s the server was found same_process, 2.4ms after the end; concluded: vouched
+    end without framing: at +3.000s the server was found same_process, 2.4ms after the end; concluded: confirmed
   to the caller: complete, 43 events
 `)
 }
@@ -82,7 +82,7 @@
 `)
 }
 
-func TestStreamVouchedForBeforeItsCheck(t *testing.T) {
+func TestStreamConfirmedBeforeItsCheck(t *testing.T) {
 	is := is.New(t)
 	is.Equal(streamPart(t, sentFirst+
 		`{"time":"2026-12-06T05:00:03Z","instance":"edge-1","sequence":2,"kind":"request.answered","request":"r1","server":"s1","count":2,"state":"200","detail":"framing=connection run_events=2 first_id=\"\" last_id=\"\" id_step=0"}
--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -149,8 +149,8 @@
 	}
 }
 
-// unprovedEnds are the servers, by what becomes of them at the end of a part of an answer.
-var unprovedEnds = map[string]struct {
+// unconfirmedEnds are the servers, by what becomes of them at the end of a part of an answer.
+var unconfirmedEnds = map[string]struct {
 	script endScript
 	end    runEnd
 }{
@@ -172,10 +172,10 @@
 	_, _ = io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 }
 
-// TestUnprovedEndOfResumableStream guards against a stream without framing that ends as
+// TestUnconfirmedEndOfResumableStream guards against a stream without framing that ends as
 // complete because its server's process ended between two events.
-func TestUnprovedEndOfResumableStream(t *testing.T) {
-	for name, test := range unprovedEnds {
+func TestUnconfirmedEndOfResumableStream(t *testing.T) {
+	for name, test := range unconfirmedEnds {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newTestStack(t)
@@ -190,10 +190,10 @@
 	}
 }
 
-// TestUnprovedEnd guards against a part of an answer that looks whole to the caller because
+// TestUnconfirmedEnd guards against a part of an answer that looks whole to the caller because
 // the end of its connection was the end of its server's process.
-func TestUnprovedEnd(t *testing.T) {
-	for name, test := range unprovedEnds {
+func TestUnconfirmedEnd(t *testing.T) {
+	for name, test := range unconfirmedEnds {
 		for path, lost := range map[string]reply{
 			"/plain-stream/x": {status: http.StatusOK, truncated: true},
 			"/once/x":         {status: http.StatusBadGateway},
@@ -214,10 +214,10 @@
 	}
 }
 
-// TestUnprovedPlainAnswerIsTriedAgain guards against a part of a plain answer that is given
+// TestUnconfirmedPlainAnswerIsTriedAgain guards against a part of a plain answer that is given
 // to a caller whose request may be repeated.
-func TestUnprovedPlainAnswerIsTriedAgain(t *testing.T) {
-	for name, test := range unprovedEnds {
+func TestUnconfirmedPlainAnswerIsTriedAgain(t *testing.T) {
+	for name, test := range unconfirmedEnds {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newTestStack(t)
@@ -250,9 +250,9 @@
 	}
 }
 
-// TestLongUnprovedAnswerIsBrokenOff guards against a plain answer, too long to be kept until
+// TestLongUnconfirmedAnswerIsBrokenOff guards against a plain answer, too long to be kept until
 // its end, that ends as complete when its server crashes.
-func TestLongUnprovedAnswerIsBrokenOff(t *testing.T) {
+func TestLongUnconfirmedAnswerIsBrokenOff(t *testing.T) {
 	is := is.New(t)
 	s := newTestStack(t)
 	s.addRawServer("0", func(r *http.Request) (string, bool) {
@@ -312,9 +312,9 @@
 	}
 }
 
-// TestUnprovedEndWithoutRetryBudget guards against a stream that ends as complete, or is
+// TestUnconfirmedEndWithoutRetryBudget guards against a stream that ends as complete, or is
 // repeated beyond the budget, when its server crashes and no retry is left.
-func TestUnprovedEndWithoutRetryBudget(t *testing.T) {
+func TestUnconfirmedEndWithoutRetryBudget(t *testing.T) {
 	is := is.New(t)
 	s := newTestStack(t)
 	s.addEndingServer(&endingServer{id: "0", part: 2, endScript: endScript{beforeEnd: killed}})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,7 +45,7 @@
 	body       *unreadBody         // of the response
 	events     *eventstream.Reader // of an answer that is a stream; nil otherwise
 	stopsAt    time.Time           // when the server stops work on the request
-	vouched    bool                // the end of the answer was in doubt, and the answer was found to be complete
+	confirmed  bool                // the end of the answer was in doubt, and the answer was found to be complete
 	// denial is why the request may not be sent after all, or nil. It is set before the
 	// permit is denied.
 	denial error
@@ -102,7 +102,7 @@
 // endRun reports the end of the run of a relayed answer. An error answer that ends with its
 // connection is relayed without a check, but its server may have crashed.
 func (a *attempt) endRun(run dispatch.Run) {
-	if a.framing != framedByConnection || a.vouched {
+	if a.framing != framedByConnection || a.confirmed {
 		run.Ended(a.succeeded(), time.Now())
 		return
 	}
--- a/internal/gateway/buffered.go
+++ b/internal/gateway/buffered.go
@@ -45,7 +45,7 @@
 		a.x.recordUsage(began)
 	}
 	if complete {
-		if failed := a.vouchForEnd(); failed != nil {
+		if failed := a.confirmEnd(); failed != nil {
 			return failed
 		}
 	}
@@ -63,7 +63,7 @@
 		if _, err := io.Copy(a.x.w, a.response.Body); err != nil {
 			return a.connectionFailure(err)
 		}
-		if failed := a.vouchForEnd(); failed != nil {
+		if failed := a.confirmEnd(); failed != nil {
 			return failed
 		}
 	}
--- a/internal/gateway/lateend_test.go
+++ b/internal/gateway/lateend_test.go
@@ -47,9 +47,9 @@
 	}
 }
 
-// TestEndThatIsSeenAfterARestartIsNotVouchedFor guards against a stream of a killed server that
+// TestEndThatIsSeenAfterARestartIsNotConfirmed guards against a stream of a killed server that
 // ends as complete since a slow caller delayed its end until the server was back under its id.
-func TestEndThatIsSeenAfterARestartIsNotVouchedFor(t *testing.T) {
+func TestEndThatIsSeenAfterARestartIsNotConfirmed(t *testing.T) {
 	is := is.New(t)
 	s := newTestStack(t)
 	s.addEndingServer(&endingServer{id: "0", part: 2, endScript: endScript{beforeEnd: restartedUnderItsID(700 * time.Millisecond)}})
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -29,21 +29,21 @@
 	maxIdentityBytes = 256 << 10
 )
 
-// unprovedError reports an answer whose end does not show that it is complete.
-type unprovedError struct {
+// unconfirmedError reports an answer whose end does not show that it is complete.
+type unconfirmedError struct {
 	server  string
 	found   finding
 	verdict verdict
 }
 
 // Error implements error.
-func (e *unprovedError) Error() string {
+func (e *unconfirmedError) Error() string {
 	return fmt.Sprintf("the answer of server %q may be incomplete: conclusion=%s check=%s", e.server, e.verdict, e.found)
 }
 
-// vouchForEnd returns nil if the answer that has just ended may be passed on as complete.
+// confirmEnd returns nil if the answer that has just ended may be passed on as complete.
 // Otherwise it returns the failure. Answers other than successes need no proof.
-func (a *attempt) vouchForEnd() *failure {
+func (a *attempt) confirmEnd() *failure {
 	if !a.end().inDoubt() || !a.succeeded() {
 		return nil
 	}
@@ -51,28 +51,28 @@
 		a.watchdog.stop()
 	}
 	e, v := a.examineEnd(a.ctx)
-	a.vouched = v == vouched
+	a.confirmed = v == confirmed
 	switch {
-	case a.vouched:
+	case a.confirmed:
 		return nil
 	case a.ctx.Err() != nil:
 		return a.connectionFailure(context.Cause(a.ctx))
 	}
-	return a.unprovedFailure(e.check.found, v)
+	return a.unconfirmedFailure(e.check.found, v)
 }
 
-// unprovedFailure returns the failure for an answer that is not vouched for.
-func (a *attempt) unprovedFailure(found finding, v verdict) *failure {
+// unconfirmedFailure returns the failure for an answer that is not confirmed.
+func (a *attempt) unconfirmedFailure(found finding, v verdict) *failure {
 	code, outcome := result.StreamBroken, outcomeOfCheck(found)
 	if v == overdue {
 		code, outcome = result.AttemptTimeout, balance.Failed
 	}
-	f := a.newFailure(code, outcome, &unprovedError{server: a.assignment.Server, found: found, verdict: v})
+	f := a.newFailure(code, outcome, &unconfirmedError{server: a.assignment.Server, found: found, verdict: v})
 	f.crashed = v == crashed
 	return f
 }
 
-// outcomeOfCheck returns the balancer's outcome for an answer that is not vouched for.
+// outcomeOfCheck returns the balancer's outcome for an answer that is not confirmed.
 func outcomeOfCheck(found finding) balance.Outcome {
 	switch found {
 	case gone, silentServer:
@@ -95,7 +95,7 @@
 	if e.endedAt.Before(e.stopsAt) {
 		e.check = a.checkServer(ctx)
 	}
-	v := vouch(e)
+	v := conclude(e)
 	a.recordEndCheck(e, v)
 	return e, v
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -96,9 +96,9 @@
 	return nil
 }
 
-// streamEnded completes the answer at the end of the server's stream, if it is vouched for.
+// streamEnded completes the answer at the end of the server's stream, if it is confirmed.
 func (a *attempt) streamEnded() *failure {
-	if failed := a.vouchForEnd(); failed != nil {
+	if failed := a.confirmEnd(); failed != nil {
 		return failed
 	}
 	a.writeHead()
--- a/internal/gateway/vouch.go
+++ b/internal/gateway/verdict.go
@@ -82,17 +82,17 @@
 type verdict int
 
 const (
-	// vouched: the answer is complete.
-	vouched verdict = iota
+	// confirmed: the answer is complete.
+	confirmed verdict = iota
 	// overdue: the server had no time left, so that it may have stopped.
 	overdue
 	// crashed: the server's process has ended, perhaps before the answer was complete.
 	crashed
-	// unproved: nothing shows that the server's process still runs.
-	unproved
+	// unconfirmed: nothing shows that the server's process still runs.
+	unconfirmed
 )
 
-var verdictNames = [...]string{vouched: "vouched", overdue: "overdue", crashed: "crashed", unproved: "unproved"}
+var verdictNames = [...]string{confirmed: "confirmed", overdue: "overdue", crashed: "crashed", unconfirmed: "unconfirmed"}
 
 // String returns the name, as used in the timeline.
 func (v verdict) String() string { return verdictNames[v] }
@@ -104,29 +104,29 @@
 	return e.framing == framedByConnection || e.stream && !e.endedAt.Before(e.stopsAt)
 }
 
-// vouch decides whether an answer that ended is complete. An answer that ends with its
+// conclude decides whether an answer that ended is complete. An answer that ends with its
 // connection is, if the process that sent it answers a question asked after that end: when
 // a process ends, all its connections end with it. A server that does not state its start
 // may be another process by now if the end was seen late.
-func vouch(e evidence) verdict {
+func conclude(e evidence) verdict {
 	switch {
 	case !e.inDoubt():
-		return vouched
+		return confirmed
 	case !e.endedAt.Before(e.stopsAt):
 		return overdue
 	case e.check.askedAt.Before(e.endedAt):
-		return unproved
+		return unconfirmed
 	}
 	switch e.check.found {
 	case sameProcess:
-		return vouched
+		return confirmed
 	case sameServer, listens:
 		if e.unread <= serverCheckTimeout {
-			return vouched
+			return confirmed
 		}
 	case restarted, otherServer, gone:
 		return crashed
 	case notAsked, silentServer, unidentified:
 	}
-	return unproved
+	return unconfirmed
 }
--- a/internal/gateway/vouch_test.go
+++ b/internal/gateway/verdict_test.go
@@ -7,34 +7,34 @@
 	"github.com/matryer/is"
 )
 
-// TestVouch guards against an end that is believed although nothing shows that the answer
+// TestConclude guards against an end that is believed although nothing shows that the answer
 // is complete, and against one that is not believed without need.
-func TestVouch(t *testing.T) {
+func TestConclude(t *testing.T) {
 	end := time.Now()
 	after, before := end.Add(time.Millisecond), end.Add(-time.Millisecond)
 	for name, test := range map[string]struct {
 		evidence evidence
 		verdict  verdict
 	}{
-		"length":              {evidence{framing: framedByLength, endedAt: end, stopsAt: before}, vouched},
-		"chunks":              {evidence{framing: framedByChunks, endedAt: end, stopsAt: before}, vouched},
+		"length":              {evidence{framing: framedByLength, endedAt: end, stopsAt: before}, confirmed},
+		"chunks":              {evidence{framing: framedByChunks, endedAt: end, stopsAt: before}, confirmed},
 		"length, late stream": {evidence{framing: framedByLength, endedAt: end, stopsAt: end, stream: true}, overdue},
 		"chunks, late stream": {evidence{framing: framedByChunks, endedAt: end, stopsAt: before, stream: true}, overdue},
-		"chunks, stream":      {evidence{framing: framedByChunks, endedAt: end, stopsAt: after, stream: true}, vouched},
-		"same process":        {evidence{framedByConnection, end, after, serverCheck{sameProcess, end}, 0, true}, vouched},
-		"same server":         {evidence{framedByConnection, end, after, serverCheck{sameServer, after}, 0, true}, vouched},
-		"same server, late":   {evidence{framedByConnection, end, after, serverCheck{sameServer, after}, serverCheckTimeout + 1, true}, unproved},
-		"listens":             {evidence{framedByConnection, end, after, serverCheck{listens, after}, 0, true}, vouched},
-		"listens, late":       {evidence{framedByConnection, end, after, serverCheck{listens, after}, serverCheckTimeout + 1, true}, unproved},
-		"same process, late":  {evidence{framedByConnection, end, after, serverCheck{sameProcess, after}, time.Hour, true}, vouched},
+		"chunks, stream":      {evidence{framing: framedByChunks, endedAt: end, stopsAt: after, stream: true}, confirmed},
+		"same process":        {evidence{framedByConnection, end, after, serverCheck{sameProcess, end}, 0, true}, confirmed},
+		"same server":         {evidence{framedByConnection, end, after, serverCheck{sameServer, after}, 0, true}, confirmed},
+		"same server, late":   {evidence{framedByConnection, end, after, serverCheck{sameServer, after}, serverCheckTimeout + 1, true}, unconfirmed},
+		"listens":             {evidence{framedByConnection, end, after, serverCheck{listens, after}, 0, true}, confirmed},
+		"listens, late":       {evidence{framedByConnection, end, after, serverCheck{listens, after}, serverCheckTimeout + 1, true}, unconfirmed},
+		"same process, late":  {evidence{framedByConnection, end, after, serverCheck{sameProcess, after}, time.Hour, true}, confirmed},
 		"restarted":           {evidence{framedByConnection, end, after, serverCheck{restarted, after}, 0, true}, crashed},
 		"other server":        {evidence{framedByConnection, end, after, serverCheck{otherServer, after}, 0, true}, crashed},
 		"gone":                {evidence{framedByConnection, end, after, serverCheck{gone, after}, 0, true}, crashed},
-		"silent":              {evidence{framedByConnection, end, after, serverCheck{silentServer, after}, 0, true}, unproved},
-		"unidentified":        {evidence{framedByConnection, end, after, serverCheck{unidentified, after}, 0, true}, unproved},
-		"not asked":           {evidence{framedByConnection, end, after, serverCheck{}, 0, true}, unproved},
-		"asked before":        {evidence{framedByConnection, end, after, serverCheck{sameProcess, before}, 0, true}, unproved},
-		"gone before":         {evidence{framedByConnection, end, after, serverCheck{gone, before}, 0, true}, unproved},
+		"silent":              {evidence{framedByConnection, end, after, serverCheck{silentServer, after}, 0, true}, unconfirmed},
+		"unidentified":        {evidence{framedByConnection, end, after, serverCheck{unidentified, after}, 0, true}, unconfirmed},
+		"not asked":           {evidence{framedByConnection, end, after, serverCheck{}, 0, true}, unconfirmed},
+		"asked before":        {evidence{framedByConnection, end, after, serverCheck{sameProcess, before}, 0, true}, unconfirmed},
+		"gone before":         {evidence{framedByConnection, end, after, serverCheck{gone, before}, 0, true}, unconfirmed},
 		"at the deadline":     {evidence{framedByConnection, end, end, serverCheck{sameProcess, after}, 0, true}, overdue},
 		"after the deadline":  {evidence{framedByConnection, end, before, serverCheck{sameProcess, after}, 0, true}, overdue},
 		"deadline, and gone":  {evidence{framedByConnection, end, before, serverCheck{gone, after}, 0, true}, overdue},
@@ -42,7 +42,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(vouch(test.evidence), test.verdict)
+			is.Equal(conclude(test.evidence), test.verdict)
 		})
 	}
 }
