guardconn: an end after a failed write is a reset, not the end of an answer

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection; the part reached the caller as the complete answer.

Cause: the kernel reports a reset to one call. If that is the write of the request's body, the next read finds the same end as after an orderly close. The check of the server then finds its process alive and confirms the answer.

Change: a connection keeps the error of its first failed write and reports an end only if there is none. A write under way when the end is read is interrupted and waited for, since it may have taken the error and not returned yet. All answers over these connections are covered: plain ones, streams, resumed ones, the question who a server is, the store, the provider and other instances.

--- a/internal/guardconn/guardconn.go
+++ b/internal/guardconn/guardconn.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -39,6 +40,9 @@
 	// written bytes may not have been delivered yet.
 	unanswered atomic.Bool
 
+	writing  sync.Mutex // held during a write
+	writeErr error      // of the first write that failed; guarded by writing
+
 	mu        sync.Mutex
 	delivery  time.Duration // limit on unacknowledged bytes that is set on the socket
 	writtenAt time.Time
@@ -58,13 +62,20 @@
 	return c.Conn.Close()
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns io.EOF only if the peer has closed the connection in
+// an orderly way, and a *ResetError if the connection was reset during a write.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.unanswered.Store(false)
 	}
-	return n, err
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if reset := c.checkEnd(); reset != nil {
+		return n, reset
+	}
+	return n, io.EOF
 }
 
 // Write implements net.Conn.
@@ -77,7 +88,7 @@
 		return 0, err
 	}
 	c.unanswered.Store(true)
-	return c.Conn.Write(p)
+	return c.write(p)
 }
 
 // limitDelivery sets the limit on unacknowledged bytes for a write that starts now.
