httpcheck: responses that are not valid HTTP are errors of the transport

Callers saw: an answer in whose head a name held a blank, without that line or with another body than its server meant ("Content-Length : 4" gives all bytes to the end, "Transfer-Encoding : chunked" the chunks' framing); statuses 600 to 999 and 101; with a line that begins with a blank, that line joined to the value before it. Status 000 gave no answer, since net/http's server panics on it, and the request was not tried again.

Cause: net/http accepts more than HTTP allows and keeps a malformed field under a name that nothing looks up; the router relays what net/http returns. Evidence: raw servers in tests, four kinds of route.

Change: httpcheck.Transport takes the place of http.Transport in each client that reads answers (backend servers on both fronts, who a server is, engines, store, provider, instances, operators) and checks version, status, names and trailers. Folded lines leave no trace in net/http's result, so guardconn looks for them. Messages to callers no longer quote errors of the transport, which may hold the server's bytes. golang.org/x/net, so far indirect, is imported for httpguts.

64 cases of TestInvalidAnswerIsNotRelayed and TestInvalidAnswerIsTriedAgain, TestStreamGoesOnAfterInvalidTrailer and TestInvalidIdentityIsNotBelieved failed before; dispatch.TestInvalidAnswerIsNotRelayed panicked.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/advisory"
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
+	"github.com/hawthornwick/hawthornwick/internal/httpcheck"
 	"github.com/hawthornwick/hawthornwick/internal/result"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/traffic"
@@ -148,7 +149,7 @@
 	return nil
 }
 
-func (a *attempt) transport() *http.Transport {
+func (a *attempt) transport() *httpcheck.Transport {
 	if a.fresh {
 		return a.x.d.fresh
 	}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/httpcheck"
 	"github.com/hawthornwick/hawthornwick/internal/traffic"
 )
 
@@ -104,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	client := http.Transport{DisableKeepAlives: true}
+	client := httpcheck.Transport{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.RoundTrip(request)
 	if err != nil {
 		return err
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/hawthornwick/hawthornwick/internal/httpcheck"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -78,8 +79,8 @@
 // Dispatcher sends requests to backend servers. It is safe for concurrent use.
 type Dispatcher struct {
 	options Options
-	pooled  *http.Transport // idempotent first attempts
-	fresh   *http.Transport // a new connection for each attempt
+	pooled  *httpcheck.Transport // idempotent first attempts
+	fresh   *httpcheck.Transport // a new connection for each attempt
 	probes  singleflight.Group
 	epochs  epochs
 }
--- a/internal/enginewatch/reader.go
+++ b/internal/enginewatch/reader.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/engineapi"
+	"github.com/hawthornwick/hawthornwick/internal/httpcheck"
 )
 
 const (
@@ -29,12 +30,12 @@
 func newReader(now func() time.Time) *reader {
 	client := &http.Client{
 		Timeout: readTimeout,
-		Transport: &http.Transport{
+		Transport: &httpcheck.Transport{Transport: &http.Transport{
 			DisableCompression:  true,
 			MaxIdleConns:        maxIdleConns,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     idleConnLifetime,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return &reader{client: client, now: now}
--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
+	"github.com/hawthornwick/hawthornwick/internal/httpcheck"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/stall"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
@@ -32,16 +33,16 @@
 var errNotSource = errors.New("the instance is not a source")
 
 // Client calls sources. It is safe for concurrent use.
-type Client struct{ transport *http.Transport }
+type Client struct{ transport *httpcheck.Transport }
 
 // NewClient returns a client without open connections.
 func NewClient() *Client {
-	return &Client{transport: &http.Transport{
+	return &Client{transport: &httpcheck.Transport{Transport: &http.Transport{
 		DialContext:         guardconn.Dial(&net.Dialer{}, connectTimeout),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdleConnsPerSource,
 		IdleConnTimeout:     idleConnTimeout,
-	}}
+	}}}
 }
 
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -325,6 +325,7 @@
 // setDisconnected fills in the failure of a connection that broke after the request
 // was sent.
 func (a *attempt) setDisconnected(f *failure) {
+	f.quotes = true
 	if a.response != nil {
 		f.code = result.StreamBroken
 	}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
+	"github.com/hawthornwick/hawthornwick/internal/httpcheck"
 )
 
 const (
@@ -22,10 +23,10 @@
 // transports hold the connections to backend servers.
 type transports struct {
 	// pooled reuses connections. It is for requests that may be retried.
-	pooled *http.Transport
+	pooled *httpcheck.Transport
 	// fresh opens a connection for each request, so that a request that must
 	// not be retried cannot fail on a stale idle connection.
-	fresh *http.Transport
+	fresh *httpcheck.Transport
 	conns guardconn.Conns // of pooled
 }
 
@@ -38,11 +39,11 @@
 // closeUnused closes the idle connections to the address of a server that leaves.
 func (c *transports) closeUnused(address string) { c.conns.CloseUnused(address) }
 
-func newTransport(pooled bool) *http.Transport {
+func newTransport(pooled bool) *httpcheck.Transport {
 	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
 	}}
-	return &http.Transport{
+	return &httpcheck.Transport{Transport: &http.Transport{
 		DialContext:            guardconn.Dial(dialer, connectTimeout),
 		DisableKeepAlives:      !pooled,
 		DisableCompression:     true,
@@ -50,7 +51,7 @@
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 		ReadBufferSize:         answerReadBufferBytes,
-	}
+	}}
 }
 
 func (c *transports) close() {
@@ -59,7 +60,7 @@
 }
 
 // forRequest returns the transport for a request that may or may not be retried.
-func (c *transports) forRequest(retryable bool) *http.Transport {
+func (c *transports) forRequest(retryable bool) *httpcheck.Transport {
 	if retryable {
 		return c.pooled
 	}
--- a/internal/gateway/faultyanswer_test.go
+++ b/internal/gateway/faultyanswer_test.go
@@ -18,9 +18,20 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n", testID, id, testStart, start)
 }
 
-// addRawServer adds a backend server that writes what answer returns for each request, and
-// then closes the connection if end is true.
+// addRawServer adds a backend server that states who it is, and writes what answer returns for
+// each other request. It closes the connection then if end is true.
 func (s *testStack) addRawServer(id string, answer func(r *http.Request) (text string, end bool)) {
+	s.t.Helper()
+	s.addScriptedServer(id, func(r *http.Request) (string, bool) {
+		if r.URL.Path == testIdentityPath {
+			return identityAnswer(id, testStarted), false
+		}
+		return answer(r)
+	})
+}
+
+// addScriptedServer is addRawServer for a server that need not state who it is.
+func (s *testStack) addScriptedServer(id string, answer func(r *http.Request) (text string, end bool)) {
 	s.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,12 +49,7 @@
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				return
 			}
-			text, end := "", false
-			if r.URL.Path == testIdentityPath {
-				text = identityAnswer(id, testStarted)
-			} else {
-				text, end = answer(r)
-			}
+			text, end := answer(r)
 			if _, err := io.WriteString(c, text); err != nil || end {
 				return
 			}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -38,6 +38,9 @@
 
 var errQuarantined = errors.New("backend servers crashed while they ran this request or others that share a part of its prompt")
 
+// errNoValidAnswer is what callers are told of errors of the transport.
+var errNoValidAnswer = errors.New("the connection to the backend server failed, or its answer was not valid")
+
 // failure describes why an attempt did not deliver the complete answer.
 type failure struct {
 	code    result.Code
@@ -47,6 +50,9 @@
 	notRun  bool // the server stated that it did not run the request
 	final   bool // no further attempt may be made
 	crashed bool // the server appears to have crashed
+	// quotes is true if the cause may quote bytes that the server sent, so that callers must
+	// not see it.
+	quotes bool
 	// continues is true if the attempt was ended to continue its stream on another server,
 	// for which a retry was consumed already.
 	continues bool
@@ -137,6 +143,9 @@
 	if f.cause == errEndsTooLate {
 		return x.stopResult()
 	}
+	if f.quotes {
+		return x.newResult(f.code, errNoValidAnswer)
+	}
 	return x.newResult(f.code, f.cause)
 }
 
--- a/internal/guardconn/guardconn.go
+++ b/internal/guardconn/guardconn.go
@@ -40,6 +40,11 @@
 	// written bytes may not have been delivered yet.
 	unanswered atomic.Bool
 
+	// requested is set when a request takes the connection, and cleared by the first read
+	// after that.
+	requested atomic.Bool
+	heads     headScanner // used by Read only
+
 	writing  sync.Mutex // held during a write
 	writeErr error      // of the first write that failed; guarded by writing
 
@@ -63,11 +68,18 @@
 }
 
 // Read implements net.Conn. It returns io.EOF only if the peer has closed the connection in
-// an orderly way, and a *ResetError if the connection was reset during a write.
+// an orderly way, and a *ResetError if the connection was reset during a write. It returns
+// ErrFoldedLine for an answer with a folded line in its head.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.unanswered.Store(false)
+		if c.requested.Swap(false) {
+			c.heads.begin()
+		}
+		if c.heads.findFold(p[:n]) {
+			return 0, ErrFoldedLine
+		}
 	}
 	if !errors.Is(err, io.EOF) {
 		return n, err
@@ -194,6 +206,7 @@
 func (p *Permit) Attach(info httptrace.GotConnInfo) {
 	if guarded, ok := info.Conn.(*Conn); ok {
 		guarded.permit.Store(p)
+		guarded.requested.Store(true)
 	}
 }
 
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
+	"github.com/hawthornwick/hawthornwick/internal/httpcheck"
 	"github.com/hawthornwick/hawthornwick/internal/operator"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -87,7 +88,7 @@
 		base: u.Scheme + "://" + u.Host, token: token,
 		http: &http.Client{
 			Timeout:   callTimeout,
-			Transport: &http.Transport{TLSClientConfig: tlsConfig, ForceAttemptHTTP2: true},
+			Transport: &httpcheck.Transport{Transport: &http.Transport{TLSClientConfig: tlsConfig, ForceAttemptHTTP2: true}},
 		},
 	}, nil
 }
--- a/internal/platform/httpapi/client.go
+++ b/internal/platform/httpapi/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
+	"github.com/hawthornwick/hawthornwick/internal/httpcheck"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 )
 
@@ -51,7 +52,7 @@
 // Client is an HTTP client of the platform. It is safe for concurrent use.
 type Client struct {
 	options   Options
-	transport *http.Transport
+	transport *httpcheck.Transport
 	http      *http.Client
 }
 
@@ -65,11 +66,11 @@
 			*endpoint = o.Endpoint
 		}
 	}
-	transport := &http.Transport{
+	transport := &httpcheck.Transport{Transport: &http.Transport{
 		DialContext:         guardconn.Dial(&net.Dialer{}, dialTimeout),
 		IdleConnTimeout:     idleConnTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-	}
+	}}
 	return &Client{
 		options:   o,
 		transport: transport,
--- a/internal/reports/mesh.go
+++ b/internal/reports/mesh.go
@@ -13,6 +13,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/hawthornwick/hawthornwick/internal/httpcheck"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
@@ -69,7 +70,7 @@
 // Mesh maintains this instance's subscriptions to other instances.
 type Mesh struct {
 	options       MeshOptions
-	transport     *http.Transport
+	transport     *httpcheck.Transport
 	running       sync.WaitGroup
 	subscriptions map[Peer]context.CancelFunc
 }
@@ -79,7 +80,9 @@
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &Mesh{
 		options: o, subscriptions: map[Peer]context.CancelFunc{},
-		transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true, ResponseHeaderTimeout: idleTimeout},
+		transport: &httpcheck.Transport{Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true, ResponseHeaderTimeout: idleTimeout,
+		}},
 	}
 }
 
