operator: a drain is answered before it starts

Cause of TestForcedStopCount's failures at landings: a forced stop closes the operators' listener, and with it the connection on which the drain was asked for, while the handler has still to answer. The operator got an EOF.

Change: the handler sends its answer, with a length, before it calls Drain. The fake instance of the tests passes its calls on a channel, since Drain now follows the answer; what is checked is the same.

--- a/internal/operator/fakes_test.go
+++ b/internal/operator/fakes_test.go
@@ -73,11 +73,15 @@
 // fakeInstance reports a fixed status and records calls of Drain.
 type fakeInstance struct {
 	unready string
-	drains  []bool
+	drains  chan bool // nil if they are not recorded
 }
 
 func (f *fakeInstance) Status(context.Context) operator.Status {
 	return operator.Status{Instance: "a", State: "ready"}
 }
 func (f *fakeInstance) Ready() (bool, string) { return f.unready == "", f.unready }
-func (f *fakeInstance) Drain(force bool)      { f.drains = append(f.drains, force) }
+func (f *fakeInstance) Drain(force bool) {
+	if f.drains != nil {
+		f.drains <- force
+	}
+}
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -167,6 +167,11 @@
 		return
 	}
 	h.Log.Info("drain requested by operator", "force", request.Force)
-	h.Drainer.Drain(request.Force)
+	// A forced stop closes this connection, so the answer goes first.
+	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusAccepted)
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		h.Log.Debug("answer to drain not sent; draining all the same", "error", err)
+	}
+	h.Drainer.Drain(request.Force)
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -35,7 +35,7 @@
 	t.Helper()
 	b := &testAPI{
 		store:    &fakeStore{keys: map[config.KeyDigest]config.KeyState{}, zones: map[string]bool{}},
-		instance: &fakeInstance{},
+		instance: &fakeInstance{drains: make(chan bool, 2)},
 		ring:     timeline.NewRing("a", 2, nil),
 	}
 	b.server = httptest.NewServer(operator.NewHandler(operator.Options{
@@ -126,7 +126,7 @@
 
 	is.NoErr(b.client.Drain(ctx, false))
 	is.NoErr(b.client.Drain(ctx, true))
-	is.Equal(b.instance.drains, []bool{false, true})
+	is.Equal([]bool{<-b.instance.drains, <-b.instance.drains}, []bool{false, true})
 
 	for range 3 {
 		b.ring.Record(timeline.Event{Kind: timeline.PeerUp})
