--- a/internal/edge/rolloutfaults_test.go
+++ b/internal/edge/rolloutfaults_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hawthornwick/hawthornwick/internal/knownred"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -83,6 +84,7 @@
 // TestNextOrderAfterRevert guards against an instance that starts after the verdict and
 // sends to the bad version, and against a next order that brings the bad version back.
 func TestNextOrderAfterRevert(t *testing.T) {
+	knownred.Skip(t)
 	t.Parallel()
 	is := is.New(t)
 	s := newRolloutSite(t)
