--- a/internal/guardconn/guardconn.go
+++ b/internal/guardconn/guardconn.go
@@ -11,7 +11,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -33,7 +32,7 @@
 // Conn is a connection on which requests are sent one after the other. Without an
 // attached permit, all writes fail with ErrNotPermitted.
 type Conn struct {
-	net.Conn
+	EndConn
 	permit  atomic.Pointer[Permit]
 	onClose func() // nil if the connection is not tracked
 	// unanswered is set while nothing was received since the last write, so that
@@ -45,9 +44,6 @@
 	requested atomic.Bool
 	heads     headScanner // used by Read only
 
-	writing  sync.Mutex // held during a write
-	writeErr error      // of the first write that failed; guarded by writing
-
 	mu        sync.Mutex
 	delivery  time.Duration // limit on unacknowledged bytes that is set on the socket
 	writtenAt time.Time
@@ -67,27 +63,21 @@
 	return c.Conn.Close()
 }
 
-// Read implements net.Conn. It returns io.EOF only if the peer has closed the connection in
-// an orderly way, and a *ResetError if the connection was reset during a write. It returns
-// ErrFoldedLine for an answer with a folded line in its head.
+// Read implements net.Conn, as EndConn does. It returns ErrFoldedLine for an answer with a
+// folded line in its head.
 func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.unanswered.Store(false)
-		if c.requested.Swap(false) {
-			c.heads.begin()
-		}
-		if c.heads.findFold(p[:n]) {
-			return 0, ErrFoldedLine
-		}
-	}
-	if !errors.Is(err, io.EOF) {
+	n, err := c.EndConn.Read(p)
+	if n == 0 {
 		return n, err
 	}
-	if reset := c.checkEnd(); reset != nil {
-		return n, reset
+	c.unanswered.Store(false)
+	if c.requested.Swap(false) {
+		c.heads.begin()
+	}
+	if c.heads.findFold(p[:n]) {
+		return 0, ErrFoldedLine
 	}
-	return n, io.EOF
+	return n, err
 }
 
 // Write implements net.Conn.
@@ -100,7 +90,7 @@
 		return 0, err
 	}
 	c.unanswered.Store(true)
-	return c.write(p)
+	return c.EndConn.Write(p)
 }
 
 // limitDelivery sets the limit on unacknowledged bytes for a write that starts now.
@@ -240,6 +230,6 @@
 		if err != nil {
 			return nil, fmt.Errorf("connect to %s: %w", address, err)
 		}
-		return &Conn{Conn: c}, nil
+		return &Conn{EndConn: EndConn{Conn: c}}, nil
 	}
 }
--- a/internal/guardconn/guardconn_test.go
+++ b/internal/guardconn/guardconn_test.go
@@ -25,7 +25,7 @@
 
 func guarded(p *Permit) (*Conn, *recorder) {
 	r := &recorder{}
-	c := &Conn{Conn: r}
+	c := &Conn{EndConn: EndConn{Conn: r}}
 	p.Attach(httptrace.GotConnInfo{Conn: c})
 	return c, r
 }
@@ -33,7 +33,7 @@
 func TestWriteWithoutPermit(t *testing.T) {
 	is := is.New(t)
 	r := &recorder{}
-	c := &Conn{Conn: r}
+	c := &Conn{EndConn: EndConn{Conn: r}}
 	_, err := c.Write([]byte("x"))
 	is.True(errors.Is(err, ErrNotPermitted))
 	is.Equal(r.bytes.Load(), int64(0))
--- a/internal/guardconn/reset.go
+++ b/internal/guardconn/reset.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"os"
+	"sync"
 	"time"
 )
 
@@ -22,25 +25,48 @@
 // Unwrap returns the cause.
 func (e *ResetError) Unwrap() error { return e.Cause }
 
-// write writes p and keeps the error for checkEnd. An expired deadline is no error of the
-// connection.
-func (c *Conn) write(p []byte) (int, error) {
+// EndConn is a connection whose reads tell an orderly close by the peer from a reset, also if
+// the reset comes during a write. One goroutine may read while another one writes.
+type EndConn struct {
+	net.Conn
+
+	writing  sync.Mutex // held during a write
+	writeErr error      // of the first write that failed; guarded by writing
+}
+
+// Write implements net.Conn.
+func (c *EndConn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
+	// An expired deadline is no error of the connection.
 	if err != nil && c.writeErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.writeErr = err
 	}
 	return n, err
 }
 
+// Read implements net.Conn. It returns io.EOF only if the peer has closed the connection in
+// an orderly way, and a *ResetError if it ended after a write had failed. If the peer closes it
+// during a write, that write is interrupted.
+func (c *EndConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if reset := c.checkEnd(); reset != nil {
+		return n, reset
+	}
+	return n, io.EOF
+}
+
 // checkEnd is called after a read has reached the end of the connection. It returns a
-// *ResetError unless the peer has closed the connection in an orderly way.
+// *ResetError if a write has failed.
 //
 // The kernel reports a reset to one call only. If a write is that call, a read finds the same
 // end as after an orderly close, perhaps before the write has returned. A pending write is
-// therefore interrupted and waited for: nothing is sent on this connection any more.
-func (c *Conn) checkEnd() error {
+// therefore interrupted and waited for: a peer that has ended its answer has no use for it.
+func (c *EndConn) checkEnd() error {
 	if !c.writing.TryLock() {
 		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // fails only if the connection is closed, which ends the write too
 		c.writing.Lock()
--- a/internal/guardconn/reset_test.go
+++ b/internal/guardconn/reset_test.go
@@ -69,7 +69,7 @@
 // returned yet.
 func TestResetTakenByPendingWriteIsNoEnd(t *testing.T) {
 	is := is.New(t)
-	c := &Conn{Conn: &takenByWrite{taken: make(chan struct{}), read: make(chan struct{})}}
+	c := &Conn{EndConn: EndConn{Conn: &takenByWrite{taken: make(chan struct{}), read: make(chan struct{})}}}
 	NewPermit(func() Grant { return Allow(0) }).Attach(httptrace.GotConnInfo{Conn: c})
 	written := make(chan error, 1)
 	go func() {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/guardconn"
 	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
 )
 
@@ -198,8 +199,9 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(server, caller, false) })
-	both.Go(func() { p.copy(caller, server, true) })
+	toServer, toCaller := &guardconn.EndConn{Conn: server}, &guardconn.EndConn{Conn: caller}
+	both.Go(func() { p.copy(toServer, toCaller, false) })
+	both.Go(func() { p.copy(toCaller, toServer, true) })
 	both.Wait()
 	p.untrack(caller, server)
 }
@@ -229,7 +231,7 @@
 // copy copies bytes in one direction. It propagates an EOF as a half-close and a reset as
 // a reset, and closes to if it cannot be written to. Once it has dropped bytes it does not
 // propagate an EOF, which TCP delivers only after all bytes.
-func (p *Proxy) copy(to, from net.Conn, responses bool) {
+func (p *Proxy) copy(to, from *guardconn.EndConn, responses bool) {
 	received := make(chan []byte, maxHeldSegments)
 	reset := make(chan struct{})
 	go readSegments(from, received, reset)
@@ -253,12 +255,12 @@
 	}
 	select {
 	case <-reset:
-		p.propagateReset(to)
+		p.propagateReset(to.Conn)
 	default:
 		if dropped {
-			p.propagateReset(to)
+			p.propagateReset(to.Conn)
 		} else {
-			closeWrite(to)
+			closeWrite(to.Conn)
 		}
 	}
 	for range received {
