gateway: the end of a failure without framing is checked as that of a success

Cause: confirmEnd asked the server after answers of status 2xx only.

Change: each status needs the proof; without it the attempt failed. The question beside a relayed failure, for the quarantine only, is gone with it.

--- a/internal/gateway/answerend_test.go
+++ b/internal/gateway/answerend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -26,6 +27,8 @@
 	listener net.Listener
 	// part is the number of pieces after which an answer ends, of testPieces.
 	part int
+	// status is that of its answers. Zero means 200.
+	status int
 
 	mu    sync.Mutex
 	ended bool
@@ -119,10 +122,11 @@
 	if last, err := strconv.Atoi(r.Header.Get(testResume)); err == nil {
 		from = last
 	}
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nConnection: close\r\n%s: %s\r\n%s: %s\r\n\r\n",
-		contentType, testAttempt, r.Header.Get(testAttempt), testSigned, e.id)
+	status := cmp.Or(e.status, http.StatusOK)
+	fmt.Fprintf(c, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nConnection: close\r\n%s: %s\r\n%s: %s\r\n\r\n",
+		status, http.StatusText(status), contentType, testAttempt, r.Header.Get(testAttempt), testSigned, e.id)
 	for n := from + 1; n <= e.part; n++ {
-		if stream {
+		if stream && status == http.StatusOK {
 			fmt.Fprintf(c, "id: %d\ndata: chunk %d\n\n", n, n)
 		} else {
 			fmt.Fprint(c, n)
@@ -214,6 +218,44 @@
 	}
 }
 
+// TestUnconfirmedEndOfFailure guards against a part of a server's failure that looks whole: an
+// answer that ends early must not, whatever its status.
+func TestUnconfirmedEndOfFailure(t *testing.T) {
+	for name, test := range unconfirmedEnds {
+		for _, path := range []string{"/plain-stream/x", "/once/x", "/stream/x", "/safe/x"} {
+			for _, status := range []int{http.StatusFound, http.StatusNotFound, http.StatusConflict, http.StatusInternalServerError} {
+				t.Run(fmt.Sprint(name, path, status), func(t *testing.T) {
+					is := is.New(t)
+					s := newTestStack(t)
+					s.addEndingServer(&endingServer{endScript: test.script, id: "0", part: 2, status: status})
+					got := s.call(http.MethodPost, path, "ask", testParts, "xx", testLeft, "1000")
+					is.Equal(got.status, http.StatusBadGateway)
+					checkNoPromise(t, got)
+					if status < http.StatusInternalServerError { // others may be dropped with their head
+						is.Equal(s.suspects.recorded()[0], test.end)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestSoundUnframedFailure guards against a server's own failure that is lost although the
+// server is still there.
+func TestSoundUnframedFailure(t *testing.T) {
+	for _, path := range []string{"/plain-stream/x", "/once/x", "/stream/x", "/safe/x"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			s := newTestStack(t)
+			s.addEndingServer(&endingServer{id: "0", part: testPieces, status: http.StatusConflict, endScript: endScript{identify: states("0", testStarted)}})
+			got := s.call(http.MethodPost, path, "ask")
+			is.Equal(got.status, http.StatusConflict)
+			is.Equal(got.body, "1234")
+			is.Equal(got.header.Get(testSigned), "0")
+		})
+	}
+}
+
 // TestUnconfirmedPlainAnswerIsTriedAgain guards against a part of a plain answer that is given
 // to a caller whose request may be repeated.
 func TestUnconfirmedPlainAnswerIsTriedAgain(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,7 +46,6 @@
 	stopsAt    time.Time      // when the server stops work on the request
 	version    versionSampler // for Options.Versions
 	departure  departure      // of the stream, if the server leaves
-	confirmed  bool           // the end of the answer was in doubt, and the answer was found to be complete
 	// denial is why the request may not be sent after all, or nil. It is set before the
 	// permit is denied.
 	denial error
@@ -90,7 +89,7 @@
 	}
 	if failed == nil {
 		a.assignment.End(a.outcome())
-		a.endRun(run)
+		run.Ended(a.succeeded(), time.Now())
 		a.x.gateway.counters.attempt("answered")
 		return
 	}
@@ -104,22 +103,6 @@
 	a.record(kindOf(failed), failed.code, a.reasonIfUnsent(failed)+fmt.Sprint(failed.cause)+a.describeStream())
 }
 
-// endRun reports the end of the run of a relayed answer. An error answer that ends with its
-// connection is relayed without a check, but its server may have crashed.
-func (a *attempt) endRun(run dispatch.Run) {
-	if a.framing != framedByConnection || a.confirmed {
-		run.Ended(a.succeeded(), time.Now())
-		return
-	}
-	go func() {
-		if _, v := a.examineEnd(context.Background()); v == crashed && !a.stoppedAsStated() {
-			run.Crashed(time.Now())
-			return
-		}
-		run.Ended(false, time.Now())
-	}()
-}
-
 // kindOf returns the kind of the event for a failed attempt.
 func kindOf(f *failure) timeline.Kind {
 	switch {
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -42,18 +42,17 @@
 }
 
 // confirmEnd returns nil if the answer that has just ended may be passed on as complete.
-// Otherwise it returns the failure. Answers other than successes need no proof.
+// Otherwise it returns the failure.
 func (a *attempt) confirmEnd() *failure {
-	if !a.end().inDoubt() || !a.succeeded() {
+	if !a.end().inDoubt() {
 		return nil
 	}
 	if a.watchdog != nil {
 		a.watchdog.stop()
 	}
 	e, v := a.examineEnd(a.ctx)
-	a.confirmed = v == confirmed
 	switch {
-	case a.confirmed:
+	case v == confirmed:
 		return nil
 	case a.ctx.Err() != nil:
 		return a.connectionFailure(context.Cause(a.ctx))
