gateway: a server that names its id only is compared with the directory

Callers saw: a part of an answer with neither a length nor chunks that looked complete.

Cause: a server that states its id and no start counts as the process that sent the answer unless the end had waited in the instance's own buffers. A cut delays it on the way instead. The directory had listed the new start for a second.

Change: such a server is the same only if the directory does not list a start after the request was sent. A start before that is still believed, since a row may be older than its process.

--- a/internal/balance/answer.go
+++ b/internal/balance/answer.go
@@ -48,6 +48,18 @@
 	return a.server.leaving()
 }
 
+// ListedStart returns the start of the process that the directory now lists under the assigned
+// server's id, in Unix milliseconds. Zero means that it lists none, or no start.
+func (a *Assignment) ListedStart() int64 {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	s := a.balancer.servers[a.Server]
+	if s == nil {
+		return 0
+	}
+	return s.StartedMillis
+}
+
 // MaySend reports whether the request may still be sent to the assigned server, which may
 // have stated since the assignment that it wants no more requests, or none for now, or
 // whose version may have been found bad.
--- a/internal/gateway/lateend_test.go
+++ b/internal/gateway/lateend_test.go
@@ -69,3 +69,27 @@
 	is.Equal(eventIDs(w.Body.String()), []string{"1", "2"})
 	is.True(aborted)
 }
+
+// TestEndOfServerThatIsListedAgain guards against a part of an answer that looks whole: its
+// server crashed behind a cut, was back under its id before the end of the connection arrived,
+// and states only its id. The directory lists its new start by then.
+func TestEndOfServerThatIsListedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		ago   time.Duration // of the listed start
+		whole bool
+	}{"started since": {0, false}, "started before the request": {2 * time.Second, true}} {
+		for _, path := range []string{"/plain-stream/x", "/once/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				is := is.New(t)
+				s := newTestStack(t)
+				listAgain := func(*endingServer, *http.Request) {
+					s.servers[0].StartedMillis = time.Now().Add(-c.ago).UnixMilli()
+					s.balancer.SetServers(s.servers)
+				}
+				s.addEndingServer(&endingServer{id: "0", part: 2, endScript: endScript{beforeEnd: listAgain, identify: states("0", 0)}})
+				got := s.call(http.MethodPost, path, "ask")
+				is.Equal(got.status == http.StatusOK && !got.truncated, c.whole)
+			})
+		}
+	}
+}
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -116,7 +116,7 @@
 	for range serverCheckTries {
 		stated, err := a.x.gateway.identify(ctx, a.assignment.Address, path, header.Clone())
 		if err == nil {
-			c.found = compareIdentity(known, stated, a.started)
+			c.found = a.compareWithDirectory(known, compareIdentity(known, stated, a.started))
 		}
 		if c.found != silentServer && c.found != unidentified {
 			return c
@@ -132,6 +132,20 @@
 	return c
 }
 
+// compareWithDirectory corrects what a statement shows that names the server and not its start:
+// the directory may list another process under the server's id by now.
+func (a *attempt) compareWithDirectory(known Identity, found finding) finding {
+	start := a.assignment.ListedStart()
+	if found != sameServer || start <= 0 {
+		return found
+	}
+	listed := Identity{Server: known.Server, Incarnation: uint64(start), StartedAt: time.UnixMilli(start)}
+	if compareIdentity(known, listed, a.started) == restarted {
+		return restarted
+	}
+	return found
+}
+
 // findingOfProbe returns what a probe shows of a server that cannot be asked.
 func findingOfProbe(r reachability) finding {
 	switch r {
