crowdtest: the least of 16 collections is taken, not of 4

What goroutines allocate while a collection runs counts as live, and four collections in a row can all be hit.

Change: the measure is the least of 16 collections. Each of them counts all that is held, so that the crowds' check is as strict; bounds are unchanged.

--- a/internal/crowdtest/usage.go
+++ b/internal/crowdtest/usage.go
@@ -24,7 +24,7 @@
 const (
 	// measuringGCPercent makes collections so frequent that little is allocated during one.
 	measuringGCPercent = 10
-	measurements       = 4
+	measurements       = 16
 )
 
 // liveBytes returns the bytes of the stacks and of the objects that a collection found live. It
