--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -113,11 +113,7 @@
 
 // Execute implements flags.Commander.
 func (c *configShowCommand) Execute(args []string) error {
-	c.app.json = c.JSON
-	if err := rejectArguments(args); err != nil {
-		return err
-	}
-	instance, err := c.client()
+	instance, err := c.open(c.app, c.output, args)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/key.go
+++ b/internal/cli/key.go
@@ -127,11 +127,7 @@
 
 // Execute implements flags.Commander.
 func (c *keyListCommand) Execute(args []string) error {
-	c.app.json = c.JSON
-	if err := rejectArguments(args); err != nil {
-		return err
-	}
-	instance, err := c.client()
+	instance, err := c.open(c.app, c.output, args)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/target.go
+++ b/internal/cli/target.go
@@ -29,6 +29,16 @@
 
 func (t target) client() (*client.Client, error) { return t.access.client(t.Operator) }
 
+// open selects the output of a command that takes no arguments, and returns the client of its
+// instance.
+func (t target) open(a *app, o output, args []string) (*client.Client, error) {
+	a.json = o.JSON
+	if err := rejectArguments(args); err != nil {
+		return nil, err
+	}
+	return t.client()
+}
+
 func (a access) client(address string) (*client.Client, error) {
 	token, err := a.token()
 	if err != nil {
