platform: the store's epoch is read, logged and counted

The store counts in a header of all its answers how often it came back from an older copy of itself.

No answer is discarded yet and no decision depends on the epoch.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -102,6 +102,9 @@
 	e.view = newStoreView(p, s.Bounds, e.balancer, e.sharing, e.rollouts, clock, e.events)
 	e.members = newMembers(s, p, e.balancer, e.suspects, e.sharing, clock, e.events, logger.Named("members"))
 	e.duties = newDuties(s, p, e.view, e.members, e.balancer, e.sharing, e.rollouts, usage, clock, e.events, logger.Named("duties"))
+	if p.Epochs != nil {
+		p.Epochs.OnChange(e.storeRestored)
+	}
 	var observeVersions func(gateway.VersionSample) string
 	if e.rollouts.enabled() {
 		observeVersions = e.rollouts.observe
--- a/internal/edge/platform.go
+++ b/internal/edge/platform.go
@@ -11,6 +11,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/replicas"
 	"github.com/hawthornwick/hawthornwick/internal/rollout"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
+	"github.com/hawthornwick/hawthornwick/internal/storeepoch"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 	"github.com/hawthornwick/hawthornwick/internal/tally"
 )
@@ -39,7 +40,7 @@
 	Encode func(phase rollout.Phase, to string) ([]byte, error)
 }
 
-// Platform connects an Edge to a platform. All fields but WriteMetrics and
+// Platform connects an Edge to a platform. All fields but Epochs, WriteMetrics and
 // RolloutStatus are required.
 type Platform struct {
 	// Protocol reads and writes header fields.
@@ -69,6 +70,9 @@
 	// lease under which it is placed. It returns ErrNoneAvailable if the zone
 	// currently has no servers of the kind.
 	Order func(ctx context.Context, token uint64, o replicas.Order) error
+	// Epochs holds the store's epoch, which counts its restores from older copies. If nil,
+	// the store is never restored from an older copy.
+	Epochs *storeepoch.Tracker
 	// WriteMetrics writes the adapter's metrics in the Prometheus text format. May
 	// be nil.
 	WriteMetrics func(io.Writer)
