soak: the store comes back from older copies

The stand-in store keeps what its newest changes replaced and can come back from a copy of any age up to 20 s: what was written since is gone, numbers are given out again, a read from a number that it does not have gets 410, and its epoch rises. The soak draws that as a trouble of its own, beside all others (copy 0.5 to 8 s old, away 0 to 4 s, one to three in series); the operator and the servers write again within 2 s. Two checks are new: no request reaches a server a while after the store acknowledged that it drains, whatever the store says since, and an instance that has refused a withdrawn key does not run it again.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -187,6 +188,7 @@
 		}
 	}
 	c.checkStatements()
+	c.checkRegress()
 	if afterFaults > 0 {
 		s.EndAnswered = float64(answeredAfterFaults) / float64(afterFaults)
 	}
@@ -230,3 +232,30 @@
 	}
 	return slices.ContainsFunc(c.stops, overlaps) && !slices.ContainsFunc(c.faults, overlaps)
 }
+
+// regressSlack is the time in which requests on their way may still be treated by the version
+// before the one that an answer shows.
+const regressSlack = time.Second
+
+// checkRegress finds requests that an instance ran although it had refused their withdrawn key
+// before.
+func (c *Checker) checkRegress() {
+	type refusal struct{ instance, key string }
+	refused := map[refusal][]time.Time{}
+	for _, o := range c.outcomes {
+		if o.Status == http.StatusUnauthorized && !c.withdrawn[o.Key].IsZero() {
+			refused[refusal{o.Instance, o.Key}] = append(refused[refusal{o.Instance, o.Key}], o.Ended)
+		}
+	}
+	for _, o := range c.outcomes {
+		if len(c.runs[o.ID]) == 0 {
+			continue
+		}
+		for _, at := range refused[refusal{o.Instance, o.Key}] {
+			if o.Sent.After(at.Add(regressSlack)) && !c.restarted(o.Instance, at, o.Sent) {
+				c.addViolation("request %s ran %v after %s had refused its withdrawn key", o.ID, o.Sent.Sub(at), o.Instance)
+				break
+			}
+		}
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,7 @@
 	ServerCrash    FaultKind = "a backend server's process dies and is back under its id"
 	ServerReplaced FaultKind = "a backend server's process dies and another one takes its address"
 	ServerStops    FaultKind = "a backend server stops right after a whole answer"
+	StoreRestored  FaultKind = "the store comes back from an older copy"
 )
 
 var faultKinds = []FaultKind{
@@ -57,11 +58,24 @@
 	At, Duration time.Duration
 	Kind         FaultKind
 	Target       int // index of the instance or backend server, modulo their number
+	// Restores are set for StoreRestored, whose Duration is their total time.
+	Restores []Restore
+}
+
+// Restore is one return of the store from a copy.
+type Restore struct {
+	Away time.Duration // time for which the store is away
+	Age  time.Duration // age of the copy when the store goes away
+	Then time.Duration // time until the next one
 }
 
 // String returns the line about the fault in the output.
 func (f Fault) String() string {
-	return fmt.Sprintf("%5.1fs %s (%d) for %.1fs", f.At.Seconds(), f.Kind, f.Target, f.Duration.Seconds())
+	line := fmt.Sprintf("%5.1fs %s (%d) for %.1fs", f.At.Seconds(), f.Kind, f.Target, f.Duration.Seconds())
+	for _, c := range f.Restores {
+		line += fmt.Sprintf(", away %.1fs age %.1fs", c.Away.Seconds(), c.Age.Seconds())
+	}
+	return line
 }
 
 const (
@@ -77,19 +91,32 @@
 	// meanEndInterval is the same for faults of endKinds.
 	meanEndInterval  = 1500 * time.Millisecond
 	maxFaultDuration = 4 * time.Second
+	// meanRestoreInterval is the mean time between two series of restores of the store, and
+	// maxRestores the number of restores in a series, which are at most maxRestorePause apart.
+	// A copy is between minCopyAge and maxCopyAge old, and the store at most maxAway away.
+	meanRestoreInterval = 8 * time.Second
+	maxRestores         = 3
+	maxRestorePause     = 3 * time.Second
+	minCopyAge          = 500 * time.Millisecond
+	maxCopyAge          = 8 * time.Second
+	maxAway             = 4 * time.Second
+	// quietRestores is the time at the end of a run without restores: an instance that starts
+	// later finds that the others have settled.
+	quietRestores = quietEnd + 4*time.Second
 )
 
 // NewPlan generates the faults of a run from its seed, in order of time. The intervals
 // between their starts are exponentially distributed, so that faults overlap. Statements of
-// backend servers, late bytes and ends of backend servers have random numbers of their own,
-// which leaves the other faults of a seed as they are.
+// backend servers, late bytes, ends of backend servers and restores of the store have random
+// numbers of their own, which leaves the other faults of a seed as they are.
 func NewPlan(seed uint64, length time.Duration, instances, servers int) []Fault {
 	targets := max(instances, servers)
 	plan := randomFaults(rand.New(rand.NewPCG(seed, seed)), length, meanFaultInterval, faultKinds, targets)
 	stated := randomFaults(rand.New(rand.NewPCG(seed, ^seed)), length, meanStatementInterval, statementKinds, targets)
 	held := randomFaults(rand.New(rand.NewPCG(^seed, seed)), length, meanHeldInterval, heldKinds, targets)
 	ends := randomFaults(rand.New(rand.NewPCG(^seed, ^seed)), length, meanEndInterval, endKinds, targets)
-	plan = slices.Concat(plan, stated, held, ends)
+	restores := randomRestores(rand.New(rand.NewPCG(seed, seed+1)), length)
+	plan = slices.Concat(plan, stated, held, ends, restores)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
 	return plan
 }
@@ -104,3 +131,24 @@
 	}
 	return faults
 }
+
+// randomRestores returns series of restores that end before the last quietRestores of a run.
+func randomRestores(random *rand.Rand, length time.Duration) []Fault {
+	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Float64() * float64(limit)) }
+	var faults []Fault
+	for at := quietStart + upTo(meanRestoreInterval); at < length-quietRestores; at += time.Duration(random.ExpFloat64() * float64(meanRestoreInterval)) {
+		f := Fault{At: at, Kind: StoreRestored}
+		for n := 1 + random.IntN(maxRestores); n > 0; n-- {
+			c := Restore{Away: upTo(maxAway), Age: minCopyAge + upTo(maxCopyAge-minCopyAge), Then: upTo(maxRestorePause)}
+			if at += c.Away + c.Then; at > length-quietRestores {
+				break
+			}
+			f.Duration += c.Away + c.Then
+			f.Restores = append(f.Restores, c)
+		}
+		if len(f.Restores) > 0 {
+			faults = append(faults, f)
+		}
+	}
+	return faults
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,9 @@
 	// CompactStore discards the store's change history, so that its readers must read
 	// whole tables again.
 	CompactStore()
+	// RestoreStore brings the store back from a copy of an age. What was written since is
+	// gone, and the operator and the backend servers write again soon.
+	RestoreStore(age time.Duration)
 	// AddServer registers a backend server at the address of the proxy that wrap returns.
 	AddServer(wrap func(address string) (*Proxy, error)) error
 	// SetDraining marks a backend server as draining, or as ready again.
@@ -211,6 +214,8 @@
 		apply(func() { r.site.SetStoreDown(true) }, func() { r.site.SetStoreDown(false) })
 	case StoreCompact:
 		r.site.CompactStore()
+	case StoreRestored:
+		r.restoreStore(ctx, f.Restores)
 	case ServerReset:
 		serverLink.Reset()
 	case ServerSilent:
@@ -254,9 +259,26 @@
 		r.options.Checker.RecordStale(instance, from, now.Add(faultAftermath))
 	case StoreDown, StoreCompact:
 		r.options.Checker.RecordStale("", from, now.Add(faultAftermath))
+	case StoreRestored:
+		r.options.Checker.RecordStale("", from, now.Add(faultAftermath+MaxRewriteDelay))
 	}
 }
 
+// restoreStore makes the store come back from copies of itself, one after the other.
+func (r *run) restoreStore(ctx context.Context, restores []Restore) {
+	for _, c := range restores {
+		r.site.SetStoreDown(true)
+		sleep(ctx, c.Away)
+		r.site.RestoreStore(c.Away + c.Age)
+		r.site.SetStoreDown(false)
+		sleep(ctx, c.Then)
+	}
+}
+
+// MaxRewriteDelay is the time after the store came back from a copy within which the operator and
+// the backend servers write again.
+const MaxRewriteDelay = 2 * time.Second
+
 // faultAftermath is the time after the end of a fault in server it may still cut off
 // responses.
 const faultAftermath = 2 * time.Second
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,6 +68,18 @@
 			c.statements.instances["x"], c.statements.sent["x"] = "a", now.Add(drainTimeout+time.Second)
 			c.RecordArrival("x", "s", 0)
 		},
+		"after the store acknowledged that it is draining": func(c *Checker) {
+			c.RecordDraining("s")
+			c.RecordStale("", now.Add(drainTimeout+time.Second), now.Add(time.Hour))
+			c.statements.instances["x"], c.statements.sent["x"] = "a", now.Add(drainTimeout+time.Second)
+			c.RecordArrival("x", "s", 0)
+		},
+		"a had refused its withdrawn key": func(c *Checker) {
+			c.RecordKeyWithdrawn("k")
+			c.RecordOutcome(Outcome{ID: "r", Instance: "a", Key: "k", Sent: now, Ended: now, Status: 401})
+			c.RecordRun("x")
+			c.RecordOutcome(Outcome{ID: "x", Instance: "a", Key: "k", Sent: now.Add(regressSlack + time.Second), Status: 200})
+		},
 		"had named a limit of 1.000 a second": func(c *Checker) {
 			c.RecordSent("x", "a")
 			c.RecordLimit("a", "s", 1)
@@ -159,9 +171,10 @@
 		for _, fault := range NewPlan(seed, time.Minute, 3, 4) {
 			seen[fault.Kind] = true
 			is.True(fault.At >= quietStart && fault.At < time.Minute-quietEnd)
+			is.True(fault.Kind != StoreRestored || fault.At+fault.Duration <= time.Minute-quietRestores)
 		}
 	}
-	is.Equal(len(seen), len(faultKinds)+len(statementKinds)+len(heldKinds)+len(endKinds))
+	is.Equal(len(seen), len(faultKinds)+len(statementKinds)+len(heldKinds)+len(endKinds)+1)
 }
 
 func TestProxyInjectsFaults(t *testing.T) {
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -34,6 +34,7 @@
 	named     map[namedLimit]time.Time // by server alone: when it first named the limit
 	pauses    []pause
 	started   map[string]time.Time // by server
+	draining  map[string]time.Time // by server: when the store first acknowledged it
 }
 
 // namedLimit is a rate limit, in requests per second, that a server has named. Each one has
@@ -62,7 +63,7 @@
 func newStatements() statements {
 	return statements{instances: map[string]string{}, sent: map[string]time.Time{}, leaving: map[link]time.Time{},
 		limits: map[namedLimit]time.Time{}, named: map[namedLimit]time.Time{},
-		started: map[string]time.Time{}}
+		started: map[string]time.Time{}, draining: map[string]time.Time{}}
 }
 
 // RecordSent records that a caller is about to send a request to an instance.
@@ -112,6 +113,13 @@
 	recordFirst(c.statements.leaving, link{instance, server}, time.Now())
 }
 
+// RecordDraining records that the store has acknowledged that a server is draining.
+func (c *Checker) RecordDraining(server string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	recordFirst(c.statements.draining, server, time.Now())
+}
+
 // RecordPause records that a server refuses a request and asks for a pause.
 func (c *Checker) RecordPause(request, server string, d time.Duration) {
 	c.mu.Lock()
@@ -125,6 +133,7 @@
 func (c *Checker) checkStatements() {
 	for i, a := range c.statements.arrivals {
 		c.checkLeaving(a)
+		c.checkDraining(a)
 		c.checkLimit(c.statements.arrivals[i:])
 	}
 	for _, p := range c.statements.pauses {
@@ -141,6 +150,25 @@
 	c.addViolation("request %s reached %s %v after that had told %s that it leaves", a.request, a.server, sent.Sub(stated), instance)
 }
 
+// checkDraining checks that an instance which was in touch with the store when that acknowledged
+// that a server is draining sends it nothing later, whatever the store says since.
+func (c *Checker) checkDraining(a arrival) {
+	instance, sent := c.statements.instances[a.request], c.statements.sent[a.request]
+	from, ok := c.statements.draining[a.server]
+	known := from.Add(drainTimeout)
+	if !ok || !sent.After(known) || c.restarted(instance, from, a.at) || c.staleWithin(instance, from, known) {
+		return
+	}
+	c.addViolation("request %s of %s reached %s %v after the store acknowledged that it is draining", a.request, instance, a.server, sent.Sub(from))
+}
+
+// staleWithin reports whether an instance may not have read the servers' table within a time.
+func (c *Checker) staleWithin(instance string, from, to time.Time) bool {
+	return slices.ContainsFunc(c.ran.stale, func(i interval) bool {
+		return (i.instance == "" || i.instance == instance) && i.from.Before(to) && i.to.After(from)
+	})
+}
+
 // checkLimit checks the window that begins with the first of the arrivals, which are in
 // order of time.
 func (c *Checker) checkLimit(arrivals []arrival) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -1,5 +1,6 @@
 // Package store is an in-memory stand-in for the platform's store with change
-// feeds. An outage can be simulated with SetDown.
+// feeds. It can be away (SetDown), forget its history (Compact) and come back from an
+// older copy of itself (Restore).
 package store
 
 import (
@@ -13,19 +14,33 @@
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
 
-// Store holds tables of rows. It is safe for concurrent use.
+// Store holds tables of rows. Its versions are the numbers of its transactions, without an
+// epoch. It is safe for concurrent use.
 type Store struct {
 	start time.Time
 
 	mu          sync.Mutex
 	rows        map[string]map[string]tablefeed.Row // by table and key
 	version     uint64
+	epoch       uint64
+	undo        []change      // the newest changes, in order
 	compactedTo uint64        // changes up to this version are no longer in the history
 	down        bool          // calls are not answered
 	changed     chan struct{} // closed and replaced at each change
 	calls       int
 }
 
+// change is what Restore takes back.
+type change struct {
+	at      time.Time
+	table   string
+	before  tablefeed.Row // the row before the change; a zero Version means that it was absent
+	version uint64        // of the store before the change
+}
+
+// maxCopyAge is the age of the oldest copy that Restore can use.
+const maxCopyAge = 20 * time.Second
+
 // New returns an empty store.
 func New() *Store {
 	return &Store{start: time.Now(), rows: map[string]map[string]tablefeed.Row{}, changed: make(chan struct{})}
@@ -50,6 +65,54 @@
 	s.wake()
 }
 
+// SetEpoch sets the epoch of an empty store.
+func (s *Store) SetEpoch(epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch = epoch
+}
+
+// Restore replaces all rows by those of a copy of the given age, at most maxCopyAge. All that
+// was written since is gone, its numbers are given out again, and the epoch rises by one.
+func (s *Store) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := time.Now().Add(-age)
+	for len(s.undo) > 0 && s.undo[len(s.undo)-1].at.After(since) {
+		c := s.undo[len(s.undo)-1]
+		s.undo = s.undo[:len(s.undo)-1]
+		s.version = c.version
+		if c.before.Version == 0 {
+			delete(s.rows[c.table], c.before.Key)
+			continue
+		}
+		s.rows[c.table][c.before.Key] = c.before
+	}
+	s.compactedTo = min(s.compactedTo, s.version)
+	s.epoch++
+	s.wake()
+}
+
+// Epoch returns how often the store was restored.
+func (s *Store) Epoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
+// Keys returns the keys of the rows of a table, also while the store is down.
+func (s *Store) Keys(table string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	for key, row := range s.rows[table] {
+		if !row.Removed {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Calls returns the number of calls so far, including unanswered ones.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -61,8 +124,9 @@
 func (s *Store) Put(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.version
 	s.version++
-	s.set(table, tablefeed.Row{Key: key, Value: value, Version: s.version})
+	s.set(before, table, tablefeed.Row{Key: key, Value: value, Version: s.version})
 	s.wake()
 }
 
@@ -70,15 +134,23 @@
 func (s *Store) Delete(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.version
 	s.version++
-	s.set(table, tablefeed.Row{Key: key, Version: s.version, Removed: true})
+	s.set(before, table, tablefeed.Row{Key: key, Version: s.version, Removed: true})
 	s.wake()
 }
 
-func (s *Store) set(table string, row tablefeed.Row) {
+// set writes a row. version is that of the store before the change.
+func (s *Store) set(version uint64, table string, row tablefeed.Row) {
 	if s.rows[table] == nil {
 		s.rows[table] = map[string]tablefeed.Row{}
 	}
+	c := change{at: time.Now(), table: table, before: s.rows[table][row.Key], version: version}
+	c.before.Key = row.Key
+	for len(s.undo) > 0 && c.at.Sub(s.undo[0].at) > maxCopyAge {
+		s.undo = s.undo[1:]
+	}
+	s.undo = append(s.undo, c)
 	s.rows[table][row.Key] = row
 }
 
@@ -100,60 +172,61 @@
 	return ctx.Err()
 }
 
-// Feed returns the change feed of a table.
-func (s *Store) Feed(table string) tablefeed.Feed { return &feed{store: s, table: table} }
-
-type feed struct {
-	store *Store
-	table string
+// Answer is the answer to a call with the store's epoch.
+type Answer struct {
+	Epoch uint64
+	tablefeed.Page
 }
 
-// Read implements tablefeed.Feed.
-func (f *feed) Read(ctx context.Context, after string) (tablefeed.Page, error) {
-	if err := f.store.enter(ctx); err != nil {
-		return tablefeed.Page{}, err
+// Read returns the rows of a table whose keys sort after after, in the order of their keys.
+func (s *Store) Read(ctx context.Context, table, after string) (Answer, error) {
+	if err := s.enter(ctx); err != nil {
+		return Answer{}, err
 	}
-	f.store.mu.Lock()
-	defer f.store.mu.Unlock()
-	page := f.store.page(f.table, 0, false)
-	page.Rows = slices.DeleteFunc(page.Rows, func(r tablefeed.Row) bool { return r.Key <= after && after != "" })
-	slices.SortFunc(page.Rows, func(a, b tablefeed.Row) int { return strings.Compare(a.Key, b.Key) })
-	return page, nil
-}
-
-// Changes implements tablefeed.Feed.
-func (f *feed) Changes(ctx context.Context, since uint64, hold time.Duration) (tablefeed.Page, error) {
-	if err := f.store.enter(ctx); err != nil {
-		return tablefeed.Page{}, err
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.answer(table, 0, false)
+	a.Rows = slices.DeleteFunc(a.Rows, func(r tablefeed.Row) bool { return r.Key <= after && after != "" })
+	slices.SortFunc(a.Rows, func(a, b tablefeed.Row) int { return strings.Compare(a.Key, b.Key) })
+	return a, nil
+}
+
+// Changes returns the rows of a table changed after the number since, as soon as there is one,
+// or none after hold. It returns tablefeed.ErrHistoryGone, with the epoch, if the store has no
+// such number or no longer has the changes.
+func (s *Store) Changes(ctx context.Context, table string, since uint64, hold time.Duration) (Answer, error) {
+	if err := s.enter(ctx); err != nil {
+		return Answer{}, err
 	}
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	for over := false; ; {
-		f.store.mu.Lock()
-		page, compacted, changed, down := f.store.page(f.table, since, true), since < f.store.compactedTo, f.store.changed, f.store.down
-		f.store.mu.Unlock()
+		s.mu.Lock()
+		a, changed, down := s.answer(table, since, true), s.changed, s.down
+		gone := since < s.compactedTo || since > s.version
+		s.mu.Unlock()
 		switch {
 		case down:
 			<-ctx.Done()
-			return tablefeed.Page{}, ctx.Err()
-		case compacted:
-			return tablefeed.Page{}, tablefeed.ErrHistoryGone
-		case len(page.Rows) > 0 || over:
-			return page, nil
+			return Answer{}, ctx.Err()
+		case gone:
+			return Answer{Epoch: a.Epoch}, tablefeed.ErrHistoryGone
+		case len(a.Rows) > 0 || over:
+			return a, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			over = true
 		case <-ctx.Done():
-			return tablefeed.Page{}, ctx.Err()
+			return Answer{}, ctx.Err()
 		}
 	}
 }
 
-// page returns the rows changed after a version, in order of their versions. It
-// includes deleted rows if removed is set.
-func (s *Store) page(table string, since uint64, removed bool) tablefeed.Page {
+// answer returns the rows changed after a number, in order of their numbers. It includes
+// deleted rows if removed is set.
+func (s *Store) answer(table string, since uint64, removed bool) Answer {
 	page := tablefeed.Page{Version: s.version, Clock: time.Since(s.start)}
 	for _, row := range s.rows[table] {
 		if row.Version > since && (removed || !row.Removed) {
@@ -161,75 +234,48 @@
 		}
 	}
 	slices.SortFunc(page.Rows, func(a, b tablefeed.Row) int { return int(a.Version) - int(b.Version) })
-	return page
-}
-
-// Table returns the transactional interface of a table.
-func (s *Store) Table(name string) platform.Table { return &table{store: s, name: name} }
-
-type table struct {
-	store *Store
-	name  string
+	return Answer{Epoch: s.epoch, Page: page}
 }
 
-// Get implements platform.Table.
-func (t *table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	if t.store.enter(ctx) != nil {
-		return nil, platform.ErrUnavailable
+// Get returns rows of a table. The number of an absent row is 0.
+func (s *Store) Get(ctx context.Context, table string, keys ...string) (epoch uint64, rows []platform.Row, err error) {
+	if s.enter(ctx) != nil {
+		return 0, nil, platform.ErrUnavailable
 	}
-	t.store.mu.Lock()
-	defer t.store.mu.Unlock()
-	rows := make([]platform.Row, 0, len(keys))
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, key := range keys {
-		rows = append(rows, t.row(key))
+		rows = append(rows, s.row(table, key))
 	}
-	return rows, nil
+	return s.epoch, rows, nil
 }
 
-// row returns a row. Its Version is 0 if it does not exist.
-func (t *table) row(key string) platform.Row {
-	r := t.store.rows[t.name][key]
+func (s *Store) row(table, key string) platform.Row {
+	r := s.rows[table][key]
 	if r.Removed {
 		return platform.Row{Key: key}
 	}
 	return platform.Row{Key: key, Value: r.Value, Version: r.Version}
 }
 
-// List implements platform.Table.
-func (t *table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	if t.store.enter(ctx) != nil {
-		return nil, platform.ErrUnavailable
-	}
-	t.store.mu.Lock()
-	defer t.store.mu.Unlock()
-	var rows []platform.Row
-	for key, r := range t.store.rows[t.name] {
-		if strings.HasPrefix(key, prefix) && key > after && !r.Removed {
-			rows = append(rows, t.row(key))
-		}
+// Commit applies a transaction on a table and returns its number. It returns
+// *platform.ConflictError, with the epoch, if a check fails.
+func (s *Store) Commit(ctx context.Context, table string, txn platform.Txn) (epoch, number uint64, err error) {
+	if s.enter(ctx) != nil {
+		return 0, 0, platform.ErrUnavailable
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows[:min(limit, len(rows))], nil
-}
-
-// Commit implements platform.Table.
-func (t *table) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
-	if t.store.enter(ctx) != nil {
-		return nil, platform.ErrUnavailable
-	}
-	t.store.mu.Lock()
-	defer t.store.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, c := range txn.Checks {
-		if current := t.row(c.Key).Version; current != c.Version {
-			return nil, &platform.ConflictError{Key: c.Key, Current: current}
+		if current := s.row(table, c.Key).Version; current != c.Version {
+			return s.epoch, 0, &platform.ConflictError{Key: c.Key, Current: current}
 		}
 	}
-	t.store.version++
-	versions := make([]uint64, len(txn.Writes))
-	for i, w := range txn.Writes {
-		versions[i] = t.store.version
-		t.store.set(t.name, tablefeed.Row{Key: w.Key, Value: w.Value, Version: t.store.version, Removed: w.Delete})
+	before := s.version
+	s.version++
+	for _, w := range txn.Writes {
+		s.set(before, table, tablefeed.Row{Key: w.Key, Value: w.Value, Version: s.version, Removed: w.Delete})
 	}
-	t.store.wake()
-	return versions, nil
+	s.wake()
+	return s.epoch, s.version, nil
 }
