platform: a version carries the store's epoch, and followers read anew after a restore

What users saw: a confirmed change was not in force, or came back older (CONFIG). After a restore the store gives its version numbers out again. A follower kept the highest number that it had seen, so once the numbers had grown past it, it went on and missed for good what was written in between; an expected version could meet another history of its row.

A version now holds the store's epoch above the number (24 and 40 bits), so one of an earlier epoch equals no later one. Answers of an earlier epoch are discarded, and those without an epoch once others stated one. A follower reads all rows again when the epoch rises (within 0.2 s, with jitter, and without waiting for a call in flight); its update says that the store was restored. An instance that serves the tables to others answers 409 to a position of an earlier epoch, which is no failure of the source.

Without an epoch in the answers, versions equal the numbers as before.

Old and new instances side by side: the rows in the store are the same. An old follower of a new source gets 409, leaves the source and reads from the store; a new follower of an old source sees versions of epoch 0 and does the same, if the store's epoch is not 0.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -27,6 +27,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/routes"
 	"github.com/hawthornwick/hawthornwick/internal/standin/fault"
 	"github.com/hawthornwick/hawthornwick/internal/standin/store"
+	"github.com/hawthornwick/hawthornwick/internal/storeepoch"
 	"github.com/hawthornwick/hawthornwick/internal/tally"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
@@ -144,9 +145,12 @@
 }
 
 func (w *testPlatform) platform(instance string) Platform {
+	epochs := &storeepoch.Tracker{}
+	conn := w.store.Connect(epochs)
 	return Platform{
 		Protocol:  plainProtocol{},
-		Operators: w.store.Feed("op"),
+		Epochs:    epochs,
+		Operators: conn.Feed("op"),
 		DecodeOperator: func(key string, value []byte, removed bool) (OperatorRow, error) {
 			if zone, ok := strings.CutPrefix(key, "out/"); ok {
 				return OperatorRow{Zone: zone, Drained: !removed}, nil
@@ -155,13 +159,13 @@
 			err := json.Unmarshal(value, &c)
 			return OperatorRow{Config: &c}, err
 		},
-		Servers: w.store.Feed("servers"),
+		Servers: conn.Feed("servers"),
 		DecodeServer: func(_ string, value []byte) (*directory.Entry, error) {
 			var e directory.Entry
 			err := json.Unmarshal(value, &e)
 			return &e, err
 		},
-		Instances: w.store.Feed("instances"), InstanceRows: w.store.Table("instances"), Duties: w.store.Table("duties"),
+		Instances: conn.Feed("instances"), InstanceRows: conn.Table("instances"), Duties: conn.Table("duties"),
 		Report: func(_ context.Context, _ uint64, window int64, counts tally.Counts) error {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/internal/edge/platform.go
+++ b/internal/edge/platform.go
@@ -70,7 +70,7 @@
 	// lease under which it is placed. It returns ErrNoneAvailable if the zone
 	// currently has no servers of the kind.
 	Order func(ctx context.Context, token uint64, o replicas.Order) error
-	// Epochs holds the store's epoch, which counts its restores from older copies. If nil,
+	// Epochs holds the store's epoch, which is part of the versions of all rows. If nil,
 	// the store is never restored from an older copy.
 	Epochs *storeepoch.Tracker
 	// WriteMetrics writes the adapter's metrics in the Prometheus text format. May
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -17,6 +17,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/presence"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
 	"github.com/hawthornwick/hawthornwick/internal/reports"
+	"github.com/hawthornwick/hawthornwick/internal/storeepoch"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/truetime"
@@ -48,6 +49,7 @@
 	address     string
 	token       string
 	cores       float64
+	epochs      *storeepoch.Tracker // may be nil
 	group       *fanout.Group
 	client      *fanout.Client
 	retrySignal *tablefeed.RetrySignal
@@ -63,6 +65,7 @@
 func newSharing(s Settings, p Platform, b *balance.Balancer, suspects *quarantine.Tracker, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger, topics ...reports.Topic) *sharing {
 	h := &sharing{
 		cores:  s.Cores,
+		epochs: p.Epochs,
 		token:  rand.Text(),
 		client: fanout.NewClient(), retrySignal: tablefeed.NewRetrySignal(),
 		group: fanout.NewGroup(fanout.GroupOptions{
@@ -126,7 +129,11 @@
 	cache := h.caches[table]
 	o.Name = table
 	o.Feed = &fanout.Feed{Name: table, Store: o.Feed, Group: h.group, Client: h.client, MaxAge: maxAge, ProxyMaxAge: maxProxyAge}
-	o.OnAnswer, o.OnFailure = cache.Apply, cache.MarkUnavailable
+	o.OnAnswer = func(u tablefeed.Update, version uint64, currentAsOf boottime.Instant) {
+		observeEpoch(h.epochs, version)
+		cache.Apply(u, version, currentAsOf)
+	}
+	o.OnFailure = cache.MarkUnavailable
 	o.RetrySignal = h.retrySignal
 	return o
 }
--- a/internal/fanout/cache.go
+++ b/internal/fanout/cache.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
 
@@ -16,6 +17,9 @@
 // and followers at an older version must read the whole table again.
 const maxTombstones = 4096
 
+// errRestoredSince reports a position of before the store was restored from an older copy.
+var errRestoredSince = errors.New("the store was restored from an older copy since that version")
+
 // errStoreUnavailable reports that a source cannot reach the store itself.
 var errStoreUnavailable = errors.New("the source cannot reach the store")
 
@@ -45,8 +49,8 @@
 func (c *Cache) Apply(u tablefeed.Update, version uint64, currentAt boottime.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.loaded {
-		c.loaded, c.compacted = true, version
+	if !c.loaded || u.Restored {
+		c.reset(version)
 	}
 	if u.Full {
 		c.markUnlistedDeleted(u.Rows, version)
@@ -63,6 +67,13 @@
 	}
 }
 
+// reset empties the cache for a full read at a version. Changes since an earlier version, or
+// since one of an earlier epoch, are not available.
+func (c *Cache) reset(version uint64) {
+	c.loaded, c.compacted, c.tombstones = true, version, 0
+	clear(c.rows)
+}
+
 // MarkUnavailable marks the store as unavailable and wakes pending calls of Changes. The next
 // update ends that state.
 func (c *Cache) MarkUnavailable(error) {
@@ -121,8 +132,8 @@
 // Changes returns the rows changed after version since, oldest first. It blocks until
 // there is at least one or wait has passed, and then returns an empty page. Page.Age is
 // the time since the rows were last known to be current. It returns errStoreUnavailable
-// while the store cannot be reached, and tablefeed.ErrHistoryGone when the changes
-// after since are no longer available.
+// while the store cannot be reached, errRestoredSince for a version of an earlier epoch, and
+// tablefeed.ErrHistoryGone when the changes after since are no longer available.
 func (c *Cache) Changes(ctx context.Context, since uint64, wait time.Duration) (tablefeed.Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -147,6 +158,8 @@
 	switch {
 	case !c.loaded || c.unavailable:
 		return tablefeed.Page{}, nil, errStoreUnavailable
+	case platform.EpochOf(since) < platform.EpochOf(c.version):
+		return tablefeed.Page{}, nil, errRestoredSince
 	case since < c.compacted:
 		return tablefeed.Page{}, nil, tablefeed.ErrHistoryGone
 	}
--- a/internal/fanout/client.go
+++ b/internal/fanout/client.go
@@ -115,6 +115,8 @@
 		return nil
 	case http.StatusGone:
 		return tablefeed.ErrHistoryGone
+	case http.StatusConflict:
+		return errRestoredSince
 	case http.StatusServiceUnavailable:
 		return errStoreUnavailable
 	case http.StatusMisdirectedRequest, http.StatusUnauthorized:
--- a/internal/fanout/feed.go
+++ b/internal/fanout/feed.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/stall"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
@@ -61,6 +62,9 @@
 	if ctx.Err() != nil {
 		return tablefeed.Page{}, err
 	}
+	if errors.Is(err, errRestoredSince) { // which is no failure of the source
+		return tablefeed.Page{}, tablefeed.ErrHistoryGone
+	}
 	f.Group.ReportFailure(source, err)
 	if errors.Is(err, errStoreUnavailable) && !f.Group.EndProxy() {
 		return tablefeed.Page{}, err
@@ -91,6 +95,9 @@
 	if age := f.ageLimit(); err == nil && page.Age > age {
 		return tablefeed.Page{}, fmt.Errorf("source data is too old: %v", page.Age)
 	}
+	if err == nil && platform.EpochOf(page.Version) < platform.EpochOf(since) {
+		return tablefeed.Page{}, fmt.Errorf("source data is of the store's epoch %d, before its last restore", platform.EpochOf(page.Version))
+	}
 	return page, err
 }
 
--- a/internal/fanout/server.go
+++ b/internal/fanout/server.go
@@ -109,6 +109,9 @@
 	case errors.Is(err, tablefeed.ErrHistoryGone):
 		w.WriteHeader(http.StatusGone)
 		return
+	case errors.Is(err, errRestoredSince):
+		w.WriteHeader(http.StatusConflict)
+		return
 	case err != nil || !known:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,8 +22,10 @@
 
 // ConflictError reports that a check of a transaction failed and nothing was written.
 type ConflictError struct {
-	Key     string // key whose check failed
-	Current uint64 // its current version; zero means that the row is absent
+	Key string // key whose check failed
+	// Current is its current version. Zero means that the row is absent, or that the check is
+	// of a version of an earlier epoch.
+	Current uint64
 }
 
 // Error implements the error interface.
@@ -43,7 +45,7 @@
 type Row struct {
 	Key     string
 	Value   []byte
-	Version uint64 // increases with each write of the row; zero means absent
+	Version uint64 // increases with each write of the row, see NewVersion; zero means absent
 }
 
 // Check is a precondition on a row's version. Version zero requires that the row is absent.
--- a/internal/tablefeed/follower.go
+++ b/internal/tablefeed/follower.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/stall"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/wait"
@@ -31,7 +33,7 @@
 // Page is one answer of a feed.
 type Page struct {
 	Rows    []Row
-	Version uint64        // newest version of the store
+	Version uint64        // newest version of the store, see platform.NewVersion
 	Clock   time.Duration // the store's monotonic clock when it answered
 	// More is true if a read has further rows after the last one of the page.
 	More bool
@@ -50,7 +52,7 @@
 	Read(ctx context.Context, after string) (Page, error)
 	// Changes returns the rows changed after a version, as soon as there is one,
 	// or none after the wait. It returns ErrHistoryGone if the feed no longer
-	// holds all changes since the version.
+	// holds all changes since the version, and for a version of an earlier epoch.
 	Changes(ctx context.Context, since uint64, wait time.Duration) (Page, error)
 }
 
@@ -59,6 +61,13 @@
 	Rows []Row // changed rows, or all of them
 	// Full is true if Rows are all rows of the table.
 	Full bool
+	// Restored is true for the first rows, which are all of the table, after the store was
+	// restored from an older copy. Rows that were known before may be missing or older, and
+	// are written again soon.
+	Restored bool
+	// Version is the newest version of the store at these rows, and Before the one at the
+	// rows before. Before is zero for the first rows.
+	Version, Before uint64
 	// Gap is the time between the latest instants at which the rows were current
 	// before and after failed calls. Zero means that no call has failed since the
 	// previous update.
@@ -105,13 +114,17 @@
 	Recorder timeline.Recorder
 }
 
-// Follower follows one table. Run must be called once; CurrentAsOf is safe for
+// Follower follows one table. Run must be called once; the other methods are safe for
 // concurrent use.
 type Follower struct {
 	options Options
+	wake    *wait.Signal // ends a pause
 
 	mu          sync.Mutex
 	currentAsOf boottime.Instant // see CurrentAsOf
+	applied     uint64           // see Version
+	restored    bool             // Restored was called since the last call began
+	cancelCall  func()           // cancels the call in flight; nil if there is none
 
 	// The following fields belong to the goroutine of Run.
 	complete bool   // all rows were read, so that changes can be followed
@@ -158,7 +171,7 @@
 	if o.MaxRetryDelay == nil {
 		o.MaxRetryDelay = func() time.Duration { return defaultMaxRetryDelay }
 	}
-	return &Follower{options: o}
+	return &Follower{options: o, wake: wait.NewSignal()}
 }
 
 func zeroDuration() time.Duration { return 0 }
@@ -171,7 +184,41 @@
 	return f.currentAsOf
 }
 
+// Version returns the newest version of the store that was applied. Zero means that the table was
+// not read yet.
+func (f *Follower) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.applied
+}
+
+// Restored must be called when the store's epoch has risen. It ends a pause or call of the
+// follower, which then reads all rows again.
+func (f *Follower) Restored() {
+	f.mu.Lock()
+	f.restored = true
+	cancel := f.cancelCall
+	f.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	f.wake.Notify()
+}
+
+// setCall records the function that cancels the next call, or nil at its end. It reports
+// whether the store was restored since the last time.
+func (f *Follower) setCall(cancel func()) (restored bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	restored = f.restored
+	f.restored, f.cancelCall = false, cancel
+	return restored
+}
+
 const (
+	// maxRestoreJitter spreads the reads of many instances after a restore.
+	maxRestoreJitter = 200 * time.Millisecond
+
 	minRetryDelay = 100 * time.Millisecond
 	retryFactor   = 4
 	// transferLimit bounds the time that the transfer of an answer may take.
@@ -201,7 +248,7 @@
 			f.recordRecovery()
 			f.options.RetrySignal.notify()
 			if f.scan == nil {
-				_ = wait.For(ctx, f.options.Pause()-boottime.Now().Sub(started))
+				_, _ = f.wake.For(ctx, f.options.Pause()-boottime.Now().Sub(started), maxRestoreJitter)
 			}
 		}
 	}
@@ -209,6 +256,11 @@
 
 // step makes one call and applies its answer.
 func (f *Follower) step(ctx context.Context) error {
+	ctx, cancelCall := context.WithCancel(ctx)
+	defer cancelCall()
+	if f.setCall(cancelCall) {
+		f.complete, f.scan = false, nil
+	}
 	hold := time.Duration(0)
 	if f.complete && !f.failing { // after a failure, an immediate answer shows the recovery soonest
 		hold = f.options.Wait()
@@ -217,13 +269,36 @@
 	defer cancel()
 	sent := boottime.Now()
 	page, err := f.call(ctx, hold)
+	if f.setCall(nil) {
+		return ErrHistoryGone
+	}
 	if err != nil {
 		return err
 	}
+	if err := f.checkEpoch(page); err != nil {
+		return err
+	}
 	f.apply(page, sent, hold)
 	return nil
 }
 
+// errEarlierEpoch reports a page of an earlier epoch than the rows.
+var errEarlierEpoch = errors.New("the answer is of the time before the store was restored from an older copy")
+
+// checkEpoch discards pages of an earlier epoch. A read of all rows starts again if the store
+// was restored between two of its pages.
+func (f *Follower) checkEpoch(page Page) error {
+	epoch := platform.EpochOf(page.Version)
+	if epoch < platform.EpochOf(f.version) {
+		return errEarlierEpoch
+	}
+	if f.scan != nil && epoch != platform.EpochOf(f.scan.version) {
+		f.scan = nil
+		return fmt.Errorf("the store was restored to epoch %d between two pages of a read", epoch)
+	}
+	return nil
+}
+
 // callTimeout returns the timeout of the next call, which the store may hold for hold.
 func (f *Follower) callTimeout(hold time.Duration) time.Duration {
 	if !f.complete && f.options.ReadTimeout > 0 {
@@ -253,13 +328,15 @@
 		failed, f.scan = f.scan.failed, nil
 	}
 	f.complete = true
+	restored := platform.EpochOf(page.Version) > platform.EpochOf(f.version) && f.version > 0
+	before := f.version
 	f.version = max(f.version, page.Version)
 	gap := time.Duration(0)
-	if before := f.CurrentAsOf(); failed && !before.IsZero() {
-		gap = currentAsOf.Sub(before)
+	if last := f.CurrentAsOf(); failed && !last.IsZero() {
+		gap = currentAsOf.Sub(last)
 	}
-	u := Update{Rows: page.Rows, Full: whole, Gap: gap}
-	if whole || len(page.Rows) > 0 || gap > 0 {
+	u := Update{Rows: page.Rows, Full: whole, Restored: restored, Version: f.version, Before: before, Gap: gap}
+	if whole || restored || len(page.Rows) > 0 || gap > 0 {
 		f.options.Apply(u)
 	}
 	if f.options.OnAnswer != nil {
@@ -267,6 +344,7 @@
 	}
 	f.mu.Lock()
 	f.currentAsOf = max(f.currentAsOf, currentAsOf)
+	f.applied = f.version
 	f.mu.Unlock()
 }
 
--- a/internal/tablefeed/follower_test.go
+++ b/internal/tablefeed/follower_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -124,6 +125,47 @@
 	is.Equal(s.calls[3].since, uint64(9))
 }
 
+// epochOne is the first version of the store's epoch 1.
+const epochOne = uint64(1) << 40
+
+// TestRestoreReadsAllRows guards against a follower that takes the numbers of a restored store
+// for those of before, and for one that never reads again.
+func TestRestoreReadsAllRows(t *testing.T) {
+	is := is.New(t)
+	rows := []Row{{Key: "a", Version: epochOne + 3}}
+	s := newScript(
+		answer{page: Page{Version: 7}},
+		answer{err: ErrHistoryGone},
+		answer{page: Page{Rows: rows, Version: epochOne + 3}},
+		answer{page: Page{Version: 9}}, // late, of before the restore
+		answer{page: Page{Version: epochOne + 3}, delay: hold},
+	)
+	_, updates := follow(t, s)
+	is.Equal(len(updates), 3) // the last one ends the failure
+	is.True(!updates[0].Restored)
+	is.True(updates[1].Full && updates[1].Restored)
+	is.True(!updates[2].Restored)
+	is.Equal(s.calls[3].since, epochOne+3)
+	is.Equal(s.calls[4].since, epochOne+3)
+}
+
+// TestRestoreBetweenPagesOfARead guards against rows that are put together from two histories.
+func TestRestoreBetweenPagesOfARead(t *testing.T) {
+	is := is.New(t)
+	first, second := Row{Key: "a", Version: 5}, Row{Key: "b", Version: epochOne + 2}
+	s := newScript(
+		answer{page: Page{Rows: []Row{first}, Version: 7, More: true}},
+		answer{page: Page{Rows: []Row{second}, Version: epochOne + 3}},
+		answer{page: Page{Rows: []Row{{Key: "a", Version: epochOne + 1}, second}, Version: epochOne + 3}},
+		answer{page: Page{Version: epochOne + 3}, delay: hold},
+	)
+	_, updates := follow(t, s)
+	is.Equal(s.calls[1].after, "a")
+	is.Equal(s.calls[2].after, "")
+	is.Equal(len(updates[0].Rows), 2)
+	is.Equal(updates[0].Rows[0].Version, epochOne+1)
+}
+
 // TestImmediateAnswerIsNotCurrentAfterWait guards against counting the wait of a call as
 // time in which nothing changed, although the store did not wait.
 func TestImmediateAnswerIsNotCurrentAfterWait(t *testing.T) {
@@ -261,3 +303,68 @@
 	f.complete = true
 	is.Equal(f.callTimeout(hold), hold+time.Second)
 }
+
+// TestRestoreEndsPause guards against rows of before a restore that stay in force for a whole pause
+// or wait, although another call has shown the restore.
+func TestRestoreEndsPause(t *testing.T) {
+	for name, held := range map[string]bool{"pause": false, "call": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				first, second := newVersion(t, 1, 9), newVersion(t, 2, 3)
+				s := &heldFeed{pages: []Page{{Version: first}, {Version: second}}, hold: held}
+				f := New(Options{
+					Name: "test", Feed: s, Wait: func() time.Duration { return time.Minute }, Pause: func() time.Duration { return time.Minute },
+					CallTimeout: time.Second, Apply: func(Update) {}, Recorder: timeline.Discard,
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				var running sync.WaitGroup
+				running.Go(func() { f.Run(ctx) })
+				time.Sleep(70 * time.Second) // the call is held, or the second pause has begun
+				is.Equal(f.Version(), first)
+				began := time.Now()
+				f.Restored()
+				synctest.Wait()
+				time.Sleep(maxRestoreJitter)
+				synctest.Wait()
+				is.Equal(f.Version(), second)
+				is.True(time.Since(began) <= maxRestoreJitter)
+				cancel()
+				running.Wait()
+			})
+		})
+	}
+}
+
+// heldFeed returns its pages to reads of all rows, and holds calls for changes or answers them at
+// once.
+type heldFeed struct {
+	pages []Page
+	hold  bool
+}
+
+func (h *heldFeed) Read(context.Context, string) (Page, error) {
+	page := h.pages[0]
+	h.pages = h.pages[1:]
+	return page, nil
+}
+
+func (h *heldFeed) Changes(ctx context.Context, since uint64, hold time.Duration) (Page, error) {
+	if h.hold {
+		select {
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		case <-time.After(hold):
+		}
+	}
+	return Page{Version: since}, nil
+}
+
+func newVersion(t *testing.T, epoch, number uint64) uint64 {
+	t.Helper()
+	v, err := platform.NewVersion(epoch, number)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
