directory: a restored store takes no server back, and none away at once

The copy from which the store comes back may list a server that left since, as it was before, and lack one that started since. The first got requests again, the second was taken as gone.

A draining server stays so as before: its older entry was ignored already.

With the new method empty, TestServersKeptAfterRestore and TestDepartedServersStayAway fail.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,10 +1,12 @@
 // Package directory maintains the list of backend servers that register themselves
 // in the platform's store. It ignores late writes of an older state, entries that
 // cannot be decoded, and for a grace period the removal of entries that expired
-// while the store was unavailable. It reads no clock: callers pass the time.
+// while the store was unavailable or that a restored store lacks. It reads no clock:
+// callers pass the time.
 package directory
 
 import (
+	"maps"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
@@ -74,18 +76,37 @@
 	// coldMargin covers the delay between a server's write of ColdFor and its
 	// arrival here.
 	coldMargin = 300 * time.Millisecond
+	// departedRetention is how long a removed entry is known. A restored store may list it
+	// again; it is far longer than the age of a copy.
+	departedRetention = 30 * time.Second
 )
 
+// departure is the last entry of a server that was removed.
+type departure struct {
+	entry Entry
+	at    boottime.Instant
+}
+
 // Directory is the list of backend servers. It is not safe for concurrent use.
 type Directory struct {
 	servers   map[string]*Server
 	missing   map[string]bool // servers whose removed entries are kept until holdUntil
 	holdUntil boottime.Instant
+	departed  map[string]departure
+	restored  bool // the store was restored since the oldest of departed
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{servers: map[string]*Server{}, missing: map[string]bool{}}
+	return &Directory{servers: map[string]*Server{}, missing: map[string]bool{}, departed: map[string]departure{}}
+}
+
+// Restored must be called before Apply with the first rows after the store was restored from an
+// older copy. Servers that the copy lacks are kept until they can have registered again, and
+// entries that were removed since the copy are ignored.
+func (d *Directory) Restored(now boottime.Instant) {
+	d.holdUntil = now.Add(reregistrationGrace)
+	d.restored = true
 }
 
 // Apply applies changed rows, or, if whole is true, replaces all rows. gap is the
@@ -94,6 +115,7 @@
 	if gap >= minOutage {
 		d.holdUntil = now.Add(reregistrationGrace)
 	}
+	d.forgetDeparted(now)
 	listed := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		listed[c.ID] = true
@@ -118,10 +140,11 @@
 		d.remove(now, c.ID)
 		return
 	}
-	if known != nil && c.Entry.olderThan(&known.Entry) {
+	if known != nil && c.Entry.olderThan(&known.Entry) || known == nil && d.hasDeparted(c.Entry) {
 		return
 	}
 	delete(d.missing, c.ID)
+	delete(d.departed, c.ID)
 	s := &Server{Entry: *c.Entry}
 	if c.Entry.ColdFor > 0 {
 		s.ColdUntil = now.Add(c.Entry.ColdFor + coldMargin)
@@ -158,10 +181,29 @@
 		d.missing[id] = true
 		return
 	}
-	delete(d.servers, id)
+	d.depart(now, id)
 	delete(d.missing, id)
 }
 
+// depart removes a server and keeps its last entry for a while.
+func (d *Directory) depart(now boottime.Instant, id string) {
+	d.departed[id] = departure{entry: d.servers[id].Entry, at: now}
+	delete(d.servers, id)
+}
+
+// hasDeparted reports whether a restored store lists an entry again that was removed. A server
+// that is alive writes a later one.
+func (d *Directory) hasDeparted(e *Entry) bool {
+	before, known := d.departed[e.ID]
+	return d.restored && known && !before.entry.olderThan(e)
+}
+
+// forgetDeparted drops the entries that were removed long ago.
+func (d *Directory) forgetDeparted(now boottime.Instant) {
+	maps.DeleteFunc(d.departed, func(_ string, gone departure) bool { return now.Sub(gone.at) > departedRetention })
+	d.restored = d.restored && len(d.departed) > 0
+}
+
 // Expire removes the servers that have not registered again within the grace period
 // after an outage. It returns the end of a running grace period; the result is false
 // if no server is missing.
@@ -173,7 +215,7 @@
 		return d.holdUntil, true
 	}
 	for id := range d.missing {
-		delete(d.servers, id)
+		d.depart(now, id)
 	}
 	clear(d.missing)
 	return 0, false
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -90,3 +90,53 @@
 	d.Apply(start, []Change{{ID: "unreadable"}, entry("a", 1)}, true, 0)
 	is.Equal(len(d.Servers()), 1)
 }
+
+// TestServersKeptAfterRestore guards against servers that are taken as gone, since the copy that
+// the store was restored from lacks their entries, and against older states in it.
+func TestServersKeptAfterRestore(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	draining := entry("draining", 7)
+	draining.Entry.Draining = true
+	d.Apply(start, []Change{entry("new", 1), entry("lost", 1), draining}, true, 0)
+	d.Restored(start)
+	d.Apply(start, []Change{entry("draining", 3)}, true, 0)
+	is.Equal(len(d.Servers()), 3)
+	is.True(d.Draining("draining", 1))
+	d.Apply(start.Add(time.Second), []Change{entry("draining", 3)}, true, 0) // read again
+	d.Apply(start.Add(time.Second), []Change{entry("new", 2)}, false, 0)
+	d.Expire(start.Add(reregistrationGrace))
+	is.Equal(len(d.Servers()), 2) // one did not register again
+	is.True(d.Draining("draining", 1))
+}
+
+// TestDepartedServersStayAway guards against requests to a server that has left, since the copy
+// that the store was restored from still lists it.
+func TestDepartedServersStayAway(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	draining := entry("a", 7)
+	draining.Entry.Draining = true
+	d.Apply(start, []Change{draining}, true, 0)
+	d.Apply(start.Add(time.Second), []Change{{ID: "a"}}, false, 0)
+	d.Restored(start.Add(2 * time.Second))
+	d.Apply(start.Add(2*time.Second), []Change{entry("a", 3)}, true, 0)
+	is.Equal(len(d.Servers()), 0)
+	d.Apply(start.Add(3*time.Second), []Change{entry("a", 8)}, false, 0) // it is alive
+	is.Equal(len(d.Servers()), 1)
+}
+
+// TestDepartedServerRegistersLater checks that without a restore an entry that was removed may
+// come back as it was, and that a restart is another server.
+func TestDepartedServerRegistersLater(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.Apply(start, []Change{entry("a", 7), entry("b", 7)}, true, 0)
+	d.Apply(start, []Change{{ID: "a"}, {ID: "b"}}, false, 0)
+	d.Apply(start, []Change{entry("a", 7)}, false, 0)
+	is.Equal(len(d.Servers()), 1)
+	d.Restored(start)
+	restarted := Change{ID: "b", Entry: &Entry{ID: "b", StartedMillis: 2, Sequence: 1}}
+	d.Apply(start, []Change{entry("a", 7), restarted}, true, 0)
+	is.Equal(len(d.Servers()), 2)
+}
--- a/internal/edge/storeview.go
+++ b/internal/edge/storeview.go
@@ -244,6 +244,9 @@
 func (v *storeView) applyServers(u tablefeed.Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if u.Restored {
+		v.directory.Restored(boottime.Now())
+	}
 	v.forgetUnreadable(u)
 	changes := directory.Changes(u, v.decodeServer)
 	notices := v.newNotices(changes)
