edge: what operators wrote is not undone by a restored store

After a restore the operators' rows may be missing or older until they are written again. Until the rows were read again 2.5 s after the first answer of the epoch, an instance now

- keeps the newest configuration that it knows, and takes its keys as only as fresh as before the restore, so that they are answered 503 past the bound on withdrawals;
- keeps drained zones drained;
- keeps orders for rollouts that the copy lacks or has otherwise; one with the same content that is written again is the same order under its new revision;
- keeps the other instances' rows, and writes its own again within 1 s.

Each instance states in its row the epoch and the newest configuration that it knows, and whether it has settled. One that starts answers 503 and is not ready while a live row names a newer configuration or epoch, or shows a restore and none has settled, the latter for at most 2.5 s. store.restored tells what is dropped, kept and written again.

Rows of older instances lack the new fields and say nothing; older instances ignore the fields. A store that states no epoch is never restored: nothing of this acts.

The tests of rollouts give orders as rows (order, rowOf); what they ask is the same.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -100,7 +100,7 @@
 	e.rollouts = newRollouts(s, p, e.balancer, clock, e.events, logger.Named("rollouts"))
 	e.sharing = newSharing(s, p, e.balancer, e.suspects, clock, e.events, logger.Named("sharing"), usage.exchange, paceTopic{e.pace}, e.rollouts)
 	e.view = newStoreView(p, s.Bounds, e.balancer, e.sharing, e.rollouts, clock, e.events)
-	e.members = newMembers(s, p, e.balancer, e.suspects, e.sharing, clock, e.events, logger.Named("members"))
+	e.members = newMembers(s, p, e.view, e.balancer, e.suspects, e.sharing, clock, e.events, logger.Named("members"))
 	e.duties = newDuties(s, p, e.view, e.members, e.balancer, e.sharing, e.rollouts, usage, clock, e.events, logger.Named("duties"))
 	if p.Epochs != nil {
 		p.Epochs.OnChange(e.storeRestored)
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -40,8 +40,11 @@
 	logger   hclog.Logger
 	board    *presence.Registry
 	sharing  *sharing
+	view     *storeView
+	outdated *wait.Signal // notified when this instance's row must be written soon
 	follower *tablefeed.Follower
 	leaving  atomic.Bool
+	read     atomic.Bool  // the others' rows were read
 	planning atomic.Bool  // this instance holds the duty of ordering backend servers
 	reads    atomic.Int64 // number of reads of the others' rows
 	sequence uint64
@@ -50,11 +53,12 @@
 	names []string
 }
 
-func newMembers(s Settings, p Platform, b *balance.Balancer, suspects *quarantine.Tracker, h *sharing, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *members {
+func newMembers(s Settings, p Platform, view *storeView, b *balance.Balancer, suspects *quarantine.Tracker, h *sharing, clock *truetime.Clock, recorder timeline.Recorder, logger hclog.Logger) *members {
 	m := &members{
 		settings: s, rows: h.sharedTable(p.InstanceRows, instancesTable), balancer: b, suspects: suspects, clock: clock, recorder: recorder, logger: logger, board: presence.NewRegistry(),
-		sharing: h,
+		sharing: h, view: view, outdated: view.rowOutdated,
 	}
+	view.instances = m.known
 	m.follower = tablefeed.New(h.sharedOptions(tablefeed.Options{
 		Feed: p.Instances, Pause: m.readInterval, CallTimeout: feedTimeout, ReadTimeout: readTimeout,
 		Apply: m.apply, AnsweredAt: clock.Observe, Recorder: recorder, MaxRetryDelay: otherTablesRetryDelay,
@@ -110,10 +114,12 @@
 }
 
 // awaitPublish waits until this instance's row is due again. It returns early if the
-// demand has grown beyond the published one. It returns the error of ctx if that ends.
+// demand has grown beyond the published one, and soon after a restore of the store and
+// once its rows have settled. It returns the error of ctx if that ends.
 func (m *members) awaitPublish(ctx context.Context, published map[string]presence.Demand) error {
 	for left := m.interval(); left > 0; left -= demandCheckInterval {
-		if err := wait.For(ctx, min(left, demandCheckInterval)); err != nil {
+		outdated, err := m.outdated.For(ctx, min(left, demandCheckInterval), maxRepublishDelay)
+		if err != nil || outdated {
 			return err
 		}
 		if replicas.HasGrown(published, m.balancer.Demand()) {
@@ -129,6 +135,8 @@
 		m.logger.Error("cannot decode the row of an instance; ignoring it", "error", err)
 	}
 	m.setLive(m.board.Live(boottime.Now()))
+	m.read.Store(true)
+	m.view.releaseNow()
 	m.suspects.Restore(m.board.Verdicts(), time.Now())
 }
 
@@ -143,6 +151,7 @@
 		Quarantine: m.suspects.Verdicts(time.Now()),
 	}
 	m.sharing.setContact(&row)
+	m.view.setEpoch(&row)
 	if offset, ok := m.clock.Offset(); ok {
 		row.Offset = &offset
 	}
@@ -192,6 +201,11 @@
 	}
 }
 
+// known returns the live rows, and false before the rows were read.
+func (m *members) known() (map[string]presence.Row, bool) {
+	return m.live(), m.read.Load()
+}
+
 func (m *members) live() map[string]presence.Row { return m.board.Live(m.follower.CurrentAsOf()) }
 
 // staleRowAge is the time without an update after which an instance's row is deleted.
--- a/internal/edge/members_test.go
+++ b/internal/edge/members_test.go
@@ -10,6 +10,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
+	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
 // newBalancer returns a balancer with one server of service "s".
@@ -32,7 +33,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := newBalancer(t)
-		m := &members{balancer: b}
+		m := &members{balancer: b, outdated: wait.NewSignal()}
 		start := time.Now()
 		is.NoErr(m.awaitPublish(t.Context(), b.TakeDemand()))
 		is.Equal(time.Since(start), minPresenceInterval) // demand has not changed
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -8,6 +8,8 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/clientconn"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 )
 
 // serveMetrics answers with all metrics in the Prometheus text format. They are collected
@@ -44,14 +46,21 @@
 	if t := v.Table(); t != nil {
 		fmt.Fprintf(w, "hawthornwick_configuration_version %d\n", t.Version)
 	}
-	fmt.Fprintf(w, "hawthornwick_table_age_seconds{table=\"operators\"} %.3f\n", now.Sub(v.operators.CurrentAsOf()).Seconds())
-	fmt.Fprintf(w, "hawthornwick_table_age_seconds{table=\"servers\"} %.3f\n", now.Sub(v.servers.CurrentAsOf()).Seconds())
+	writeTable(w, operatorsTable, v.operators, now)
+	writeTable(w, serversTable, v.servers, now)
+}
+
+// writeTable writes how old the rows of a table are, and up to which number of the store's
+// transactions they were read.
+func writeTable(w io.Writer, table string, f *tablefeed.Follower, now boottime.Instant) {
+	fmt.Fprintf(w, "hawthornwick_table_age_seconds{table=%q} %.3f\n", table, now.Sub(f.CurrentAsOf()).Seconds())
+	fmt.Fprintf(w, "hawthornwick_table_version{table=%q} %d\n", table, platform.NumberOf(f.Version()))
 }
 
 func (m *members) writeMetrics(w io.Writer) {
 	currentAsOf := m.follower.CurrentAsOf()
 	fmt.Fprintf(w, "hawthornwick_members %d\n", len(m.live()))
-	fmt.Fprintf(w, "hawthornwick_table_age_seconds{table=\"instances\"} %.3f\n", boottime.Now().Sub(currentAsOf).Seconds())
+	writeTable(w, instancesTable, m.follower, boottime.Now())
 	fmt.Fprintf(w, "hawthornwick_load_report_age_seconds %.3f\n", m.board.OldestAge(currentAsOf).Seconds())
 }
 
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -2,14 +2,61 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/presence"
 	"github.com/hawthornwick/hawthornwick/internal/storeepoch"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
+const (
+	// restoreGrace is the time after the first answer of a restored store within which
+	// operators and backend servers write again what the copy lacks.
+	restoreGrace = 2500 * time.Millisecond
+	// settleMargin is the time from the end of the grace time to the answer that ends it.
+	settleMargin = 100 * time.Millisecond
+	// maxRepublishDelay bounds the random delay after which an instance writes its row again
+	// to a restored store. It spreads the writes of all instances.
+	maxRepublishDelay = time.Second
+)
+
+// settling is the time after a restore of the store in which the operators' rows may be missing
+// or older than those that this instance had read. It is over once rows were read that were
+// current at its end; until then this instance can't know what was written again. It is immutable.
+type settling struct {
+	until boottime.Instant
+	asOf  boottime.Instant // latest instant at which the rows of before the restore were current
+}
+
+// over reports whether rows that were current at an instant show that the time is over. s may be
+// nil.
+func (s *settling) over(read boottime.Instant) bool { return s == nil || !read.Before(s.until) }
+
+// currentAsOf returns the latest instant at which the operators' rows are known to have been
+// current, where read is the one of the last answer. s may be nil.
+func (s *settling) currentAsOf(read boottime.Instant) boottime.Instant {
+	if s.over(read) {
+		return read
+	}
+	return min(s.asOf, read)
+}
+
+// begin returns the settling that starts with a restore. s is the one that is not over yet, or nil.
+func (s *settling) begin(now, read boottime.Instant) *settling {
+	return &settling{until: now.Add(restoreGrace), asOf: s.currentAsOf(read)}
+}
+
+// currentEpoch returns the store's epoch. t may be nil.
+func currentEpoch(t *storeepoch.Tracker) storeepoch.Epoch {
+	if t == nil {
+		return storeepoch.Epoch{}
+	}
+	return t.Current()
+}
+
 // observeEpoch tells the tracker, which may be nil, of the epoch of rows that another instance
 // has read.
 func observeEpoch(t *storeepoch.Tracker, version uint64) {
@@ -18,10 +65,56 @@
 	}
 }
 
-// storeRestored records that the store came back from an older copy of itself, and makes the
-// tables be read again.
-func (e *Edge) storeRestored(old, now storeepoch.Epoch) {
-	e.events.Record(timeline.Event{Kind: timeline.StoreRestored, Detail: fmt.Sprintf("epoch=%d before=%d", now.Number, old.Number)})
+// startHold keeps an instance that has just started from acting on the operators' rows of a store
+// that was restored shortly before.
+type startHold struct {
+	readAt boottime.Instant // when the operators' rows were read first; zero means not yet
+}
+
+// over reports whether the hold has ended. asOf is the latest instant at which the operators' rows
+// were current, rows are those of the instances, and read is false before those were read.
+func (h startHold) over(asOf boottime.Instant, rows map[string]presence.Row, read bool, epoch, config uint64) bool {
+	waited := asOf.Sub(h.readAt) >= restoreGrace
+	if !read {
+		return waited
+	}
+	return presence.MayServe(rows, epoch, config, waited)
+}
+
+// recordRestore records what this instance makes of a restored store. The caller must hold v.mu.
+func (v *storeView) recordRestore(u tablefeed.Update) {
+	config := uint64(0)
+	if t := v.table.Load(); t != nil {
+		config = t.Version
+	}
+	v.recorder.Record(timeline.Event{
+		Kind: timeline.StoreRestored, Version: platform.NumberOf(u.Version),
+		Detail: fmt.Sprintf("epoch=%d before=%d newest_before=%d dropped: positions in the tables; kept for %v: configuration=%d zones=%q servers=%d; written again: this instance's row",
+			platform.EpochOf(u.Version), platform.EpochOf(u.Before), platform.NumberOf(u.Before), restoreGrace, config, v.zones.names(), len(v.directory.Servers())),
+	})
+}
+
+// releaseNow ends the start hold if the instances' rows show that it is over.
+func (v *storeView) releaseNow() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.release()
+}
+
+// setEpoch sets the fields of this instance's row that tell others how far they may rely on the
+// operators' rows.
+func (v *storeView) setEpoch(row *presence.Row) {
+	table := v.table.Load()
+	if table == nil || !currentEpoch(v.platform.Epochs).Stated {
+		return
+	}
+	epoch := v.epoch.Load()
+	row.Epoch, row.Config, row.Settled = &epoch, table.Version, v.settled()
+}
+
+// storeRestored makes the tables be read again. This instance's row follows once the operators' rows
+// were read.
+func (e *Edge) storeRestored(_, _ storeepoch.Epoch) {
 	for _, f := range []*tablefeed.Follower{e.view.operators, e.view.servers, e.members.follower} {
 		f.Restored()
 	}
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -56,8 +56,9 @@
 	mu        sync.Mutex
 	active    map[string]*activeRollout // by service
 	baselines map[baselineKey]*baselines
-	sentAt    time.Duration // when the last state was published, by the store's clock
-	urgent    bool          // the state must be published at once
+	deferred  map[string]orderRow // by service; of a restored store, applied once its rows are complete
+	sentAt    time.Duration       // when the last state was published, by the store's clock
+	urgent    bool                // the state must be published at once
 }
 
 // activeRollout is what this instance knows of one order.
@@ -95,7 +96,7 @@
 	return &rollouts{
 		settings: s, duties: p.Duties, status: p.RolloutStatus, balancer: b, clock: clock, recorder: recorder, logger: logger,
 		tail:    func(string) time.Duration { return 0 },
-		ordered: make(chan struct{}), active: map[string]*activeRollout{}, baselines: map[baselineKey]*baselines{},
+		ordered: make(chan struct{}), active: map[string]*activeRollout{}, deferred: map[string]orderRow{}, baselines: map[baselineKey]*baselines{},
 	}
 }
 
@@ -131,67 +132,6 @@
 	return now
 }
 
-// setOrder applies the row of an order. A row that was written again is another order.
-func (r *rollouts) setOrder(o rollout.Order) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if a := r.active[o.Service]; a != nil && o.Revision <= a.order.Revision {
-		return
-	}
-	e := timeline.Event{Kind: timeline.RolloutOrdered, Service: o.Service, Version: o.Revision, Detail: fmt.Sprintf("to=%q duration=%v", o.To, o.Duration)}
-	if !r.enabled() {
-		e.State = "ignored"
-		r.recorder.Record(e)
-		r.logger.Warn("the settings have no bounds for rollouts; ignoring the order", "service", o.Service, "to", o.To)
-		return
-	}
-	r.firstOrder.Do(func() { close(r.ordered) })
-	a := &activeRollout{
-		order: o, seen: r.storeNow(), own: rollout.Evidence{}, ledger: rollout.NewLedger[reports.Origin](),
-		peers: map[reports.Origin]peerRollout{},
-	}
-	a.state = a.initial()
-	r.active[o.Service] = a
-	r.urgent = true
-	r.recorder.Record(e)
-	r.apply(a)
-}
-
-// initial returns the state of an order that nothing was decided about.
-func (a *activeRollout) initial() rollout.State {
-	started := a.seen.Milliseconds()
-	return rollout.State{Revision: a.order.Revision, To: a.order.To, Phase: rollout.Progressing, StartedMillis: started, StepMillis: started}
-}
-
-// withdraw ends the order of a service because its row was removed. A version that was not
-// found good gets no requests as long as other versions run.
-func (r *rollouts) withdraw(service string, revision uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	a := r.active[service]
-	if a == nil || a.withdrawn {
-		return
-	}
-	a.withdrawn = true
-	r.recorder.Record(timeline.Event{Kind: timeline.RolloutOrdered, Service: service, Version: revision, State: "withdrawn"})
-	r.apply(a)
-}
-
-// keepOnly withdraws the orders of all services but the given ones.
-func (r *rollouts) keepOnly(listed map[string]bool) {
-	r.mu.Lock()
-	gone := map[string]uint64{}
-	for service, a := range r.active {
-		if !listed[service] {
-			gone[service] = a.order.Revision
-		}
-	}
-	r.mu.Unlock()
-	for service, revision := range gone {
-		r.withdraw(service, revision)
-	}
-}
-
 // progresses reports whether an order for the service is in force and not decided.
 func (r *rollouts) progresses(service string) bool {
 	r.mu.Lock()
--- a/internal/edge/rolloutstate_test.go
+++ b/internal/edge/rolloutstate_test.go
@@ -43,10 +43,19 @@
 	r := newRollouts(settings, Platform{
 		Duties: p.store.Table("duties"), RolloutStatus: RolloutStatus{Table: p.store.Table("status")},
 	}, b, clock, timeline.Discard, hclog.NewNullLogger())
-	r.setOrder(rollout.Order{Service: "s", To: "v2", Duration: time.Minute, Revision: 7})
+	r.order("s", "v2", 7)
 	return &silentSite{rollouts: r, t: t, testPlatform: p}
 }
 
+// order applies the row of an order.
+func (r *rollouts) order(service, to string, revision uint64) {
+	r.applyRows([]orderRow{rowOf(service, to, revision)}, false, false)
+}
+
+func rowOf(service, to string, revision uint64) orderRow {
+	return orderRow{service: service, version: revision, order: &rollout.Order{Service: service, To: to, Duration: time.Minute}}
+}
+
 // write writes the holder's row.
 func (s *silentSite) write(state rollout.State) {
 	data, err := json.Marshal(state)
@@ -167,7 +176,7 @@
 	s := newSilentSite(t)
 	for i := range maxExchangedRollouts {
 		service := fmt.Sprint("a", i)
-		s.setOrder(rollout.Order{Service: service, To: "v2", Duration: time.Minute, Revision: 7})
+		s.order(service, "v2", 7)
 		s.active[service].setState(rollout.State{Revision: 7, To: "v2", Phase: rollout.Complete, Step: rollout.All})
 	}
 	var news rolloutNews
@@ -185,7 +194,7 @@
 	counts := rollout.Counts{Responses: 1e6, Failures: 1e6, Timed: 1e6, Late: 1e6, Paced: 1e6, Dragging: 1e6}
 	for i := range maxExchangedRollouts {
 		service := fmt.Sprint("service-", i)
-		s.setOrder(rollout.Order{Service: service, To: "v2", Duration: time.Minute, Revision: 7})
+		s.order(service, "v2", 7)
 		for route := range 64 {
 			s.active[service].own.Add(fmt.Sprint("a-route-of-the-service-", route), true, counts)
 			s.active[service].own.Add(fmt.Sprint("a-route-of-the-service-", route), false, counts)
--- a/internal/edge/storeview.go
+++ b/internal/edge/storeview.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,8 @@
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/directory"
 	"github.com/hawthornwick/hawthornwick/internal/gateway"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/presence"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
 	"github.com/hawthornwick/hawthornwick/internal/tablefeed"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -28,9 +29,9 @@
 	// revocationMargin is the maximum time from the check of a key until the request
 	// reaches a server.
 	revocationMargin = 300 * time.Millisecond
-	// expireInterval is the interval between two checks for servers that did not
-	// register again after an outage.
-	expireInterval = 200 * time.Millisecond
+	// tickInterval is the interval between two checks for what is due some time after an
+	// update.
+	tickInterval = 200 * time.Millisecond
 )
 
 // storeView is this instance's copy of the operators' and servers' tables: the
@@ -48,11 +49,22 @@
 	servers   *tablefeed.Follower
 	table     atomic.Pointer[routes.Table]
 
-	mu           sync.Mutex
-	drainedZones map[string]bool
-	directory    *directory.Directory
-	unreadable   map[string]bool // entries already recorded as unreadable
-	notices      chan struct{}   // receives after a preemptible server stated that it leaves
+	settling atomic.Pointer[settling] // nil before the first restore of the store
+	serving  atomic.Bool              // the start hold is over
+	epoch    atomic.Uint64            // of the operators' rows
+	// instances returns the live rows of the instances, and false before they were read. Set
+	// before run.
+	instances func() (map[string]presence.Row, bool)
+	// rowOutdated is notified when the others should soon see a change of what setEpoch states.
+	rowOutdated *wait.Signal
+
+	mu         sync.Mutex
+	start      startHold
+	restoring  bool // settling is not over
+	zones      *drainedZones
+	directory  *directory.Directory
+	unreadable map[string]bool // entries already recorded as unreadable
+	notices    chan struct{}   // receives after a preemptible server stated that it leaves
 }
 
 var _ gateway.Source = (*storeView)(nil)
@@ -60,7 +72,8 @@
 func newStoreView(p Platform, bounds Bounds, b *balance.Balancer, h *sharing, orders *rollouts, clock *truetime.Clock, recorder timeline.Recorder) *storeView {
 	v := &storeView{
 		platform: p, bounds: bounds, balancer: b, recorder: recorder, sharing: h, rollouts: orders, clock: clock,
-		drainedZones: map[string]bool{}, directory: directory.New(), unreadable: map[string]bool{}, notices: make(chan struct{}, 1),
+		zones: newDrainedZones(), directory: directory.New(), unreadable: map[string]bool{}, notices: make(chan struct{}, 1),
+		instances: func() (map[string]presence.Row, bool) { return nil, false }, rowOutdated: wait.NewSignal(),
 	}
 	v.operators = tablefeed.New(h.sharedOptions(tablefeed.Options{
 		Feed: p.Operators, Wait: v.operatorsWait, CallTimeout: feedTimeout, ReadTimeout: readTimeout,
@@ -78,11 +91,27 @@
 func (v *storeView) run(ctx context.Context, running *sync.WaitGroup) {
 	running.Go(func() { v.operators.Run(ctx) })
 	running.Go(func() { v.servers.Run(ctx) })
-	running.Go(func() { wait.Every(ctx, expireInterval, v.expire) })
+	running.Go(func() { wait.Every(ctx, tickInterval, v.tick) })
 }
 
 // Table implements gateway.Source.
-func (v *storeView) Table() *routes.Table { return v.table.Load() }
+func (v *storeView) Table() *routes.Table {
+	if !v.serving.Load() {
+		return nil
+	}
+	return v.table.Load()
+}
+
+// operatorsAsOf returns the latest instant at which the operators' rows are known to have been
+// current.
+func (v *storeView) operatorsAsOf() boottime.Instant {
+	return v.settling.Load().currentAsOf(v.operators.CurrentAsOf())
+}
+
+// settled reports whether the operators' rows of the present epoch are known to be complete.
+func (v *storeView) settled() bool {
+	return v.serving.Load() && v.settling.Load().over(v.operators.CurrentAsOf())
+}
 
 // KeysFresh implements gateway.Source.
 func (v *storeView) KeysFresh() bool {
@@ -103,12 +132,17 @@
 // keysValidFor returns the time until a key that is valid now may have been withdrawn for
 // longer than Bounds.Revocation. It may be negative.
 func (v *storeView) keysValidFor() time.Duration {
-	return v.bounds.Revocation - boottime.Now().Sub(v.operators.CurrentAsOf())
+	return v.bounds.Revocation - boottime.Now().Sub(v.operatorsAsOf())
 }
 
 // operatorsWait returns how long the store may hold a call for the operators' table.
+// It is shorter if an answer at the end of a grace time ends that.
 func (v *storeView) operatorsWait() time.Duration {
-	return operatorsWait(v.sharing.role(), v.balancer.Instances(), v.bounds.Revocation)
+	hold := operatorsWait(v.sharing.role(), v.balancer.Instances(), v.bounds.Revocation)
+	if s := v.settling.Load(); !s.over(v.operators.CurrentAsOf()) {
+		hold = min(hold, max(s.until.Sub(boottime.Now()), 0)+settleMargin)
+	}
+	return hold
 }
 
 // serversWait returns how long the store may hold a call for the servers' table.
@@ -130,14 +164,14 @@
 // UpToDate implements gateway.Source. The configuration is up to date as long as the
 // calls of the feed are answered in time, because the store answers on each change.
 func (v *storeView) UpToDate() bool {
-	return boottime.Now().Sub(v.operators.CurrentAsOf()) < max(v.operatorsWait(), maxSourceAge)+feedTimeout
+	return boottime.Now().Sub(v.operatorsAsOf()) < max(v.operatorsWait(), maxSourceAge)+feedTimeout
 }
 
 // isDrained reports whether operators have drained the availability zone.
 func (v *storeView) isDrained(zone string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.drainedZones[zone]
+	return v.zones.has(zone)
 }
 
 // loaded reports whether the configuration and the servers' table were read.
@@ -149,63 +183,84 @@
 func (v *storeView) applyOperators(u tablefeed.Update) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	drained := v.drainedZones
+	now := boottime.Now()
+	if u.Restored {
+		v.recordRestore(u)
+		v.restoring = true
+		v.settling.Store(v.settling.Load().begin(now, v.operators.CurrentAsOf()))
+	}
+	if v.start.readAt.IsZero() {
+		v.start.readAt = now
+	}
+	v.epoch.Store(platform.EpochOf(u.Version))
 	if u.Full {
-		drained = map[string]bool{}
+		v.zones.clear(v.restoring)
 	}
-	ordered := map[string]bool{}
+	var orders []orderRow
 	for _, row := range u.Rows {
-		decoded, err := v.platform.DecodeOperator(row.Key, row.Value, row.Removed)
-		switch {
-		case err != nil:
-			v.recorder.Record(timeline.Event{Kind: timeline.ConfigRefused, Subject: row.Key, Detail: err.Error()})
-		case decoded.Config != nil:
-			v.applyConfig(*decoded.Config)
-		case decoded.Zone != "":
-			v.setZone(drained, decoded, row.Version)
-		case decoded.RolloutOf != "":
-			v.setRollout(decoded, row.Version)
+		if o, ok := v.applyOperatorRow(row); ok {
+			orders = append(orders, o)
 		}
-		ordered[decoded.RolloutOf] = true
 	}
-	if u.Full {
-		v.rollouts.keepOnly(ordered)
+	v.rollouts.applyRows(orders, u.Full, v.restoring)
+	v.balancer.SetDrainedZones(v.zones.names())
+	v.release()
+	if u.Restored {
+		v.rowOutdated.Notify()
 	}
-	v.drainedZones = drained
-	v.balancer.SetDrainedZones(zoneNames(drained))
 }
 
-// setRollout applies the row of an order for a rollout. version is that of the row.
-func (v *storeView) setRollout(row OperatorRow, version uint64) {
-	if row.Rollout == nil {
-		v.rollouts.withdraw(row.RolloutOf, version)
-		return
+// applyOperatorRow applies a row of the operators' table, or returns it if it is about an order
+// for a rollout.
+func (v *storeView) applyOperatorRow(row tablefeed.Row) (orderRow, bool) {
+	decoded, err := v.platform.DecodeOperator(row.Key, row.Value, row.Removed)
+	switch {
+	case err != nil:
+		v.recorder.Record(timeline.Event{Kind: timeline.ConfigRefused, Subject: row.Key, Detail: err.Error()})
+	case decoded.Config != nil:
+		v.applyConfig(*decoded.Config)
+	case decoded.Zone != "":
+		v.zones.set(decoded.Zone, decoded.Drained)
+		v.recordZone(decoded.Zone, decoded.Drained, row.Version)
 	}
-	o := *row.Rollout
-	o.Revision = version
-	v.rollouts.setOrder(o)
+	o := orderRow{service: decoded.RolloutOf, version: row.Version, order: decoded.Rollout, unreadable: err != nil}
+	return o, o.service != ""
 }
 
-// setZone marks an availability zone as drained or in use in the given set. version
-// is that of the row.
-func (v *storeView) setZone(drained map[string]bool, row OperatorRow, version uint64) {
+// recordZone records that a zone is drained or in use. version is that of its row.
+func (v *storeView) recordZone(zone string, drained bool, version uint64) {
 	kind := timeline.ZoneRestored
-	if row.Drained {
-		drained[row.Zone] = true
+	if drained {
 		kind = timeline.ZoneDrained
-	} else {
-		delete(drained, row.Zone)
 	}
-	v.recorder.Record(timeline.Event{Kind: kind, Zone: row.Zone, Version: version})
+	v.recorder.Record(timeline.Event{Kind: kind, Zone: zone, Version: version})
 }
 
-func zoneNames(drained map[string]bool) []string {
-	var names []string
-	for zone := range drained {
-		names = append(names, zone)
+// settle ends the time after a restore in which what the copy lacks stays in force. The caller
+// must hold v.mu.
+func (v *storeView) settle() {
+	if !v.restoring || !v.settling.Load().over(v.operators.CurrentAsOf()) {
+		return
+	}
+	v.restoring = false
+	for _, zone := range v.zones.settle() {
+		v.recordZone(zone, false, 0)
+	}
+	v.balancer.SetDrainedZones(v.zones.names())
+	v.rollouts.settle()
+	v.rowOutdated.Notify()
+}
+
+// release ends the start hold if it is over. The caller must hold v.mu.
+func (v *storeView) release() {
+	table := v.table.Load()
+	if v.serving.Load() || table == nil {
+		return
+	}
+	rows, read := v.instances()
+	if !currentEpoch(v.platform.Epochs).Stated || v.start.over(v.operators.CurrentAsOf(), rows, read, v.epoch.Load(), table.Version) {
+		v.serving.Store(true)
 	}
-	slices.Sort(names)
-	return names
 }
 
 // applyConfig applies a configuration unless an equal or newer version is in force.
@@ -341,12 +396,19 @@
 	})
 }
 
-// expire removes servers that did not register again after an outage.
-func (v *storeView) expire(context.Context) {
+// tick does what is due some time after an update.
+func (v *storeView) tick(context.Context) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.expire(boottime.Now())
+	v.settle()
+	v.release()
+}
+
+// expire removes servers that did not register again after an outage. The caller must hold v.mu.
+func (v *storeView) expire(now boottime.Instant) {
 	before := len(v.directory.Servers())
-	v.directory.Expire(boottime.Now())
+	v.directory.Expire(now)
 	if after := len(v.directory.Servers()); after != before {
 		v.recorder.Record(timeline.Event{Kind: timeline.ServersExpired, Count: int64(before - after)})
 		v.balancer.SetServers(v.directory.Servers())
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -38,6 +38,13 @@
 	// Quarantine holds the parts of prompts that the instance refuses because they
 	// crash backend servers. It outlives the instance.
 	Quarantine []quarantine.Verdict `json:"quarantine,omitempty"`
+	// Epoch is the store's epoch in which the instance read the operators' table, and Config
+	// the newest version of the configuration that it knows. Settled is true once what the
+	// epoch's restore lost must have been written again. See MayServe. A nil Epoch means that
+	// the table was not read, or that the store states no epoch.
+	Epoch   *uint64 `json:"epoch,omitempty"`
+	Config  uint64  `json:"config,omitempty"`
+	Settled bool    `json:"settled,omitempty"`
 	// Sequence increases with each write, so that each write is a change.
 	Sequence uint64 `json:"sequence"`
 }
@@ -95,45 +102,66 @@
 type timedRow struct {
 	row       Row
 	changedAt boottime.Instant
+	version   uint64 // of the row in the store
 }
 
 // Registry holds the rows of all instances. It is safe for concurrent use.
 type Registry struct {
-	mu   sync.Mutex
-	rows map[string]timedRow
+	mu        sync.Mutex
+	rows      map[string]timedRow
+	keepUntil boottime.Instant // until then rows that a restored store lacks are kept
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry { return &Registry{rows: map[string]timedRow{}} }
 
-// Apply applies an update of the table feed. If a row cannot be decoded, the other
-// rows are still applied and the error of the last such row is returned.
+// Apply applies an update of the table feed. Rows that were known before a restore of the store
+// stay until their instances write again, or until they expire. If a row cannot be decoded,
+// the other rows are still applied and the error of the last such row is returned.
 func (b *Registry) Apply(now boottime.Instant, u tablefeed.Update) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if u.Full {
+	if u.Restored {
+		b.keepUntil = now.Add(RowTTL)
+	}
+	if u.Full && !now.Before(b.keepUntil) {
 		clear(b.rows)
 	}
 	var rowErr error
 	for _, r := range u.Rows {
-		if r.Removed {
-			delete(b.rows, r.Key)
-			continue
-		}
-		var row Row
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			rowErr = fmt.Errorf("decode presence row of instance %q: %w", r.Key, err)
-			continue
+		if err := b.applyRow(now, r, u.Restored); err != nil {
+			rowErr = err
 		}
-		if field := row.outOfRange(); field != "" {
-			rowErr = fmt.Errorf("presence row of instance %q: %s is out of range", r.Key, field)
-			continue
-		}
-		b.rows[r.Key] = timedRow{row: row, changedAt: now}
 	}
 	return rowErr
 }
 
+// applyRow applies one row. restored is true for the first rows of a restored store.
+func (b *Registry) applyRow(now boottime.Instant, r tablefeed.Row, restored bool) error {
+	if r.Removed {
+		delete(b.rows, r.Key)
+		return nil
+	}
+	known, ok := b.rows[r.Key]
+	if ok && restored {
+		known.version = r.Version
+		b.rows[r.Key] = known
+		return nil
+	}
+	if ok && r.Version > 0 && r.Version <= known.version {
+		return nil
+	}
+	var row Row
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return fmt.Errorf("decode presence row of instance %q: %w", r.Key, err)
+	}
+	if field := row.outOfRange(); field != "" {
+		return fmt.Errorf("presence row of instance %q: %s is out of range", r.Key, field)
+	}
+	b.rows[r.Key] = timedRow{row: row, changedAt: now, version: r.Version}
+	return nil
+}
+
 // Live returns the rows that changed within RowTTL before lastContact. Pass the
 // time of the last contact with the table service rather than the current time, so
 // that an outage of the service expires no row.
@@ -178,6 +206,28 @@
 	return names
 }
 
+// MayServe reports whether an instance that has just started may act on the operators' rows that
+// it has read in an epoch of the store, of which config is the newest version of the
+// configuration. A row of an earlier epoch shows that the store was restored, so that operators'
+// rows may be missing until a row of this epoch is settled; waited is true once the time in which
+// they are written again is over. A newer configuration in a row of this epoch is always awaited.
+func MayServe(rows map[string]Row, epoch, config uint64, waited bool) bool {
+	restored, settled := false, waited
+	for _, row := range rows {
+		switch {
+		case row.Epoch == nil: // says nothing
+		case *row.Epoch > epoch, row.Config > config:
+			return false
+		case *row.Epoch < epoch:
+			restored = true
+		default:
+			settled = settled || row.Settled
+			restored = restored || !row.Settled
+		}
+	}
+	return settled || !restored
+}
+
 // SortedNames returns the sorted names of rows.
 func SortedNames(rows map[string]Row) []string {
 	names := make([]string, 0, len(rows))
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -66,3 +66,56 @@
 		})
 	}
 }
+
+// TestRowsKeptAfterRestore guards against instances that are taken as gone, since the copy that the
+// store was restored from lacks their rows, and against an older row in it.
+func TestRowsKeptAfterRestore(t *testing.T) {
+	is := is.New(t)
+	b := NewRegistry()
+	start := boottime.Instant(time.Hour)
+	is.NoErr(b.Apply(start, tablefeed.Update{Full: true, Rows: []tablefeed.Row{
+		row(t, "lost", Row{}), row(t, "older", Row{Draining: true}),
+	}}))
+	older := row(t, "older", Row{})
+	older.Version = 1 << 40
+	copied := tablefeed.Update{Full: true, Restored: true, Rows: []tablefeed.Row{older}}
+	is.NoErr(b.Apply(start, copied))
+	copied.Restored = false
+	is.NoErr(b.Apply(start, copied)) // read again
+	live := b.Live(start)
+	is.Equal(SortedNames(live), []string{"lost", "older"})
+	is.True(live["older"].Draining)
+	older.Version++ // written again
+	is.NoErr(b.Apply(start.Add(time.Second), tablefeed.Update{Rows: []tablefeed.Row{older}}))
+	is.True(!b.Live(start)["older"].Draining)
+	is.Equal(SortedNames(b.Live(start.Add(RowTTL))), []string{"older"})
+}
+
+// TestMayServe lists when an instance that has just started may act on what it has read.
+func TestMayServe(t *testing.T) {
+	epoch := func(n uint64) *uint64 { return &n }
+	for name, c := range map[string]struct {
+		rows        []Row
+		now, waited bool
+	}{
+		"new store":          {nil, true, true},
+		"others read late":   {[]Row{{}}, true, true},
+		"settled":            {[]Row{{Epoch: epoch(3), Config: 5, Settled: true}}, true, true},
+		"no restore since":   {[]Row{{Epoch: epoch(3), Config: 5, Settled: true}, {Epoch: epoch(2), Config: 5, Settled: true}}, true, true},
+		"restored":           {[]Row{{Epoch: epoch(2), Config: 5, Settled: true}}, false, true},
+		"not settled":        {[]Row{{Epoch: epoch(3), Config: 5}}, false, true},
+		"newer known":        {[]Row{{Epoch: epoch(3), Config: 6, Settled: true}}, false, false},
+		"newer known before": {[]Row{{Epoch: epoch(2), Config: 6, Settled: true}}, false, false},
+		"restored again":     {[]Row{{Epoch: epoch(4), Config: 5, Settled: true}}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rows := map[string]Row{}
+			for i, r := range c.rows {
+				rows[string(rune('a'+i))] = r
+			}
+			is.Equal(MayServe(rows, 3, 5, false), c.now)
+			is.Equal(MayServe(rows, 3, 5, true), c.waited)
+		})
+	}
+}
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -46,7 +46,7 @@
 	TableUnavailable Kind = "table.lost"       // Subject: table that became unavailable; Detail: the error
 	TableRecovered   Kind = "table.regained"   // Subject: table that is available again; Version
 	TableReloaded    Kind = "table.reread"     // Subject: table; read in full, since its change history had been compacted
-	StoreRestored    Kind = "store.restored"   // Detail: epochs of the store before and now
+	StoreRestored    Kind = "store.restored"   // Version: newest one; Detail: epochs of the store, what is dropped, kept and written again
 	KeyGranted       Kind = "key.granted"      // KeyDigest, Organisation, Version
 	KeyWithdrawn     Kind = "key.withdrawn"    // KeyDigest, Organisation, Version
 	ZoneDrained      Kind = "zone.out"         // Zone, Version
