lease: duties over restores of the store

After a restore the rows of a lease are those of the copy: the holder's claim or renewals may be missing. The next holder claimed while the one of before still acted, and got the same token, since that is the number in the row plus one. A claim or release on its way could still be performed, if the row had got its number again.

- An instance that learns of a restore gives its duties up at once.
- A claim waits for a lease and its margin after this instance learned of the epoch, unless the duty's row was written in the same epoch: all renewals of earlier epochs were sent before.
- A token is the epoch with a counter of 20 bits below it, and at least the row's plus one.
- Each claim writes a row for its epoch and requires that those of the next three are absent, as releases do, so that what is performed late after a restore fails, whatever the numbers are.

The epoch in a duty's row is a new field, which older instances ignore; they read the larger tokens and rows as before, and their rows count as of epoch 0. An older instance knows nothing of restores, so until it is replaced it may still act beside a new holder. The first claim in a store whose epoch is not 0 and that has no row yet waits once for a lease and its margin.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -15,6 +15,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/presence"
 	"github.com/hawthornwick/hawthornwick/internal/replicas"
+	"github.com/hawthornwick/hawthornwick/internal/storeepoch"
 	"github.com/hawthornwick/hawthornwick/internal/tally"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/truetime"
@@ -65,6 +66,7 @@
 		Instance: s.Instance, Table: p.Duties, Duties: []string{controlDuty}, SweepUnder: controlDuty, MinTenure: s.Bounds.Lease, Members: fleet.notLeaving,
 		Recorder: recorder, Logger: logger, Timing: leaseTiming(s.Bounds.Lease),
 		Steady: func() time.Duration { return time.Duration(boottime.Now()) },
+		Epoch:  func() storeepoch.Epoch { return currentEpoch(p.Epochs) },
 	})
 	if d.reportsUsage() {
 		d.closer = tally.NewCloser(tally.CloserOptions{
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -89,7 +89,7 @@
 	}
 	v.recorder.Record(timeline.Event{
 		Kind: timeline.StoreRestored, Version: platform.NumberOf(u.Version),
-		Detail: fmt.Sprintf("epoch=%d before=%d newest_before=%d dropped: positions in the tables; kept for %v: configuration=%d zones=%q servers=%d; written again: this instance's row",
+		Detail: fmt.Sprintf("epoch=%d before=%d newest_before=%d dropped: positions in the tables, held duties; kept for %v: configuration=%d zones=%q servers=%d; written again: this instance's row",
 			platform.EpochOf(u.Version), platform.EpochOf(u.Before), platform.NumberOf(u.Before), restoreGrace, config, v.zones.names(), len(v.directory.Servers())),
 	})
 }
@@ -112,9 +112,10 @@
 	row.Epoch, row.Config, row.Settled = &epoch, table.Version, v.settled()
 }
 
-// storeRestored makes the tables be read again. This instance's row follows once the operators' rows
+// storeRestored gives up what is held in the store, and reads the tables again. This instance's row follows once the operators' rows
 // were read.
 func (e *Edge) storeRestored(_, _ storeepoch.Epoch) {
+	e.duties.leases.EpochChanged()
 	for _, f := range []*tablefeed.Follower{e.view.operators, e.view.servers, e.members.follower} {
 		f.Restored()
 	}
--- a/internal/lease/claim.go
+++ b/internal/lease/claim.go
@@ -19,17 +19,18 @@
 // claim is a transaction that takes over duties of one former holder.
 type claim struct {
 	Holder Holder // incarnation of this instance that makes the claim
+	Epoch  uint64 // of the store, as far as this instance knows
 	Duties []claimedDuty
 	Txn    platform.Txn
 }
 
 // add adds a duty to the claim.
 func (cl *claim) add(duty string, w *watch) {
-	token := w.row.Token + 1
+	token := nextToken(w.row.Token, cl.Epoch)
 	cl.Duties = append(cl.Duties, claimedDuty{Duty: duty, Token: token})
 	cl.Txn.Checks = append(cl.Txn.Checks, platform.Check{Key: dutyKey(duty), Version: w.version})
 	cl.Txn.Writes = append(cl.Txn.Writes, platform.Write{
-		Key: dutyKey(duty), Value: encode(dutyRow{Holder: cl.Holder, Token: token}),
+		Key: dutyKey(duty), Value: encode(dutyRow{Holder: cl.Holder, Token: token, Epoch: cl.Epoch}),
 	})
 }
 
@@ -58,10 +59,12 @@
 		if w == nil || c.state(duty) != stateWaiting {
 			continue
 		}
-		at, known := w.claimableAt(c.timing.Lease+c.timing.Margin, c.claimDelay(duty, w.row.Holder))
+		delay := c.claimDelay(duty, w.row.Holder)
+		at, known := w.claimableAt(c.timing.Lease+c.timing.Margin, delay)
 		if !known {
 			continue
 		}
+		at = max(at, c.epoch.openFrom(w.row, c.timing)+delay)
 		if wait := at - now.Mono; wait > 0 {
 			nextCheck = min(nextCheck, wait)
 			continue
@@ -73,7 +76,7 @@
 		if !ok {
 			i = len(due)
 			byFormer[w.row.Holder] = i
-			due = append(due, claim{Holder: c.beat.holder})
+			due = append(due, claim{Holder: c.beat.holder, Epoch: c.epoch.number, Txn: c.epoch.claimTxn()})
 			due[i].deleteFormerHeartbeat(w)
 		}
 		due[i].add(duty, w)
--- a/internal/lease/core.go
+++ b/internal/lease/core.go
@@ -36,6 +36,7 @@
 	candidates map[string][]string
 	extraWatch string // watched although this instance is not among its candidates
 	draining   bool
+	epoch      storeEpoch
 	events     []timeline.Event
 	faults     []error // errors of events that the chart rejects
 }
@@ -71,7 +72,12 @@
 
 // startIncarnation continues under a new incarnation. All held duties are lost.
 func (c *core) startIncarnation(self Holder) {
-	c.expireAll("heartbeat row was deleted or its creation has an unknown outcome")
+	c.endIncarnation("heartbeat row was deleted or its creation has an unknown outcome", self)
+}
+
+// endIncarnation is startIncarnation with the reason for which duties are lost.
+func (c *core) endIncarnation(reason string, self Holder) {
+	c.expireAll(reason)
 	c.beat = newHeartbeat(c.timing, self)
 	clear(c.watched)
 }
@@ -131,6 +137,9 @@
 // was known remain lost, since another instance may have claimed them.
 func (c *core) applyRenewal(now Reading, r renewal, versions []uint64, err error) nextStep {
 	c.expire(now)
+	if r.Holder != c.beat.holder {
+		return nextWait // of a former incarnation
+	}
 	before := c.beat.validFrom
 	step := c.beat.renewed(r, versions, err)
 	c.recordRenewal(now, before)
@@ -141,6 +150,9 @@
 // outcome.
 func (c *core) applyReadBack(now Reading, row platform.Row) nextStep {
 	c.expire(now)
+	if row.Key != c.beat.holder.heartbeatKey() {
+		return nextWait // of a former incarnation
+	}
 	before := c.beat.validFrom
 	step := c.beat.readBack(row)
 	c.recordRenewal(now, before)
@@ -300,8 +312,8 @@
 		delete(c.held, duty)
 		c.record(timeline.LeaseReleased, duty, h.token, 0, "")
 		txns = append(txns, platform.Txn{
-			Checks: []platform.Check{{Key: dutyKey(duty), Version: h.version}},
-			Writes: []platform.Write{{Key: dutyKey(duty), Value: encode(dutyRow{Token: h.token})}},
+			Checks: append(c.epoch.fence(), platform.Check{Key: dutyKey(duty), Version: h.version}),
+			Writes: []platform.Write{{Key: dutyKey(duty), Value: encode(dutyRow{Token: h.token, Epoch: c.epoch.number})}},
 		})
 	}
 	return txns
--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -38,6 +38,7 @@
 func (g Guard) Remaining() (time.Duration, error) {
 	g.m.mu.Lock()
 	defer g.m.mu.Unlock()
+	g.m.syncEpoch()
 	now := g.m.reading()
 	token, ok := g.m.core.holds(g.Duty, now, g.m.options.Timing.Write)
 	if !ok || token != g.Token {
--- a/internal/lease/heartbeat.go
+++ b/internal/lease/heartbeat.go
@@ -9,6 +9,7 @@
 
 // renewal is one write of this instance's heartbeat row.
 type renewal struct {
+	Holder   Holder // incarnation that is renewed
 	Sequence uint64
 	Txn      platform.Txn
 }
@@ -46,6 +47,7 @@
 	h.inFlight[h.sequence] = now
 	key := h.holder.heartbeatKey()
 	return renewal{
+		Holder:   h.holder,
 		Sequence: h.sequence,
 		Txn: platform.Txn{
 			Checks: []platform.Check{{Key: key, Version: h.version}},
--- a/internal/lease/history_test.go
+++ b/internal/lease/history_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/storeepoch"
 	"pgregory.net/rapid"
 )
 
@@ -25,6 +27,11 @@
 	versions []uint64
 	err      error
 	end      func(*call)
+
+	node    *node
+	known   uint64 // epoch of the store that the node knew at the start
+	epoch   uint64 // epoch in which the call took effect
+	refused bool   // not sent, since it checks a version of another epoch
 }
 
 // node is one instance of a simulated history. Its clock has an arbitrary offset and a
@@ -51,13 +58,62 @@
 type history struct {
 	*rapid.T
 	now          time.Duration
-	rows         map[string]platform.Row
+	rows         map[string]platform.Row // versions are numbers without an epoch
 	last         uint64
+	epoch        uint64
+	restores     bool // the store may come back from a copy
+	copies       []storeCopy
 	calls        []*call
 	nodes        []*node
 	tokens       map[string]Token // highest token under which each duty was acquired
 	incarnations int
 	acquired     int
+	restored     int
+}
+
+// storeCopy is a copy of the table.
+type storeCopy struct {
+	at   time.Duration
+	rows map[string]platform.Row
+	last uint64
+}
+
+// maxCopyAge is the age of the oldest copy that is kept.
+const maxCopyAge = 10 * time.Second
+
+// keepCopy keeps a copy of the table as it is now.
+func (h *history) keepCopy() {
+	h.copies = append(h.copies, storeCopy{at: h.now, rows: maps.Clone(h.rows), last: h.last})
+	for h.now-h.copies[0].at > maxCopyAge {
+		h.copies = h.copies[1:]
+	}
+}
+
+// restore replaces the table by an older copy, whose numbers are given out again. Later copies
+// are gone with what they hold.
+func (h *history) restore() {
+	i := rapid.IntRange(0, len(h.copies)-1).Draw(h.T, "copy")
+	h.rows, h.last = maps.Clone(h.copies[i].rows), h.copies[i].last
+	h.copies = h.copies[:i+1]
+	h.epoch++
+	h.restored++
+}
+
+// learn lets a node learn of the store's epoch.
+func (h *history) learn(n *node, epoch uint64) {
+	n.setEpoch(n.reading(h.now), storeepoch.Epoch{Number: epoch, SeenAt: 1, Stated: true}, func() Holder {
+		h.incarnations++
+		return Holder{n.instance, fmt.Sprint(h.incarnations)}
+	})
+}
+
+// restart replaces the process of a node by one that knows nothing. Its calls may still take
+// effect.
+func (h *history) restart(n *node) {
+	h.incarnations++
+	n.core = newCore(Timing{}, Holder{n.instance, fmt.Sprint(h.incarnations)}, simulatedDuties)
+	n.setMembers([]string{"i0", "i1", "i2"})
+	n.renewing, n.watching = false, false
 }
 
 // Kinds of steps. Most steps are plain.
@@ -67,14 +123,20 @@
 	stepFailReads
 	stepFailWrites
 	stepRelease
+	stepRestore
+	stepLearn   // of the store's epoch, from another table
+	stepRestart // of the instance
 )
 
 var steps = append(slices.Repeat([]int{stepPlain}, 100), stepPause, stepFailReads, stepFailWrites, stepFailWrites, stepRelease)
 
+// stepsWithRestores also have the store come back from copies, mostly in series.
+var stepsWithRestores = append(slices.Clone(steps), stepRestore, stepRestart, stepLearn, stepLearn, stepLearn, stepLearn)
+
 var simulatedDuties = []string{"orders", "usage"}
 
-func newHistory(t *rapid.T) *history {
-	h := &history{T: t, rows: make(map[string]platform.Row), tokens: make(map[string]Token)}
+func newHistory(t *rapid.T, restores bool) *history {
+	h := &history{T: t, restores: restores, rows: make(map[string]platform.Row), tokens: make(map[string]Token)}
 	for i := range 3 {
 		name := fmt.Sprintf("i%d", i)
 		rate := 1 + float64(rapid.IntRange(-5, 5).Draw(t, "rate"))/1000
@@ -89,8 +151,8 @@
 // commit applies a transaction.
 func (h *history) commit(txn platform.Txn) ([]uint64, error) {
 	for _, check := range txn.Checks {
-		if current := h.rows[check.Key].Version; current != check.Version {
-			return nil, &platform.ConflictError{Key: check.Key, Current: current}
+		if current := h.rows[check.Key].Version; current != platform.NumberOf(check.Version) {
+			return nil, &platform.ConflictError{Key: check.Key, Current: h.version(current)}
 		}
 	}
 	h.last++
@@ -102,24 +164,34 @@
 			continue
 		}
 		h.rows[w.Key] = platform.Row{Key: w.Key, Value: w.Value, Version: h.last}
-		versions = append(versions, h.last)
+		versions = append(versions, h.version(h.last))
 	}
 	return versions, nil
 }
 
+// version returns the version of a number of the present epoch.
+func (h *history) version(number uint64) uint64 {
+	v, err := platform.NewRowVersion(h.epoch, number)
+	if err != nil {
+		h.Fatal(err)
+	}
+	return v
+}
+
 // effect executes a call.
 func (h *history) effect(c *call) {
 	c.effected = true
-	if c.lost {
+	if c.lost || c.refused {
 		return
 	}
+	c.epoch = h.epoch
 	if c.keys == nil {
 		c.versions, c.err = h.commit(c.txn)
 		return
 	}
 	for _, key := range c.keys {
 		row := h.rows[key]
-		row.Key = key
+		row.Key, row.Version = key, h.version(row.Version)
 		c.rows = append(c.rows, row)
 	}
 }
@@ -137,6 +209,9 @@
 		h.effect(c)
 	}
 	h.calls = waiting
+	if h.restores {
+		h.keepCopy()
+	}
 }
 
 // latency returns a latency that is usually small, sometimes longer than the caller's
@@ -148,6 +223,12 @@
 
 // begin starts a call.
 func (h *history) begin(n *node, c *call) {
+	c.node, c.known = n, n.epoch.number
+	for _, check := range c.txn.Checks {
+		if check.Version != 0 && platform.EpochOf(check.Version) != c.known {
+			c.refused, c.err = true, &platform.ConflictError{Key: check.Key}
+		}
+	}
 	c.start = h.now
 	c.effectAt = h.now + h.latency()
 	replyAt := c.effectAt + h.latency()
@@ -169,13 +250,26 @@
 	if c.endAt > h.now {
 		return false
 	}
-	if c.timesOut {
+	if !c.refused && (c.timesOut || !h.believed(c)) {
 		c.versions, c.rows, c.err = nil, nil, platform.ErrUnavailable
 	}
 	c.end(c)
 	return true
 }
 
+// believed lets the node learn of the epoch in which the call took effect, and reports whether
+// its outcome counts, as the adapter does.
+func (h *history) believed(c *call) bool {
+	if !h.restores {
+		return true
+	}
+	if c.epoch < c.node.epoch.number {
+		return false
+	}
+	h.learn(c.node, c.epoch)
+	return c.keys != nil || c.epoch == c.known || len(c.txn.Checks) == 0 || c.err != nil
+}
+
 // renew starts a renewal as the Manager does.
 func (h *history) renew(n *node, pending *[]*call) {
 	if n.renewing || n.renewAt > h.now {
@@ -315,7 +409,19 @@
 	if n.pausedUntil > h.now {
 		return
 	}
-	switch rapid.SampledFrom(steps).Draw(h.T, "step") {
+	kinds := steps
+	if h.restores {
+		kinds = stepsWithRestores
+	}
+	switch rapid.SampledFrom(kinds).Draw(h.T, "step") {
+	case stepRestore:
+		h.restore()
+	case stepLearn:
+		h.learn(n, h.epoch)
+	case stepRestart:
+		h.restart(n)
+		*pending = nil
+		return
 	case stepPause:
 		n.pausedUntil = h.now + h.fault()
 		return
@@ -341,10 +447,20 @@
 	h.watch(n, pending)
 }
 
-func TestLeaseMutualExclusion(t *testing.T) {
-	acquired, checks := 0, 0
+func TestLeaseMutualExclusion(t *testing.T) { checkHistories(t, false) }
+
+// TestLeaseMutualExclusionOverRestores guards against two holders at once, and against a token
+// that is given twice or falls, when the store comes back from older copies and gives its
+// version numbers out again.
+func TestLeaseMutualExclusionOverRestores(t *testing.T) { checkHistories(t, true) }
+
+func checkHistories(t *testing.T, restores bool) {
+	acquired, restored, checks := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
-		h := newHistory(t)
+		h := newHistory(t, restores)
+		if restores {
+			h.epoch = uint64(rapid.IntRange(0, 1).Draw(t, "first epoch"))
+		}
 		pending := make([][]*call, len(h.nodes))
 		for range 400 {
 			h.advance(time.Duration(rapid.IntRange(100, 900).Draw(t, "advance")) * time.Millisecond)
@@ -355,9 +471,10 @@
 		}
 		checks++
 		acquired += h.acquired
+		restored += h.restored
 	})
 	if acquired < checks {
 		t.Fatalf("%d duties acquired in %d histories", acquired, checks)
 	}
-	t.Logf("%d duties acquired in %d histories", acquired, checks)
+	t.Logf("%d duties acquired in %d histories with %d restores", acquired, checks, restored)
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -5,6 +5,7 @@
 //
 //	lease/alive/INSTANCE/INCARNATION  heartbeat, renewed by its holder
 //	lease/duty/DUTY                   holder and fencing token
+//	lease/epoch/N                     exists once a duty was claimed in epoch N of the store
 //
 // When a heartbeat row has not changed for a lease and a margin, another instance claims
 // the holder's duties and deletes the row in one transaction.
@@ -22,6 +23,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/storeepoch"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 )
 
@@ -46,6 +48,9 @@
 	// Steady returns the time since a fixed moment, including the time for which the
 	// machine was suspended. If nil, the readings of Now are used.
 	Steady func() time.Duration
+	// Epoch returns the store's epoch. If nil, the store is never restored from an older copy.
+	// EpochChanged must be called after each change.
+	Epoch func() storeepoch.Epoch
 	// SweepUnder is one of Duties. Its holder also deletes the heartbeat rows of runs
 	// that ended without deleting them. Empty means a separate duty.
 	SweepUnder string
@@ -180,10 +185,21 @@
 	return Reading{Mono: now.Sub(m.start), Wall: now.Round(0).Sub(m.start.Round(0))}
 }
 
+// EpochChanged ends the tenures of earlier epochs of the store at once.
+func (m *Manager) EpochChanged() { m.update(func(*core, Reading) {}) }
+
+// syncEpoch applies the store's epoch. The caller must hold m.mu.
+func (m *Manager) syncEpoch() {
+	if m.options.Epoch != nil {
+		m.core.setEpoch(m.reading(), m.options.Epoch(), m.newHolder)
+	}
+}
+
 // update changes the core, records its events and notifies the workers.
 func (m *Manager) update(change func(c *core, now Reading)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.syncEpoch()
 	change(m.core, m.reading())
 	for _, fault := range m.core.takeFaults() {
 		m.options.Logger.Error("lease state machine rejected an event", "error", fault)
--- a/internal/lease/rows.go
+++ b/internal/lease/rows.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 )
@@ -10,12 +11,26 @@
 // Token is a fencing token. It increases with each acquisition of a duty.
 type Token uint64
 
+// tokenEpochShift is the number of bits by which the store's epoch is shifted in a token, so
+// that tokens rise over its restores. An epoch has that many tokens for each duty.
+const tokenEpochShift = 20
+
+// nextToken returns the token that follows a row's token in an epoch of the store.
+func nextToken(before Token, epoch uint64) Token {
+	return max(before, Token(epoch)<<tokenEpochShift) + 1
+}
+
 // Key prefixes of the rows in the table service.
 const (
 	heartbeatPrefix = "lease/alive/"
 	dutyPrefix      = "lease/duty/"
+	epochPrefix     = "lease/epoch/"
 )
 
+// epochKey returns the key of the row that exists once a duty was claimed in an epoch. Its value
+// has no meaning.
+func epochKey(epoch uint64) string { return epochPrefix + strconv.FormatUint(epoch, 10) }
+
 // Holder identifies one run of an instance. A process that was declared dead continues
 // under a new incarnation.
 type Holder struct {
@@ -36,6 +51,8 @@
 type dutyRow struct {
 	Holder Holder `json:"holder"` // zero: the duty is free
 	Token  Token  `json:"token"`
+	// Epoch is the store's epoch in which the row was written.
+	Epoch uint64 `json:"epoch,omitempty"`
 }
 
 func dutyKey(duty string) string { return dutyPrefix + duty }
