tally: a window is reported with one count over restores of the store

The frozen counts of a window are a row that must be absent when it is written. The copy lacks it, so the next holder froze the window again with the counts known by then, and reported those.

A closer leaves the frozen counts of its newest windows with what it tells the other instances. After a restore, a window that an earlier epoch may have frozen (it ended before this instance learned of the epoch) is frozen only with the counts that instances know to be frozen, and left out if none knows them or they differ. A row usage/epoch, written with the first window of an epoch, tells later holders from which window on that no longer matters. All instances write their counts again within 1 s of learning of a restore.

Older instances ignore the new field of the exchange and the row; an older holder can still report a window anew after a restore.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -71,6 +71,7 @@
 	if d.reportsUsage() {
 		d.closer = tally.NewCloser(tally.CloserOptions{
 			Window: window, Due: s.Usage.Due, Table: p.Duties, Now: clock.Now, Report: p.Report, Heard: u.exchange,
+			Epoch:    func() tally.StoreEpoch { return usageEpoch(p.Epochs, clock) },
 			Expected: func() int { return len(fleet.notLeaving()) }, Duty: controlDuty, Recorder: recorder, Logger: logger,
 		})
 		d.leases.Do(controlDuty, d.closer.Work)
@@ -105,6 +106,13 @@
 	return u
 }
 
+// usageEpoch returns the store's epoch as the closer of windows needs it.
+func usageEpoch(t *storeepoch.Tracker, clock *truetime.Clock) tally.StoreEpoch {
+	epoch := currentEpoch(t)
+	age := boottime.Now().Sub(epoch.SeenAt)
+	return tally.StoreEpoch{Number: epoch.Number, Stated: epoch.Stated, Since: clock.Now().Add(-age)}
+}
+
 func (d *duties) reportsUsage() bool { return d.settings.Duties.Usage && d.settings.Usage.Window > 0 }
 
 // leaseTiming derives the intervals of the leases from Bounds.Lease.
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -89,7 +89,7 @@
 	}
 	v.recorder.Record(timeline.Event{
 		Kind: timeline.StoreRestored, Version: platform.NumberOf(u.Version),
-		Detail: fmt.Sprintf("epoch=%d before=%d newest_before=%d dropped: positions in the tables, held duties; kept for %v: configuration=%d zones=%q servers=%d; written again: this instance's row",
+		Detail: fmt.Sprintf("epoch=%d before=%d newest_before=%d dropped: positions in the tables, held duties; kept for %v: configuration=%d zones=%q servers=%d; written again: this instance's row, usage counts",
 			platform.EpochOf(u.Version), platform.EpochOf(u.Before), platform.NumberOf(u.Before), restoreGrace, config, v.zones.names(), len(v.directory.Servers())),
 	})
 }
@@ -112,10 +112,11 @@
 	row.Epoch, row.Config, row.Settled = &epoch, table.Version, v.settled()
 }
 
-// storeRestored gives up what is held in the store, and reads the tables again. This instance's row follows once the operators' rows
-// were read.
+// storeRestored gives up what is held in the store, reads the tables again, and makes the counts of
+// usage be written again. This instance's row follows once the operators' rows were read.
 func (e *Edge) storeRestored(_, _ storeepoch.Epoch) {
 	e.duties.leases.EpochChanged()
+	e.duties.saver.Restored()
 	for _, f := range []*tablefeed.Follower{e.view.operators, e.view.servers, e.members.follower} {
 		f.Restored()
 	}
--- a/internal/tally/closer.go
+++ b/internal/tally/closer.go
@@ -50,6 +50,8 @@
 	// Heard holds the counts that other instances have told this one. If nil, only the
 	// rows in the store count.
 	Heard *Exchange
+	// Epoch returns the store's epoch. If nil, the store is never restored.
+	Epoch func() StoreEpoch
 	// Expected returns the number of instances that should store counts.
 	Expected func() int
 	// Duty is the duty under whose lease windows are closed. It is recorded in the
@@ -65,6 +67,7 @@
 	options   CloserOptions
 	next      int64 // first window that is not closed in this tenure
 	endedRuns []platform.Row
+	epoch     epochState
 
 	unreported atomic.Int64
 }
@@ -75,7 +78,7 @@
 // Work closes windows under the duty's lease until ctx ends. Windows whose reports are
 // already past due at the start are not reported.
 func (c *Closer) Work(ctx context.Context, g lease.Guard) error {
-	c.next = WindowAt(c.options.Now().Add(-c.options.Due), c.options.Window)
+	c.next, c.epoch = WindowAt(c.options.Now().Add(-c.options.Due), c.options.Window), epochState{}
 	for wait.For(ctx, closeInterval) == nil {
 		if err := c.closeDue(ctx, g); err != nil {
 			c.record(timeline.Event{Kind: timeline.UsageDelayed, Detail: err.Error()})
@@ -91,6 +94,9 @@
 // closeDue closes the windows that have ended, oldest first, up to the first one with
 // missing counts. Windows past their due time are skipped.
 func (c *Closer) closeDue(ctx context.Context, g lease.Guard) error {
+	if err := c.learnEpoch(ctx); err != nil {
+		return err
+	}
 	for {
 		now := c.options.Now()
 		c.unreported.Store(WindowAt(now, c.options.Window) - c.next)
@@ -121,7 +127,7 @@
 	}
 	if !frozen {
 		var complete bool
-		if counts, complete, err = c.sum(ctx, end); err != nil {
+		if counts, complete, err = c.count(ctx, end); err != nil {
 			return false, err
 		}
 		if !complete && !late {
@@ -134,9 +140,29 @@
 			return false, err
 		}
 	}
+	if c.options.Heard != nil {
+		c.options.Heard.seal(c.next, counts)
+	}
 	return true, c.report(ctx, g, counts)
 }
 
+// count returns the counts to freeze for the next window, and whether they are complete. A window
+// that an earlier epoch of the store may have frozen is reported only with the counts that an
+// instance knows to be frozen, since its report may have been sent; without them there are no
+// counts.
+func (c *Closer) count(ctx context.Context, end time.Time) (Counts, bool, error) {
+	if c.next >= c.epoch.openFrom {
+		return c.sum(ctx, end)
+	}
+	if c.options.Heard != nil {
+		if counts, ok := c.options.Heard.sealed(c.next); ok {
+			return counts, true, nil
+		}
+	}
+	c.record(timeline.Event{Kind: timeline.UsageAbandoned, Detail: "it may have been reported before the store was restored from an older copy"})
+	return nil, true, nil
+}
+
 // readFrozen returns the counts of the next window if an earlier holder froze them.
 func (c *Closer) readFrozen(ctx context.Context) (Counts, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -262,9 +288,14 @@
 		Checks: []platform.Check{g.Fence(), {Key: key}},
 		Writes: []platform.Write{{Key: key, Value: data}, {Key: frozenKey(c.next - retentionWindows), Delete: true}},
 	}
+	if err := c.markEpoch(&txn); err != nil {
+		return err
+	}
 	if _, err := c.options.Table.Commit(ctx, txn); err != nil {
+		c.epoch.known = false // another holder may have written its row
 		return fmt.Errorf("freeze the window: %w", err)
 	}
+	c.epoch.written = true
 	c.recordCounts(timeline.UsageFrozen, g, counts)
 	return nil
 }
--- a/internal/tally/exchange.go
+++ b/internal/tally/exchange.go
@@ -31,6 +31,7 @@
 	now   func() time.Time // true time
 
 	mu     sync.Mutex
+	frozen map[int64]Counts // windows that this instance knows to be frozen in the store
 	sentAt time.Time
 	heard  map[reports.Origin]heardState // the newest of each run
 }
@@ -49,12 +50,14 @@
 	Run     string           `cbor:"1,keyasint"`
 	Windows map[int64]Counts `cbor:"2,keyasint"`
 	Through int64            `cbor:"3,keyasint"` // see Row.Through
+	// Frozen are the windows that the instance froze, or found frozen, as the closer.
+	Frozen map[int64]Counts `cbor:"4,keyasint,omitempty"`
 }
 
 // NewExchange returns an exchange of a meter's counts. run identifies the run of the
 // instance and must equal SaverOptions.Run; now returns the true time.
 func NewExchange(meter *Meter, run string, now func() time.Time) *Exchange {
-	return &Exchange{meter: meter, run: run, now: now, heard: map[reports.Origin]heardState{}}
+	return &Exchange{meter: meter, run: run, now: now, heard: map[reports.Origin]heardState{}, frozen: map[int64]Counts{}}
 }
 
 // Name implements reports.Topic.
@@ -69,10 +72,10 @@
 		return nil
 	}
 	windows := e.meter.newest(exchangedWindows)
-	if len(windows) == 0 {
+	if len(windows) == 0 && len(e.frozen) == 0 {
 		return nil
 	}
-	state, err := cbor.Marshal(exchangedRow{Run: e.run, Windows: windows, Through: now.UnixMilli()})
+	state, err := cbor.Marshal(exchangedRow{Run: e.run, Windows: windows, Through: now.UnixMilli(), Frozen: e.frozen})
 	if err != nil {
 		return nil // not reached: numbers and strings can always be encoded
 	}
@@ -101,6 +104,39 @@
 	maps.DeleteFunc(e.heard, func(_ reports.Origin, h heardState) bool { return h.at.Before(oldest) })
 }
 
+// seal records the counts of a window that the store has frozen, and tells the other instances.
+// A restored store may have lost them, and the window must not be reported with others.
+func (e *Exchange) seal(window int64, counts Counts) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.frozen[window] = counts
+	maps.DeleteFunc(e.frozen, func(n int64, _ Counts) bool { return n <= window-exchangedWindows })
+	e.sentAt = time.Time{} // tell it with the next state
+}
+
+// sealed returns the counts of a window that this instance or another one knows to be frozen. It
+// returns false if none does, or if they differ.
+func (e *Exchange) sealed(window int64) (Counts, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire()
+	counts, known := e.frozen[window]
+	for _, h := range e.heard {
+		var row exchangedRow
+		if cbor.Unmarshal(h.state, &row) != nil {
+			continue
+		}
+		other, ok := row.Frozen[window]
+		if ok && known && !maps.Equal(counts, other) {
+			return nil, false
+		}
+		if ok {
+			counts, known = other, true
+		}
+	}
+	return counts, known
+}
+
 // rows decodes the counts heard, by run. States that cannot be decoded are left out.
 func (e *Exchange) rows() map[string]Row {
 	e.mu.Lock()
--- a/internal/tally/saver.go
+++ b/internal/tally/saver.go
@@ -27,6 +27,7 @@
 
 	version        uint64 // version of the row; 0 if it does not exist
 	versionUnknown bool   // the outcome of the last write is unknown
+	restored       *wait.Signal
 }
 
 // SaverOptions configure a Saver. All fields are required.
@@ -52,9 +53,31 @@
 
 // NewSaver returns a Saver that has stored nothing yet.
 func NewSaver(o SaverOptions) *Saver {
-	return &Saver{meter: o.Meter, table: o.Table, key: countsPrefix + o.Run, interval: o.Interval, contact: o.Contact, logger: o.Logger}
+	return &Saver{
+		meter: o.Meter, table: o.Table, key: countsPrefix + o.Run, interval: o.Interval, contact: o.Contact, logger: o.Logger,
+		restored: wait.NewSignal(),
+	}
+}
+
+// Restored makes the Saver write all counts again, since the store was restored from an older
+// copy and may have lost them. It does not block, and is safe for concurrent use.
+func (s *Saver) Restored() { s.restored.Notify() }
+
+// awaitSave waits until the next write is due. After a restore that is within
+// maxRestoreDelay. It returns the error of ctx if that ends.
+func (s *Saver) awaitSave(ctx context.Context) error {
+	restored, err := s.restored.For(ctx, s.meter.timeToSave(s.interval()), maxRestoreDelay)
+	if restored {
+		s.meter.MarkDirty()
+		s.versionUnknown = true
+	}
+	return err
 }
 
+// maxRestoreDelay bounds the random delay of the write after a restore, which spreads the
+// writes of all instances.
+const maxRestoreDelay = time.Second
+
 // minRetryDelay is the minimum delay between a failed write and its retry. Jitter of up
 // to the same length spreads the retries of all instances.
 const minRetryDelay = 500 * time.Millisecond
@@ -62,7 +85,7 @@
 // Run saves until ctx ends, and then once more. Failed writes are retried as soon as the
 // store is reachable again, since their window may be about to be closed.
 func (s *Saver) Run(ctx context.Context) {
-	for wait.For(ctx, s.meter.timeToSave(s.interval())) == nil {
+	for s.awaitSave(ctx) == nil {
 		for !s.save(ctx) && ctx.Err() == nil {
 			s.contact.Wait(ctx, minRetryDelay+rand.N(minRetryDelay), s.interval()+2*minRetryDelay)
 		}
