edge: rollout states and trials of crashing prompts over restores of the store

Callers would see requests to a version that was found bad, and two trials at once of a prompt that crashes servers: the store that came back has an older state of a rollout, or none, under the order's earlier revision, and has lost the claim of a trial.

- A state of an earlier epoch counts for the order that was written again with the same content.
The next holder continues from the furthest state that it knows, not from the copy's.
- No trial begins for 10 s, the longest time of one, after an instance learned of an epoch.
This includes the first one that it sees, since a restore may have come right before its start.

go test ./internal/edge ./internal/quarantine passes. With the state of an earlier epoch ignored, TestStartedInstanceTakesStateOver fails.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,6 +94,7 @@
 		Instance: s.Instance, Recorder: e.events, Notify: func(n quarantine.Notice) { e.sharing.hub.QueueCrash(n) },
 		Claims: quarantine.NewTableClaims(quarantine.TableClaimsOptions{
 			Instance: s.Instance, Table: p.Duties, Now: clock.Now, Logger: logger.Named("quarantine"),
+			EpochAge: func() (time.Duration, bool) { return epochAge(p.Epochs) },
 		}),
 	})
 	usage := newUsage(s, clock)
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -57,6 +57,13 @@
 	return t.Current()
 }
 
+// epochAge returns the time since this instance learned of the store's epoch. The result is false
+// if the store is never restored.
+func epochAge(t *storeepoch.Tracker) (time.Duration, bool) {
+	epoch := currentEpoch(t)
+	return boottime.Now().Sub(epoch.SeenAt), epoch.Stated
+}
+
 // observeEpoch tells the tracker, which may be nil, of the epoch of rows that another instance
 // has read.
 func observeEpoch(t *storeepoch.Tracker, version uint64) {
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -182,6 +182,30 @@
 	return v
 }
 
+// TestRevertedVersionStaysAway guards against requests to a version that was found bad, since the
+// restored store has an older state of the rollout, or none, and its order has another revision.
+func TestRevertedVersionStaysAway(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSilentSite(t)
+	s.learn("s", rollout.State{Revision: 7, To: "v2", Phase: rollout.Reverted, Reason: "bad"})
+	is.Equal(s.send(), "v1")
+
+	s.applyRows(nil, true, true) // the copy lacks the order
+	is.Equal(s.active["s"].withdrawn, false)
+	s.applyRows([]orderRow{rowOf("s", "v2", versionIn(1, 9))}, false, true) // written again
+	s.write(rollout.State{Revision: 7, To: "v2", Phase: rollout.Progressing, Step: rollout.Half})
+	s.readStates(t.Context())
+	next, _, ok := s.next("s", rollout.State{Revision: 7, To: "v2", Phase: rollout.Progressing, Step: rollout.Half})
+	is.True(ok)
+	is.Equal(next.Phase, rollout.Reverted) // which the holder writes again
+	is.Equal(next.Revision, versionIn(1, 9))
+	s.settle()
+	for range 200 {
+		is.Equal(s.send(), "v1")
+	}
+}
+
 // TestOlderOrderOfCopyIsDeferred guards against a copy's older order that replaces the one in
 // force before operators have written again.
 func TestOlderOrderOfCopyIsDeferred(t *testing.T) {
@@ -211,3 +235,15 @@
 	s.order("s", "v2", versionIn(1, 9))
 	is.Equal(s.active["s"].state.Phase, rollout.Progressing)
 }
+
+// TestStartedInstanceTakesStateOver guards against an instance that starts after a restore and
+// sends requests to a version whose state in the store still has the earlier revision.
+func TestStartedInstanceTakesStateOver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSilentSite(t)
+	s.order("s", "v2", versionIn(1, 9))
+	s.write(rollout.State{Revision: 7, To: "v2", Phase: rollout.Reverted, Reason: "bad"})
+	s.readStates(t.Context())
+	is.Equal(s.active["s"].state.Phase, rollout.Reverted)
+}
--- a/internal/edge/rolloutduty.go
+++ b/internal/edge/rolloutduty.go
@@ -138,7 +138,13 @@
 	}
 	state := written
 	if written.Revision < a.order.Revision {
-		state = a.initial()
+		var ok bool
+		if state, ok = a.carriedOver(written); !ok {
+			state = a.initial()
+		}
+	}
+	if a.known && a.state.Supersedes(state) {
+		state = a.state // which a restored store has lost
 	}
 	in := r.inputs(a)
 	next := rollout.Next(a.order, state, in)
--- a/internal/edge/rolloutorders.go
+++ b/internal/edge/rolloutorders.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/reports"
 	"github.com/hawthornwick/hawthornwick/internal/rollout"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
@@ -101,6 +102,16 @@
 	r.apply(a)
 }
 
+// carriedOver returns the state of an order whose row has got another revision by a restore of the
+// store. The result is false for the state of another order.
+func (a *activeRollout) carriedOver(s rollout.State) (rollout.State, bool) {
+	if platform.EpochOf(s.Revision) >= platform.EpochOf(a.order.Revision) || s.To != a.order.To {
+		return rollout.State{}, false
+	}
+	s.Revision = a.order.Revision
+	return s, true
+}
+
 // setOrder starts an order. The caller must hold r.mu.
 func (r *rollouts) setOrder(o rollout.Order) {
 	if a := r.active[o.Service]; a != nil && o.Revision <= a.order.Revision {
--- a/internal/edge/rollouts.go
+++ b/internal/edge/rollouts.go
@@ -255,7 +255,10 @@
 				a.setState(rows.state)
 				a.readAt = began
 			case rows.state.Revision < revision:
-				a.known = true // nothing was decided yet
+				if s, ok := a.carriedOver(rows.state); ok {
+					a.setState(s)
+				}
+				a.known = true // nothing else was decided yet
 			}
 			r.apply(a)
 		}
--- a/internal/quarantine/claims.go
+++ b/internal/quarantine/claims.go
@@ -32,7 +32,7 @@
 	UntilMillis int64 `json:"until_ms"`
 }
 
-// TableClaimsOptions configure TableClaims. All fields are required.
+// TableClaimsOptions configure TableClaims. All fields but EpochAge are required.
 type TableClaimsOptions struct {
 	Instance string
 	Table    platform.Table
@@ -40,6 +40,9 @@
 	// ignored.
 	Now    func() time.Time
 	Logger hclog.Logger
+	// EpochAge returns the time since this instance learned of the store's epoch, and false
+	// if the store is never restored from an older copy. If nil, it is never restored.
+	EpochAge func() (time.Duration, bool)
 }
 
 // TableClaims are claims in a row of the table service. While it cannot be reached, there
@@ -58,6 +61,9 @@
 
 // Acquire implements Claims.
 func (c *TableClaims) Acquire() bool {
+	if c.mayBeLost() {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), ClaimTimeout)
 	defer cancel()
 	began := time.Now()
@@ -78,6 +84,15 @@
 	return true
 }
 
+// mayBeLost reports whether a restored store may have lost the claim of a trial that still runs.
+func (c *TableClaims) mayBeLost() bool {
+	if c.options.EpochAge == nil {
+		return false
+	}
+	age, restored := c.options.EpochAge()
+	return restored && age < maxTrialTime
+}
+
 // isHeld reports whether a trial may run under the row. A row that cannot be read is not
 // held.
 func (c *TableClaims) isHeld(row platform.Row) bool {
