lease: the fence of a tenure that has ended meets no row

A holder claims the duty, freezes and reports a window, and the answer is lost. The store is restored to before the claim; the holder learns of it in the middle of its next try, finds no frozen row, counts anew and writes. Its fence was then a check of version 0, "the row is absent", which a copy of before the first claim meets.

The fence of an ended tenure is now a check of a version that no row has. Found by a reviewer. TestFenceOfLostDutyMeetsAbsentRow failed before and passes now, as do the tests of the package.

--- a/internal/lease/guard.go
+++ b/internal/lease/guard.go
@@ -48,11 +48,12 @@
 }
 
 // Fence returns a check that fails in the table service once the duty has changed hands.
-// A transaction with it needs no other guard.
+// A transaction with it needs no other guard. Once this instance knows that the tenure has ended,
+// the check is of a version that no row has.
 func (g Guard) Fence() platform.Check {
 	g.m.mu.Lock()
 	defer g.m.mu.Unlock()
-	check := platform.Check{Key: dutyKey(g.Duty)}
+	check := platform.Check{Key: dutyKey(g.Duty), Version: platform.NoVersion}
 	if h, ok := g.m.core.held[g.Duty]; ok && h.token == g.Token {
 		check.Version = h.version
 	}
--- a/internal/platform/version.go
+++ b/internal/platform/version.go
@@ -1,6 +1,9 @@
 package platform
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // A version identifies a state of the table service. Versions rise with each transaction, and
 // also when the service is restored from an older copy and gives its own numbers out again:
@@ -13,7 +16,9 @@
 	// MaxNumber is the highest number of a transaction that a version can hold.
 	MaxNumber = 1<<numberBits - 1
 	// MaxEpoch is the highest epoch that a version can hold.
-	MaxEpoch = 1<<(64-numberBits) - 1
+	MaxEpoch = 1<<(64-numberBits) - 2
+	// NoVersion is the version of no row, present or absent: a check of it always fails.
+	NoVersion = math.MaxUint64
 )
 
 // VersionRangeError reports an epoch or a number that a version cannot hold.
