presence: rows that a restored store lacks are forgotten

Rows that the copy did not list and that were not written again are dropped after their time to live.

Found by a reviewer. TestRowsLackedByRestoredStoreAreForgotten failed before and passes now.

--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -103,6 +104,7 @@
 	row       Row
 	changedAt boottime.Instant
 	version   uint64 // of the row in the store
+	lacked    bool   // a restored store did not list the row, and it was not written since
 }
 
 // Registry holds the rows of all instances. It is safe for concurrent use.
@@ -121,11 +123,12 @@
 func (b *Registry) Apply(now boottime.Instant, u tablefeed.Update) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if u.Restored {
+	switch {
+	case u.Restored:
 		b.keepUntil = now.Add(RowTTL)
-	}
-	if u.Full && !now.Before(b.keepUntil) {
-		clear(b.rows)
+		b.markLacked()
+	case !now.Before(b.keepUntil):
+		b.forget(u.Full)
 	}
 	var rowErr error
 	for _, r := range u.Rows {
@@ -136,6 +139,19 @@
 	return rowErr
 }
 
+// markLacked marks all rows as not listed by a restored store. Those that it lists are applied next.
+func (b *Registry) markLacked() {
+	for name, s := range b.rows {
+		s.lacked = true
+		b.rows[name] = s
+	}
+}
+
+// forget drops all rows, or those that a restored store lacks: no removal of these is read.
+func (b *Registry) forget(all bool) {
+	maps.DeleteFunc(b.rows, func(_ string, s timedRow) bool { return all || s.lacked })
+}
+
 // applyRow applies one row. restored is true for the first rows of a restored store.
 func (b *Registry) applyRow(now boottime.Instant, r tablefeed.Row, restored bool) error {
 	if r.Removed {
@@ -144,7 +160,7 @@
 	}
 	known, ok := b.rows[r.Key]
 	if ok && restored {
-		known.version = r.Version
+		known.version, known.lacked = r.Version, false
 		b.rows[r.Key] = known
 		return nil
 	}
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -119,3 +119,19 @@
 		})
 	}
 }
+
+// TestRowsLackedByRestoredStoreAreForgotten guards against rows of ended instances that are deleted
+// from the store in each sweep for good, since the copy lacks them and no removal is ever read.
+func TestRowsLackedByRestoredStoreAreForgotten(t *testing.T) {
+	is := is.New(t)
+	b := NewRegistry()
+	start := boottime.Instant(time.Hour)
+	is.NoErr(b.Apply(start, tablefeed.Update{Full: true, Rows: []tablefeed.Row{row(t, "a", Row{}), row(t, "ended", Row{})}}))
+	is.NoErr(b.Apply(start.Add(time.Second), tablefeed.Update{Full: true, Restored: true, Rows: []tablefeed.Row{row(t, "a", Row{})}}))
+	now := start
+	for range 100 {
+		now = now.Add(3 * time.Second)
+		is.NoErr(b.Apply(now, tablefeed.Update{Rows: []tablefeed.Row{row(t, "a", Row{Sequence: 1})}}))
+	}
+	is.Equal(len(b.Stale(now, time.Minute)), 0)
+}
