--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -15,6 +15,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/presence"
 	"github.com/hawthornwick/hawthornwick/internal/replicas"
+	"github.com/hawthornwick/hawthornwick/internal/storeepoch"
 	"github.com/hawthornwick/hawthornwick/internal/tally"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/truetime"
@@ -65,10 +66,12 @@
 		Instance: s.Instance, Table: p.Duties, Duties: []string{controlDuty}, SweepUnder: controlDuty, MinTenure: s.Bounds.Lease, Members: fleet.notLeaving,
 		Recorder: recorder, Logger: logger, Timing: leaseTiming(s.Bounds.Lease),
 		Steady: func() time.Duration { return time.Duration(boottime.Now()) },
+		Epoch:  func() storeepoch.Epoch { return currentEpoch(p.Epochs) },
 	})
 	if d.reportsUsage() {
 		d.closer = tally.NewCloser(tally.CloserOptions{
 			Window: window, Due: s.Usage.Due, Table: p.Duties, Now: clock.Now, Report: p.Report, Heard: u.exchange,
+			Epoch:    func() tally.StoreEpoch { return usageEpoch(p.Epochs, clock) },
 			Expected: func() int { return len(fleet.notLeaving()) }, Duty: controlDuty, Recorder: recorder, Logger: logger,
 		})
 		d.leases.Do(controlDuty, d.closer.Work)
@@ -103,6 +106,13 @@
 	return u
 }
 
+// usageEpoch returns the store's epoch as the closer of windows needs it.
+func usageEpoch(t *storeepoch.Tracker, clock *truetime.Clock) tally.StoreEpoch {
+	epoch := currentEpoch(t)
+	age := boottime.Now().Sub(epoch.SeenAt)
+	return tally.StoreEpoch{Number: epoch.Number, Stated: epoch.Stated, Since: clock.Now().Add(-age)}
+}
+
 func (d *duties) reportsUsage() bool { return d.settings.Duties.Usage && d.settings.Usage.Window > 0 }
 
 // leaseTiming derives the intervals of the leases from Bounds.Lease.
