soak: servers change their software version, all instances are killed, and callers take streams up

Nothing in the soak had two software versions of a service, no trouble ended all instances at once, and no caller resumed a stream, so that a stream which goes on at servers of another version could not be seen.

The numbers of these troubles are their own, so the other faults of a seed stay as they are; without the option nothing changes but that servers' rows and pieces name a version. Callers resume with Last-Event-Id and Resumes at the next instance until their deadline, and close the connection of some streams themselves to do so.

The checker finds streams with pieces of two versions, in one answer or over tries, pieces missing or twice over tries, and take-ups that go on less than half as often as new streams begin while two servers of the version serve. Take-ups are not part of the share of requests that must be answered after the troubles: that share keeps the requests that it had, and the new check compares the take-ups.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -13,7 +13,7 @@
 const soakHelp = `Run instances as processes of their own before stand-ins on loopback, break links,
 processes and the store by a seeded plan, and check from outside what callers and
 backend servers see: at most one run of what is not idempotent, refusals that say
-"not run", whole answers and none lost, streams by piece, withdrawn keys, usage
+"not run", whole answers and none lost, streams by piece and version, withdrawn keys, usage
 reported once, one holder of the duties. Ends only processes that it started.
 Settings and logs stay in the directory. Exit code 1 when a promise broke.`
 
@@ -26,6 +26,7 @@
 	Instances int           `long:"instances" default:"3" description:"Instances, 1 to 200"`
 	Servers   int           `long:"servers" default:"4" description:"Backend servers"`
 	Clients   int           `long:"clients" default:"8" description:"Callers at once"`
+	Versions  bool          `long:"versions" description:"Also change the software versions of backend servers and kill all instances at once; callers take streams up again"`
 	Dir       string        `long:"dir" description:"Directory for settings and logs; a new one when empty"`
 }
 
@@ -79,7 +80,7 @@
 	fmt.Fprintf(c.app.Out, "seed %d, logs in %s\n", seed, dir)
 	o := soak.Options{
 		Seed: seed, Length: c.Length, Instances: c.Instances, Servers: c.Servers, Clients: c.Clients,
-		Program: program, Dir: dir, Out: c.app.Out,
+		Versions: c.Versions, Program: program, Dir: dir, Out: c.app.Out,
 	}
 	return c.app.commands.Soak(ctx, o)
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -18,7 +18,9 @@
 	Sent, Ended time.Time
 	// TimedOut is true if the caller's deadline passed before the response was complete.
 	TimedOut bool
-	Status   int // HTTP status; 0 if there was no complete response
+	// Status is the HTTP status; 0 if there was no complete response and the caller did not
+	// close the connection itself.
+	Status int
 	// NotRun is true if the status guarantees that the request did not run.
 	NotRun bool
 	// Mismatch describes how a complete response differs from the expected one. Empty
@@ -26,6 +28,12 @@
 	Mismatch string
 	// Stream is the body of a 200 response on a streaming route. It is nil for others.
 	Stream *Stream
+	// Resumable is true if the request is for a stream that may be resumed.
+	Resumable bool
+	// Origin is the id of the request that brought the first piece of the stream that this
+	// one takes up after piece number After. Empty if it takes none up.
+	Origin string
+	After  int
 }
 
 // Checker collects what callers and backend servers observe and finds violations of
@@ -46,6 +54,7 @@
 	faults        []interval // injected faults that may cut off a response
 	statements    statements
 	ran           runs
+	versions      versions
 	violations    []string
 }
 
@@ -154,10 +163,12 @@
 	Requests, Answered, Refused, Failed int
 	// EndAnswered is the fraction of the requests sent after the last fault that got
 	// a 2xx response. Requests with withdrawn keys are not counted.
-	// Neither are those that may run once and whose server spoiled that run.
+	// Neither are those that may run once and whose server spoiled that run, and those that
+	// take up a stream, which checkVersions compares.
 	EndAnswered float64
 	// Unframed counts the sound answers with neither a length nor chunks.
 	Unframed SoundCount
+	Versions VersionSummary
 }
 
 // Finish runs the checks that need the whole run and returns all violations. faultsOver
@@ -179,7 +190,7 @@
 		default:
 			s.Failed++
 		}
-		if o.Sent.After(faultsOver) && c.withdrawn[o.Key].IsZero() && (o.Idempotent || len(c.ran.spoiled[o.ID]) == 0) {
+		if o.Sent.After(faultsOver) && o.Origin == "" && c.withdrawn[o.Key].IsZero() && (o.Idempotent || len(c.ran.spoiled[o.ID]) == 0) {
 			afterFaults++
 			if o.Status/100 == 2 {
 				answeredAfterFaults++
@@ -193,6 +204,7 @@
 	if s.EndAnswered < minEndAnswered {
 		c.addViolation("only %.2f of the requests after the troubles were answered", s.EndAnswered)
 	}
+	c.checkVersions(&s.Versions)
 	return s, c.violations
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,6 +54,9 @@
 
 // Fault is one fault of a plan.
 type Fault struct {
+	// Release is set for ServersReleased, whose Duration is its whole time.
+	Release *Release
+
 	At, Duration time.Duration
 	Kind         FaultKind
 	Target       int // index of the instance or backend server, modulo their number
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,6 +49,8 @@
 	WithdrawKey()
 	// Call sends one request to an instance and records its outcome with the checker.
 	Call(ctx context.Context, client int, instance string)
+	// SetVersion sets the software version with which a backend server starts next.
+	SetVersion(server, version int)
 	// Close stops the stand-ins.
 	Close()
 }
@@ -68,6 +70,10 @@
 	Out io.Writer
 	// OnFaultsOver is called once when all faults are over. If nil, it is not called.
 	OnFaultsOver func()
+	// Versions adds the faults of VersionPlan, and callers that take streams up again.
+	Versions bool
+	// Plan holds the faults. If nil, the seed decides.
+	Plan []Fault
 	// Checker receives the stops and faults of instances. Required.
 	Checker *Checker
 }
@@ -94,7 +100,7 @@
 	for client := range o.Clients {
 		tasks.Go(func() { r.sendRequests(ctx, client) })
 	}
-	for _, f := range NewPlan(o.Seed, o.Length, o.Instances, o.Servers) {
+	for _, f := range o.plan() {
 		tasks.Go(func() { r.injectFault(ctx, f) })
 	}
 	tasks.Go(func() {
@@ -106,6 +112,18 @@
 	return nil
 }
 
+// plan returns the faults of a run.
+func (o Options) plan() []Fault {
+	if o.Plan != nil {
+		return o.Plan
+	}
+	plan := NewPlan(o.Seed, o.Length, o.Instances, o.Servers)
+	if o.Versions {
+		plan = append(plan, VersionPlan(o.Seed, o.Length, o.Servers)...)
+	}
+	return plan
+}
+
 func (r *run) provision() error {
 	for range r.options.Servers {
 		err := r.site.AddServer(func(address string) (*Proxy, error) {
@@ -233,6 +251,10 @@
 		apply(func() { r.site.Crash(server) }, func() { r.site.Return(server, f.Kind == ServerReplaced) })
 	case ServerStops:
 		apply(func() { r.site.StopAfterAnswer(server) }, func() { r.site.Return(server, true) })
+	case ServersReleased:
+		r.release(ctx, *f.Release)
+	case AllKilled:
+		r.killAll(ctx, f.Duration)
 	case ServerDraining:
 		apply(func() { r.site.SetDraining(server, true) }, func() { r.site.SetDraining(server, false) })
 	}
@@ -243,6 +265,12 @@
 func (r *run) reportFault(k FaultKind, instance string, server int, from time.Time) {
 	now := time.Now()
 	switch k {
+	case AllKilled:
+		for _, p := range r.processes {
+			r.options.Checker.RecordFault(p.Name, from, now.Add(faultAftermath))
+		}
+	case ServerLeaves, ServerPauses, ServerLimits, ServerCrash, ServerReplaced, ServerStops, ServerDraining:
+		r.options.Checker.RecordServerFault(server, from, now)
 	case StopInstance:
 		r.options.Checker.RecordStop(instance, from, now)
 	case KillInstance, PauseInstance:
@@ -250,6 +278,7 @@
 	case ServerReset, ServerSilent, ServerSlow, ServerHeld:
 		r.options.Checker.RecordFault("", from, now.Add(faultAftermath))
 		r.options.Checker.RecordLinkFault(server, from, now.Add(linkAftermath))
+		r.options.Checker.RecordServerFault(server, from, now)
 	case StoreSilent, StoreOneWay, StoreSlow, StoreReset, StoreHeld:
 		r.options.Checker.RecordStale(instance, from, now.Add(faultAftermath))
 	case StoreDown, StoreCompact:
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -114,7 +114,7 @@
 	if o.Stream == nil {
 		return
 	}
-	var last Piece
+	last := Piece{Number: o.After}
 	for _, p := range o.Stream.Pieces {
 		if wrong := c.wrongPiece(o, last, p); wrong != "" {
 			c.addViolation("stream %s: %s%s", o.ID, wrong, c.spoiledNote(o.ID))
