soak: streams joined over a kill of all instances are counted apart

What instances know of a stream's version in their memory is gone after all of them were killed, so a stream that is joined there tells of another fault than one between two running instances. The line about such a stream and the figures say so.

--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -106,6 +106,7 @@
 	for _, p := range r.processes {
 		p.Signal(syscall.SIGKILL)
 	}
+	r.options.Checker.RecordAllKilled()
 	sleep(ctx, d)
 	for _, p := range r.processes {
 		r.restart(p)
@@ -130,6 +131,7 @@
 type versions struct {
 	serving []serving
 	faults  []serverEnd // of backend servers and their links
+	kills   []time.Time // of all instances at once
 }
 
 // serving is the start of an incarnation of a backend server.
@@ -154,13 +156,21 @@
 	c.versions.faults = append(c.versions.faults, serverEnd{server, from, to})
 }
 
+// RecordAllKilled records that all instances have been killed.
+func (c *Checker) RecordAllKilled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.versions.kills = append(c.versions.kills, time.Now())
+}
+
 // VersionSummary counts streams that may be resumed, and what became of them.
 type VersionSummary struct {
 	// TakeUps are requests for the rest of a stream. GoneOn are those that brought a piece.
 	TakeUps, GoneOn int
 	// JoinedWithin are streams with pieces of servers of two versions in one answer, and
-	// JoinedOver those with such pieces in two answers.
-	JoinedWithin, JoinedOver int
+	// JoinedOver those with such pieces in two answers. JoinedOverKill are those of the latter
+	// with one answer from before and one from after a kill of all instances.
+	JoinedWithin, JoinedOver, JoinedOverKill int
 	// Begin and Continue count what minContinued compares.
 	Begin, Continue Share
 }
@@ -231,7 +241,7 @@
 
 // checkJoined finds a change of the version in a stream.
 func (c *Checker) checkJoined(spans []span, s *VersionSummary) {
-	var within, over bool
+	var within, over, kill bool
 	lines := []string{spans[0].String()}
 	for i, next := range spans[1:] {
 		lines = append(lines, next.String())
@@ -242,6 +252,7 @@
 			within = true
 		} else {
 			over = true
+			kill = kill || c.killedBetween(spans[i].outcome, next.outcome)
 		}
 	}
 	var how []string
@@ -253,11 +264,20 @@
 		s.JoinedOver++
 		how = append(how, "over tries")
 	}
+	if kill {
+		s.JoinedOverKill++
+		how = append(how, "over a kill of all instances")
+	}
 	if len(how) > 0 {
 		c.addViolation("stream %s: pieces of two versions %s: %s", spans[0].outcome.ID, strings.Join(how, " and "), strings.Join(lines, ", "))
 	}
 }
 
+// killedBetween reports whether all instances were killed between the starts of two requests.
+func (c *Checker) killedBetween(before, after Outcome) bool {
+	return slices.ContainsFunc(c.versions.kills, func(at time.Time) bool { return at.After(before.Sent) && at.Before(after.Sent) })
+}
+
 const (
 	// Of minTakeUps or more streams that are taken up while minServing servers of their
 	// version serve, the share that goes on must be at least minContinued of the share of new
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -74,6 +74,12 @@
 			t.request("x", "", 0, t.run("x", 1, 1, 2))
 			t.request("x-1", "x", 2, join(t.run("x-1", 1, 3, 4), t.run("x-1", 2, 5, 10)))
 		}, "stream x: pieces of two versions within one answer: x at"},
+		"two versions before and after a kill": {func(t versionTest) {
+			t.request("x", "", 0, t.run("x", 1, 1, 2))
+			t.versions.kills = []time.Time{t.started.Add(time.Minute + time.Second)}
+			t.started = t.started.Add(2 * time.Second)
+			t.request("x-1", "x", 2, t.run("x-1", 2, 3, 10))
+		}, "over tries and over a kill of all instances: x at"},
 		"both": {func(t versionTest) {
 			t.request("x", "", 0, join(t.run("x", 1, 1, 2), t.run("x", 2, 3, 4)))
 			t.request("x-1", "x", 4, t.run("x-1", 1, 5, 10))
