streamorigin: which version began a stream, kept in the store

A client may take up a stream at any instance, after all of them were killed too, and nothing that outlives an instance says which version of the software began it.

The package keeps one base row per service and a record for each stream that did not begin at the base version.

Not connected yet.

--- /dev/null
+++ b/internal/streamorigin/record.go
@@ -0,0 +1,152 @@
+package streamorigin
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/hawthornwick/hawthornwick/internal/gateway"
+)
+
+// record implements gateway.OriginRecord.
+type record struct {
+	registry *Registry
+	attempt  digest
+	service  string
+	version  string // of the last Sending
+	sending  bool   // Sending was called
+	item     *item  // record of version, nil if there is none
+	next     int    // ordinal of the next record
+	failure  error  // why there is no record although one is needed
+	ended    bool
+}
+
+var _ gateway.OriginRecord = (*record)(nil)
+
+// Track implements gateway.Origins.
+func (r *Registry) Track(attempt, service string) gateway.OriginRecord {
+	return &record{registry: r, attempt: digestOf(attempt), service: service}
+}
+
+// Sending implements gateway.OriginRecord.
+func (c *record) Sending(version string) {
+	if c.sending && version == c.version && c.failure == nil {
+		return
+	}
+	c.withdraw()
+	c.sending, c.version, c.failure = true, version, nil
+	if c.next == 0 && c.registry.mayOmit(c.service, version) {
+		return
+	}
+	c.submit()
+}
+
+// withdraw gives up the record of the last version. One that was never handed to a transaction
+// leaves no trace.
+func (c *record) withdraw() {
+	if c.item == nil {
+		return
+	}
+	if !c.registry.abandon(c.item) {
+		c.next--
+	}
+	c.item = nil
+}
+
+// submit queues a record of the version.
+func (c *record) submit() {
+	if len(c.version) > maxVersionBytes || c.next >= maxOrdinals {
+		c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "the version is too long, or the attempt used too many"}
+		return
+	}
+	value, err := json.Marshal(originRow{Service: c.service, Version: c.version})
+	if err != nil {
+		c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "cannot encode the record", Err: err}
+		return
+	}
+	i := &item{id: originID{attempt: c.attempt, ordinal: uint8(c.next)}, value: value, done: make(chan struct{})}
+	if !c.registry.submit(i) {
+		c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "too many records wait to be written"}
+		return
+	}
+	c.item = i
+	c.next++
+}
+
+// Confirm implements gateway.OriginRecord. The error is a *NotRecordedError.
+func (c *record) Confirm(ctx context.Context) error {
+	if c.item == nil && c.failure == nil {
+		if c.registry.mayOmit(c.service, c.version) && c.next == 0 {
+			c.registry.remember(c.attempt, c.service, c.version)
+			return nil
+		}
+		c.submit()
+	}
+	for c.failure == nil {
+		select {
+		case <-c.item.done:
+			if c.registry.holds(c.item) {
+				c.registry.remember(c.attempt, c.service, c.version)
+				return nil
+			}
+			// The store was restored since, and may have lost the record.
+			c.registry.abandon(c.item)
+			c.submit()
+		case <-ctx.Done():
+			c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "not acknowledged by the store in time", Err: context.Cause(ctx)}
+		}
+	}
+	c.registry.countFailure(c.failure)
+	return c.failure
+}
+
+// Ended implements gateway.OriginRecord.
+func (c *record) Ended() {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	if c.item != nil {
+		c.registry.abandon(c.item)
+		c.item = nil
+	}
+}
+
+// submit queues an item. It returns false if the queue is full.
+func (r *Registry) submit(i *item) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.queue.add(i) {
+		return false
+	}
+	r.signal()
+	return true
+}
+
+// abandon notes that nobody waits for an item any more. It reports whether the item was handed to
+// a transaction, which may take effect. It is then deleted later.
+func (r *Registry) abandon(i *item) (sent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i.abandoned {
+		return i.sent
+	}
+	i.abandoned = true
+	if i.sent {
+		r.queue.expire(i.table, r.now().Add(r.times().recordLifetime()), i.id)
+	}
+	return i.sent
+}
+
+// holds reports whether the store has a written item for certain.
+func (r *Registry) holds(i *item) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return i.epoch == r.epoch()
+}
+
+// remember keeps the origin of a stream that this instance begins.
+func (r *Registry) remember(attempt digest, service, version string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.own.add(attempt, originRow{Service: service, Version: version})
+}
