edge: the registry of the origins of streams runs

The package streamorigin was not connected. An instance now runs it if the platform has tables for it: the list of versions comes from the directory, the rate from the rates of the store in the settings, and the holder of the control duty decides the base versions.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/logsink"
 	"github.com/hawthornwick/hawthornwick/internal/pace"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
+	"github.com/hawthornwick/hawthornwick/internal/streamorigin"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/truetime"
 )
@@ -58,6 +59,7 @@
 	sharing         *sharing
 	duties          *duties
 	rollouts        *rollouts
+	origins         *streamorigin.Registry // nil if the platform has no tables for it
 	balancer        *balance.Balancer
 	pace            *pace.Book
 	gateway         *gateway.Gateway
@@ -102,6 +104,9 @@
 	e.view = newStoreView(p, s.Bounds, e.balancer, e.sharing, e.rollouts, clock, e.events)
 	e.members = newMembers(s, p, e.balancer, e.suspects, e.sharing, clock, e.events, logger.Named("members"))
 	e.duties = newDuties(s, p, e.view, e.members, e.balancer, e.sharing, e.rollouts, usage, clock, e.events, logger.Named("duties"))
+	if e.origins = newOrigins(s, p, e.view, e.balancer, logger.Named("streamorigin")); e.origins != nil {
+		e.duties.leases.Do(controlDuty, holdOrigins(e.origins))
+	}
 	var observeVersions func(gateway.VersionSample) string
 	if e.rollouts.enabled() {
 		observeVersions = e.rollouts.observe
@@ -182,6 +187,9 @@
 	e.members.run(services, &running)
 	e.duties.run(services, &running)
 	e.rollouts.run(services, &running)
+	if e.origins != nil {
+		running.Go(func() { e.origins.Run(services) })
+	}
 	failed := make(chan error, 2)
 	running.Go(func() {
 		if err := e.listener.Serve(); err != nil {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -79,6 +79,7 @@
 
 	refuseOrders bool
 	canaryShare  float64         // of instances started next; zero disables rollouts
+	bootstrap    bool            // instances started next belong to the first start of the system
 	grace        time.Duration   // grace period of instances started next; zero means 8 s
 	adjust       func(*Platform) // changes the Platform of instances started next; may be nil
 }
@@ -230,8 +231,9 @@
 			Grace: 8 * time.Second, Propagation: 2 * time.Second, Revocation: 3 * time.Second,
 			RetrySpan: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 20, Lease: 900 * time.Millisecond,
 		},
-		Usage:  UsageSettings{Window: time.Second, Due: 6 * time.Second},
-		Duties: Duties{Usage: true, Scaling: true},
+		Usage:     UsageSettings{Window: time.Second, Due: 6 * time.Second},
+		Duties:    Duties{Usage: true, Scaling: true},
+		Bootstrap: w.bootstrap,
 	}
 	if w.grace > 0 {
 		s.Bounds.Grace = w.grace
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -27,6 +27,9 @@
 	e.view.writeMetrics(w)
 	e.duties.writeMetrics(w)
 	e.rollouts.writeMetrics(w)
+	if e.origins != nil {
+		e.origins.WriteMetrics(w)
+	}
 	if e.adapter != nil {
 		e.adapter(w)
 	}
--- /dev/null
+++ b/internal/edge/origins.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/hawthornwick/hawthornwick/internal/balance"
+	"github.com/hawthornwick/hawthornwick/internal/lease"
+	"github.com/hawthornwick/hawthornwick/internal/streamorigin"
+)
+
+const (
+	// noTimeout stands for the timeout of a route without one.
+	noTimeout = 5 * time.Minute
+	// defaultStoreWrites is the store's rate if the settings do not state one.
+	defaultStoreWrites = 200
+)
+
+// newOrigins returns the registry of the origins of streams, or nil if the platform has no tables
+// for it.
+func newOrigins(s Settings, p Platform, view *storeView, b *balance.Balancer, logger hclog.Logger) *streamorigin.Registry {
+	if len(p.Streams) == 0 {
+		return nil
+	}
+	writes, partWrites := s.Store.Writes, s.Store.PartWrites
+	if writes <= 0 {
+		writes = defaultStoreWrites
+	}
+	if partWrites <= 0 {
+		partWrites = defaultStoreWrites
+	}
+	return streamorigin.New(streamorigin.Options{
+		Instance: s.Instance, Tables: p.Streams, View: view.versions, Instances: b.Instances,
+		Rate: streamorigin.Rate(writes, partWrites, len(p.Streams)), LongestTimeout: view.longestTimeout,
+		Bootstrap: s.Bootstrap, Epoch: p.StoreEpoch, Logger: logger,
+	})
+}
+
+// holdOrigins decides the base versions while this instance holds the duty, until ctx ends.
+func holdOrigins(origins *streamorigin.Registry) func(context.Context, lease.Guard) error {
+	return func(ctx context.Context, g lease.Guard) error {
+		return origins.Hold(ctx, g.Check)
+	}
+}
+
+// versions returns the number of servers by version of each service of the configuration.
+// Draining servers are listed and not counted.
+func (v *storeView) versions() streamorigin.View {
+	table := v.table.Load()
+	if table == nil {
+		return streamorigin.View{}
+	}
+	view := streamorigin.View{AsOf: v.servers.CurrentAsOf(), Services: make(map[string]map[string]int, len(table.Services))}
+	for _, s := range table.Services {
+		view.Services[s.Name] = map[string]int{}
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.directory.Servers() {
+		counts, ok := view.Services[s.Service]
+		if !ok {
+			continue
+		}
+		if s.Draining {
+			counts[s.Version] += 0
+			continue
+		}
+		counts[s.Version]++
+	}
+	return view
+}
+
+// longestTimeout returns the longest timeout of a route, and zero before the first configuration.
+func (v *storeView) longestTimeout() time.Duration {
+	table := v.table.Load()
+	if table == nil {
+		return 0
+	}
+	longest := time.Duration(0)
+	for i := range table.Routes {
+		timeout := table.Routes[i].Timeout
+		if timeout <= 0 {
+			timeout = noTimeout
+		}
+		longest = max(longest, timeout)
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/edge/origins_test.go
@@ -0,0 +1,93 @@
+package edge
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hawthornwick/hawthornwick/internal/gateway"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
+)
+
+// newStreamsPlatform returns a platform with a table for the origins of streams.
+func newStreamsPlatform(t *testing.T) *testPlatform {
+	t.Helper()
+	w := newTestPlatform(t)
+	w.adjust = func(p *Platform) { p.Streams = []platform.Table{w.store.Table("streams")} }
+	return w
+}
+
+// TestOriginsSurviveRestart guards against an instance that does not know, after a restart of all,
+// at which version a stream began.
+func TestOriginsSurviveRestart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newStreamsPlatform(t)
+	w.addServer("a", 0)
+	one := w.startReady("one")
+	begin := func(attempt, version string) error {
+		c := one.origins.Track(attempt, "s")
+		defer c.Ended()
+		c.Sending(version)
+		return c.Confirm(t.Context())
+	}
+	is.NoErr(begin("x", "v9")) // no base yet: recorded
+	one.stop()
+	err := <-one.done
+	one.done <- err // for the cleanup
+	is.NoErr(err)
+	two := w.startReady("two")
+	version, err := two.origins.Find(t.Context(), "x", "s")
+	is.NoErr(err)
+	is.Equal(version, "v9")
+	_, err = two.origins.Find(t.Context(), "y", "s")
+	var unknown *gateway.OriginUnknownError
+	is.True(errors.As(err, &unknown)) // no base
+	is.True(unknown.RetryAfter > 0)
+	var text strings.Builder
+	two.writeMetrics(&text)
+	is.True(strings.Contains(text.String(), `hawthornwick_stream_origin_lookups_total{result="record"} 1`))
+}
+
+// TestBaseIsDecidedAtFirstStart checks that the holder of the duty decides the base, and that the
+// other instance then writes no records of streams at it.
+func TestBaseIsDecidedAtFirstStart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newStreamsPlatform(t)
+	w.bootstrap = true
+	w.addServer("a", 0)
+	one, two := w.startReady("one"), w.startReady("two")
+	known := func(r *testInstance) bool {
+		var text strings.Builder
+		r.origins.WriteMetrics(&text)
+		return strings.Contains(text.String(), `hawthornwick_stream_base{service="s",version="",closed="false"} 1`)
+	}
+	eventually(t, 10*time.Second, "both know the base", func() bool { return known(one) && known(two) })
+	c := two.origins.Track("x", "s")
+	c.Sending("")
+	is.NoErr(c.Confirm(t.Context()))
+	c.Ended()
+	rows, err := w.store.Table("streams").List(t.Context(), "origin/", "", 10)
+	is.NoErr(err)
+	is.Equal(len(rows), 0)
+	version, err := one.origins.Find(t.Context(), "x", "s")
+	is.NoErr(err)
+	is.Equal(version, "")
+}
+
+// TestVersionsOfServices checks the list of versions and when it was current.
+func TestVersionsOfServices(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := newStreamsPlatform(t)
+	w.addServer("a", 0)
+	w.addServer("b", 0)
+	one := w.startReady("one")
+	eventually(t, 3*time.Second, "both servers are listed", func() bool { return one.view.versions().Services["s"][""] == 2 })
+	is.True(!one.view.versions().AsOf.IsZero())
+	is.Equal(one.view.longestTimeout(), noTimeout)
+}
--- a/internal/edge/platform.go
+++ b/internal/edge/platform.go
@@ -39,8 +39,8 @@
 	Encode func(phase rollout.Phase, to string) ([]byte, error)
 }
 
-// Platform connects an Edge to a platform. All fields but WriteMetrics and
-// RolloutStatus are required.
+// Platform connects an Edge to a platform. All fields but WriteMetrics, RolloutStatus,
+// Streams and StoreEpoch are required.
 type Platform struct {
 	// Protocol reads and writes header fields.
 	Protocol gateway.Protocol
@@ -63,6 +63,12 @@
 	Duties platform.Table
 	// RolloutStatus is where the states of rollouts are written. May be zero.
 	RolloutStatus RolloutStatus
+	// Streams are the tables with the origins of streams, best in different parts of the store.
+	// All instances must have the same ones. If empty, streams are taken up at any version.
+	Streams []platform.Table
+	// StoreEpoch returns how often the store is known to have been restored from an older
+	// copy. Nil means never.
+	StoreEpoch func() uint64
 	// Report sends the usage of one window. It must be idempotent for equal counts.
 	Report tally.Report
 	// Order orders a number of backend servers. token is the fencing token of the
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -30,6 +30,10 @@
 	Usage UsageSettings
 	// Duties are the control duties that this instance may hold.
 	Duties Duties
+	// Bootstrap is true only when the whole system starts for the first time.
+	Bootstrap bool
+	// Store are the rates of the platform's store.
+	Store StoreRates
 	// MemoryBytes is the memory that the process may use. Zero means no limit.
 	MemoryBytes int64
 }
@@ -67,6 +71,13 @@
 	Lease time.Duration
 }
 
+// StoreRates are the calls per second that the store takes from all instances together. Zero means
+// unknown.
+type StoreRates struct {
+	Writes     float64 // calls that write
+	PartWrites float64 // transactions of one part
+}
+
 // UsageSettings configure the reports of usage.
 type UsageSettings struct {
 	// Window is the length of the period that one report covers. Zero means that
--- a/internal/streamorigin/hold.go
+++ b/internal/streamorigin/hold.go
@@ -10,13 +10,18 @@
 	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
-// holdInterval is the interval between two decisions of the holder of the duty.
-const holdInterval = 500 * time.Millisecond
+const (
+	// holdInterval is the interval between two decisions of the holder of the duty.
+	holdInterval = 500 * time.Millisecond
+	// reloadInterval is the interval between two reads of the rows by the holder.
+	reloadInterval = 10 * time.Second
+)
 
 // holder is what the holder of the duty knows of the base rows.
 type holder struct {
 	registry *Registry
 	loaded   bool // rows are as the store had them in the epoch
+	loadedAt boottime.Instant
 	epoch    uint64
 	rows     map[string]heldRow
 	closed   map[string]boottime.Instant // when a row was first known to be closed
@@ -58,18 +63,18 @@
 
 // load reads the rows unless they are known.
 func (h *holder) load(ctx context.Context) error {
-	if h.loaded && h.epoch == h.registry.epoch() {
+	now := h.registry.now()
+	if h.loaded && h.epoch == h.registry.epoch() && now.Sub(h.loadedAt) < reloadInterval {
 		return nil
 	}
 	rows, epoch, err := h.registry.listBases(ctx)
 	if err != nil {
 		return err
 	}
-	now := h.registry.now()
 	for service, held := range rows {
-		h.noteClosed(now, service, held, h.rows[service])
+		h.noteClosed(h.registry.now(), service, held, h.rows[service])
 	}
-	h.rows, h.epoch, h.loaded = rows, epoch, true
+	h.rows, h.epoch, h.loaded, h.loadedAt = rows, epoch, true, now
 	return nil
 }
 
--- a/internal/streamorigin/known.go
+++ b/internal/streamorigin/known.go
@@ -63,7 +63,10 @@
 
 // complete reports whether the base of each listed service is relied on.
 func (k *knownBases) complete(v View, epoch uint64) bool {
-	for service := range v.Services {
+	for service, versions := range v.Services {
+		if len(versions) == 0 {
+			continue
+		}
 		if b, ok := k.bases[service]; !ok || !b.relied || b.epoch != epoch {
 			return false
 		}
