streamorigin: a base is not decided on lists that are far apart

Callers could have got joined streams: after a restore of the store an instance made the only version that it had seen for 90 s the base, although the former base had been listed for a moment between two of its lists, and another instance still began streams at it.

--- a/internal/streamorigin/base.go
+++ b/internal/streamorigin/base.go
@@ -62,7 +62,7 @@
 		return best, len(in.servers) == 1 || watched >= settling
 	case in.sinceEpoch() < settling:
 		return "", false
-	case len(in.servers) == 1 && in.watch.onlyFor(in.service, best, in.times.quiet):
+	case len(in.servers) == 1 && in.mayBe(best) && in.watch.onlyFor(in.service, best, in.times.quiet):
 		return best, true
 	}
 	if _, listed := in.servers[in.trusted]; in.isTrusted && listed && in.sinceEpoch() >= in.times.life {
@@ -74,6 +74,12 @@
 	return best, min(watched, in.sinceEpoch()) >= in.times.quiet
 }
 
+// mayBe reports whether the base of before the restore may have been a version, as far as the copy
+// tells.
+func (in baseInputs) mayBe(version string) bool {
+	return in.held.version == 0 || in.held.row.Version == version
+}
+
 // sinceEpoch returns the time from when the epoch was learned of to the last list.
 func (in baseInputs) sinceEpoch() time.Duration { return in.watch.asOf.Sub(in.epochSeen) }
 
--- a/internal/streamorigin/follow.go
+++ b/internal/streamorigin/follow.go
@@ -46,7 +46,7 @@
 	r.longest = max(r.longest, longest)
 	r.observeEpoch(now, epoch)
 	r.view = view
-	r.watch.observe(now, view, maxViewAge)
+	r.watch.observe(now, view, maxWatchGap)
 	r.known.observe(view, maxViewAge)
 	return r.known.complete(view, epoch)
 }
--- a/internal/streamorigin/registry_test.go
+++ b/internal/streamorigin/registry_test.go
@@ -698,3 +698,45 @@
 		}
 	})
 }
+
+// TestHolderDecidesOnCurrentState guards against a base that is decided on an old list of servers, or
+// on rows of another epoch than the watch.
+func TestHolderDecidesOnCurrentState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, n, _ := settled(t, "v1", "v2")
+		h := &holder{registry: n.Registry, closed: map[string]boottime.Instant{}, rows: map[string]heldRow{}}
+		is.Equal(len(h.decide()), 1) // no row, first start
+		h.epoch = 1
+		is.Equal(len(h.decide()), 0)
+		h.epoch = 0
+		n.setCut(true)
+		w.list("v2")
+		time.Sleep(maxViewAge + time.Second)
+		is.Equal(len(h.decide()), 0)
+	})
+}
+
+// TestTrustedBaseIsNotedBeforeRowsAreRead guards against a restore that is first learned of by the
+// read of the base rows, after which the base up to the restore is forgotten.
+func TestTrustedBaseIsNotedBeforeRowsAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w, _, n := settled(t, "v1", "v2")
+		w.store.copyRows()
+		w.store.restore()
+		_, err := n.options.Tables[0].Get(t.Context(), "x") // learns of the restore
+		is.NoErr(err)
+		is.NoErr(n.readBases(t.Context()))
+		is.Equal(n.trusted["s"], "v1")
+	})
+}
+
+func TestExpiringRecordsAreBounded(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(1)
+	for range 2 * maxExpiring {
+		q.expire(0, 1, originID{})
+	}
+	is.Equal(len(q.expired[0]), maxExpiring)
+}
