--- a/internal/streamorigin/model_test.go
+++ b/internal/streamorigin/model_test.go
@@ -61,7 +61,6 @@
 	known     *knownBases
 	trusted   string
 	isTrusted bool
-	rowEpoch  uint64
 	row       heldRow
 	loaded    bool
 	closed    boottime.Instant
