--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/logsink"
 	"github.com/hawthornwick/hawthornwick/internal/pace"
 	"github.com/hawthornwick/hawthornwick/internal/quarantine"
+	"github.com/hawthornwick/hawthornwick/internal/streamorigin"
 	"github.com/hawthornwick/hawthornwick/internal/timeline"
 	"github.com/hawthornwick/hawthornwick/internal/truetime"
 )
@@ -58,6 +59,7 @@
 	sharing         *sharing
 	duties          *duties
 	rollouts        *rollouts
+	origins         *streamorigin.Registry // nil if the platform has no tables for it
 	balancer        *balance.Balancer
 	pace            *pace.Book
 	gateway         *gateway.Gateway
@@ -106,6 +108,9 @@
 	if p.Epochs != nil {
 		p.Epochs.OnChange(e.storeRestored)
 	}
+	if e.origins = newOrigins(s, p, e.view, e.balancer, logger.Named("streamorigin")); e.origins != nil {
+		e.duties.leases.Do(controlDuty, holdOrigins(e.origins))
+	}
 	var observeVersions func(gateway.VersionSample) string
 	if e.rollouts.enabled() {
 		observeVersions = e.rollouts.observe
@@ -186,6 +191,9 @@
 	e.members.run(services, &running)
 	e.duties.run(services, &running)
 	e.rollouts.run(services, &running)
+	if e.origins != nil {
+		running.Go(func() { e.origins.Run(services) })
+	}
 	failed := make(chan error, 2)
 	running.Go(func() {
 		if err := e.listener.Serve(); err != nil {
--- a/internal/edge/platform.go
+++ b/internal/edge/platform.go
@@ -40,7 +40,7 @@
 	Encode func(phase rollout.Phase, to string) ([]byte, error)
 }
 
-// Platform connects an Edge to a platform. All fields but Epochs, WriteMetrics and
+// Platform connects an Edge to a platform. All fields but Epochs, Streams, WriteMetrics and
 // RolloutStatus are required.
 type Platform struct {
 	// Protocol reads and writes header fields.
@@ -64,6 +64,9 @@
 	Duties platform.Table
 	// RolloutStatus is where the states of rollouts are written. May be zero.
 	RolloutStatus RolloutStatus
+	// Streams are the tables with the origins of streams, best in different parts of the store.
+	// All instances must have the same ones. If empty, streams are taken up at any version.
+	Streams []platform.Table
 	// Report sends the usage of one window. It must be idempotent for equal counts.
 	Report tally.Report
 	// Order orders a number of backend servers. token is the fencing token of the
