--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// findTimeout bounds one read of the store for a take-up, and findTries their number.
+	// findTimeout bounds the first read of the store for a take-up, and findTries their number.
+	// Each further one gets findTimeout/2 more, since the store may be slow.
 	findTimeout = 300 * time.Millisecond
 	findTries   = 3
 	findPause   = 50 * time.Millisecond
@@ -105,8 +106,8 @@
 // readTries reads the store until it answers, findTries times at most.
 func (r *Registry) readTries(ctx context.Context, service, prefix string) (found, error) {
 	var last error
-	for range findTries {
-		f, err := r.readOnce(ctx, service, prefix)
+	for try := range findTries {
+		f, err := r.readOnce(ctx, service, prefix, findTimeout+time.Duration(try)*findTimeout/2)
 		if err == nil {
 			return f, nil
 		}
@@ -123,8 +124,8 @@
 
 // readOnce reads the records with a prefix of all tables and the base row at the same time. If the
 // prefix is originPrefix, it only finds out whether there are records.
-func (r *Registry) readOnce(ctx context.Context, service, prefix string) (found, error) {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+func (r *Registry) readOnce(ctx context.Context, service, prefix string, timeout time.Duration) (found, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	f := found{epoch: r.epoch()}
--- a/internal/streamorigin/follow.go
+++ b/internal/streamorigin/follow.go
@@ -13,7 +13,7 @@
 	// tickInterval is the interval between two looks at the list of servers.
 	tickInterval = 500 * time.Millisecond
 	// callTimeout bounds one call of the store.
-	callTimeout = 400 * time.Millisecond
+	callTimeout = time.Second
 	// maxBaseRows bounds the base rows that are read.
 	maxBaseRows = 500
 )
--- a/internal/streamorigin/writer.go
+++ b/internal/streamorigin/writer.go
@@ -9,6 +9,10 @@
 )
 
 const (
+	// minWriteTimeout bounds one transaction. It doubles with each failure up to maxWriteTimeout,
+	// since the store may be slow.
+	minWriteTimeout = 300 * time.Millisecond
+	maxWriteTimeout = 1200 * time.Millisecond
 	// minWriteRetryDelay and maxWriteRetryDelay bound the delay after failed transactions.
 	minWriteRetryDelay = 20 * time.Millisecond
 	maxWriteRetryDelay = time.Second
@@ -29,7 +33,7 @@
 			continue
 		}
 		start := r.now()
-		err := r.write(ctx, b)
+		err := r.write(ctx, b, writeTimeout(failures))
 		delay := writeInterval(r.options.Instances(), r.options.Rate)
 		if err != nil {
 			failures++
@@ -42,6 +46,10 @@
 	}
 }
 
+func writeTimeout(failures int) time.Duration {
+	return min(minWriteTimeout<<min(failures, 8), maxWriteTimeout)
+}
+
 // retryDelay doubles a delay with each failure up to maxWriteRetryDelay, and spreads it.
 func retryDelay(delay time.Duration, failures int) time.Duration {
 	delay = max(delay, minWriteRetryDelay)
@@ -71,8 +79,8 @@
 
 // write writes a batch. If it fails, the batch may have taken effect; it is put back, and the next
 // one goes to another table, which may be in a part of the store that works.
-func (r *Registry) write(ctx context.Context, b batch) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (r *Registry) write(ctx context.Context, b batch, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	epoch := r.epoch() // the transaction may come before a restore that is learned of meanwhile
 	_, err := r.options.Tables[b.table].Commit(ctx, b.txn())
