balance: a bound query is assigned to its software version only

Servers of several software versions may serve one service side by side, and a stream may go on only at the version that began it. Nothing in the balancer could say so: each place that picks or counts servers took all versions.

Query.Bound and Query.BoundVersion limit a query to one version, in eligible, affinityServer, allSuspect, the openings, Down and the early continuation of a leaving server's stream. Bound queries ignore the side of a rollout, but not a barred or blocked version. They wait in a queue for each version, since a queue tries only the head of each class. One without an untried server of its version is refused at once. Also, a request is not sent any more if another process is listed under the chosen server's id by then. What is reserved for more urgent requests still counts all versions, since those requests may use all.

Tests: the field did not exist, so none compiled before. With the filter taken out of eligible, TestBoundQueryGetsItsVersionOnly and five more fail; with it taken out of allSuspect, TestSuspectsOfOtherVersionsDoNotCount fails.

--- a/internal/balance/acquire.go
+++ b/internal/balance/acquire.go
@@ -24,8 +24,14 @@
 type NoServerError struct {
 	Service string
 	Waited  time.Duration
-	// Down is true when the service has no usable server at all.
+	// Down is true when the service has no usable server at all, or none of Version if the
+	// query was bound to that.
 	Down bool
+	// Bound and Version are those of the query. Listed is true when a server that may run it
+	// is listed and does not leave.
+	Bound   bool
+	Version string
+	Listed  bool
 	// Reserved is true when what the servers' rate limits allow is left to more urgent
 	// requests.
 	Reserved bool
@@ -37,6 +43,8 @@
 // Error implements the error interface.
 func (e *NoServerError) Error() string {
 	switch {
+	case e.Down && e.Bound:
+		return fmt.Sprintf("service %q has no usable backend server of software version %q, which began the stream", e.Service, e.Version)
 	case e.Down:
 		return fmt.Sprintf("service %q has no usable backend server", e.Service)
 	case e.Reserved:
@@ -83,6 +91,7 @@
 	balancer    *Balancer
 	pool        *pool
 	query       *Query
+	queue       *admission.Queue[*waiter]
 	entry       *admission.Entry[*waiter] // nil if the request did not have to wait
 	submittedAt boottime.Instant
 }
@@ -95,16 +104,16 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	p := b.pool(q.Service)
-	t := &Ticket{balancer: b, pool: p, query: q, submittedAt: now}
+	t := &Ticket{balancer: b, pool: p, query: q, queue: p.queueFor(q), submittedAt: now}
 	p.arrivals.add(now, q.Priority)
 	p.observeTarget(q)
-	if p.waiting.Len() == 0 {
+	if t.queue.Len() == 0 {
 		if s := b.chooseUnlessHeld(now, p, q); s != nil {
 			ready(b.assign(now, p, s, q))
 			return t
 		}
 	}
-	t.entry = b.enqueue(p, &waiter{query: q, ready: ready}, now)
+	t.entry = enqueue(t.queue, &waiter{query: q, ready: ready}, now)
 	b.dispatch(now, p)
 	return t
 }
@@ -124,12 +133,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	return b.openings(now, t.pool, t.query).outlast(now, t.query.MaxWait)
+	return t.pool.lacksServer(now, t.query) || b.openings(now, t.pool, t.query).outlast(now, t.query.MaxWait)
 }
 
 func (t *Ticket) dequeue() {
 	if t.entry != nil {
-		t.pool.waiting.Remove(t.entry)
+		t.queue.Remove(t.entry)
 	}
 }
 
@@ -146,7 +155,8 @@
 		return b.assign(now, t.pool, s, t.query), nil
 	}
 	return nil, &NoServerError{
-		Service: t.pool.name, Waited: now.Sub(t.submittedAt), Down: t.pool.hasNoUsableServer(),
+		Service: t.pool.name, Waited: now.Sub(t.submittedAt), Down: t.pool.hasNoUsableServer(now, t.query),
+		Bound: t.query.Bound, Version: t.query.BoundVersion, Listed: t.pool.lists(t.query),
 		Reserved:   b.reserved(now, t.pool, t.query),
 		RetryAfter: b.openings(now, t.pool, t.query).retryAfter(now),
 	}
@@ -159,13 +169,13 @@
 	b.dispatchAll()
 }
 
-func (b *Balancer) enqueue(p *pool, w *waiter, now boottime.Instant) *admission.Entry[*waiter] {
+func enqueue(queue *admission.Queue[*waiter], w *waiter, now boottime.Instant) *admission.Entry[*waiter] {
 	entry := &admission.Entry[*waiter]{
 		Value: w, Class: className(w.query.Priority), Organisation: w.query.Organisation,
 		Cost: float64(w.query.PromptTokens + w.query.OutputTokens), Arrived: time.Unix(0, int64(now)),
 	}
 	// The evicted request is not notified: its wait ends at its own maximum.
-	if _, err := p.waiting.Push(entry); err != nil {
+	if _, err := queue.Push(entry); err != nil {
 		panic(fmt.Sprintf("balance: %v", err))
 	}
 	return entry
@@ -197,9 +207,14 @@
 	}
 }
 
-func (p *pool) hasNoUsableServer() bool {
+// hasNoUsableServer reports whether no server may run the query at all, now or when it has
+// capacity.
+func (p *pool) hasNoUsableServer(now boottime.Instant, q *Query) bool {
+	if p.bars(now, q) {
+		return true
+	}
 	for _, s := range p.servers {
-		if s.usable() {
+		if s.usableFor(q) {
 			return false
 		}
 	}
@@ -226,7 +241,7 @@
 	p.tokens.output += q.OutputTokens
 	return &Assignment{
 		Server: s.ID, Address: s.Address, Zone: s.Zone, Version: s.Version, StartedMillis: s.StartedMillis, Cold: cold, OnAffinityServer: onAffinity, InFlight: inFlight, Others: others,
-		Uncached: uncached, sensitivity: loadSensitivity(p, q), balancer: b, server: s, pool: p, assignedAt: now, trial: trial,
+		Uncached: uncached, sensitivity: loadSensitivity(p, q), balancer: b, server: s, pool: p, assignedAt: now, trial: trial, bound: q.Bound,
 		expectedMillis: minFirstEventMillis + float64(s.pendingPrefill+others.PendingPrefill)/b.prefillRate(now, s),
 		PrefillAhead:   s.pendingPrefill - uncached + others.PendingPrefill, Slots: p.slots(s),
 	}
@@ -234,9 +249,14 @@
 
 // dispatch assigns waiting requests of the pool until none fits.
 func (b *Balancer) dispatch(now boottime.Instant, p *pool) {
-	for p.waiting.Len() > 0 {
+	b.dispatchBound(now, p)
+	b.dispatchQueue(now, p, p.waiting)
+}
+
+func (b *Balancer) dispatchQueue(now boottime.Instant, p *pool, queue *admission.Queue[*waiter]) {
+	for queue.Len() > 0 {
 		var found *server
-		entry := p.waiting.Next(func(e *admission.Entry[*waiter], _ bool) bool {
+		entry := queue.Next(func(e *admission.Entry[*waiter], _ bool) bool {
 			found = b.chooseUnlessHeld(now, p, e.Value.query)
 			return found != nil
 		})
@@ -280,7 +300,7 @@
 func (b *Balancer) waitingRequests() int {
 	n := 0
 	for _, p := range b.pools {
-		n += p.waiting.Len()
+		n += p.waitingRequests()
 	}
 	return n
 }
--- a/internal/balance/answer.go
+++ b/internal/balance/answer.go
@@ -61,14 +61,14 @@
 }
 
 // MaySend reports whether the request may still be sent to the assigned server, which may
-// have stated since the assignment that it wants no more requests, or none for now, or
-// whose version may have been found bad.
+// have stated since the assignment that it wants no more requests, or none for now, whose
+// version may have been found bad, or under whose id another process is listed by now.
 func (a *Assignment) MaySend() bool {
 	b := a.balancer
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	return !a.server.leaving() && !a.server.stated.Paused(now) && a.pool.maySend(now, a.server)
+	return a.process() != ProcessReplaced && !a.server.leaving() && !a.server.stated.Paused(now) && a.pool.maySend(now, a.server, a.bound)
 }
 
 // ownerOf returns the listed server at an address whose ID differs from the given one,
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -85,6 +85,7 @@
 	engine      bool
 	servers     []*server
 	waiting     *admission.Queue[*waiter]
+	bound       map[string]*admission.Queue[*waiter] // bound queries by version, see queueFor
 	retryWindow *retrybudget.Window
 	tokens      tokenCounter
 	arrivals    arrivals
@@ -149,6 +150,7 @@
 		p = &pool{
 			name:        name,
 			waiting:     newQueue(),
+			bound:       map[string]*admission.Queue[*waiter]{},
 			retryWindow: retrybudget.NewWindow(b.options.Retries.Window, b.options.Retries.Ratio, b.retrySlack()),
 		}
 		b.pools[name] = p
@@ -288,10 +290,10 @@
 	return s.Capacity
 }
 
-// allSuspect reports whether every usable server of the pool is suspect.
-func (p *pool) allSuspect(now boottime.Instant) bool {
+// allSuspect reports whether every usable server that may run the query is suspect.
+func (p *pool) allSuspect(now boottime.Instant, q *Query) bool {
 	for _, s := range p.servers {
-		if s.usable() && p.versions.permits(s) && !s.suspect(now) {
+		if s.usableFor(q) && p.versions.permits(s, q) && !s.suspect(now) {
 			return false
 		}
 	}
--- a/internal/balance/canary.go
+++ b/internal/balance/canary.go
@@ -34,8 +34,9 @@
 // isNew reports whether the server has the version that traffic moves to.
 func (v *versions) isNew(s *server) bool { return v.active && s.Version == v.rule.Order.To }
 
-// permits reports whether the server is on the side of the decision in progress.
-func (v *versions) permits(s *server) bool {
+// permits reports whether the server is on the side of the decision in progress. A bound query
+// may use the side of its version at any time.
+func (v *versions) permits(s *server, q *Query) bool {
 	if !v.active {
 		return true
 	}
@@ -43,9 +44,9 @@
 		return false
 	}
 	if s.Version != v.rule.Order.To {
-		return v.side == oldVersions
+		return q.Bound || v.side == oldVersions
 	}
-	return v.side == newVersion && (v.subset == nil || v.subset[s.ID])
+	return (q.Bound || v.side == newVersion) && (v.subset == nil || v.subset[s.ID])
 }
 
 // blocked reports whether the new version gets no requests now. A rule that was not
@@ -66,8 +67,9 @@
 }
 
 // maySend reports whether a request may still be sent to a server that it was assigned
-// to. Old servers are stopped without draining when the rollout is complete.
-func (p *pool) maySend(now boottime.Instant, s *server) bool {
+// to. Old servers are stopped without draining when the rollout is complete, but a bound
+// request has no others.
+func (p *pool) maySend(now boottime.Instant, s *server, bound bool) bool {
 	v := &p.versions
 	switch {
 	case !v.active:
@@ -77,7 +79,7 @@
 	case v.barred[s.Version]:
 		return false
 	}
-	return !v.shifted() || !p.hasUsable(newVersion)
+	return bound || !v.shifted() || !p.hasUsable(newVersion)
 }
 
 // shifted reports whether all traffic has shifted to the new version, and this version was
@@ -116,13 +118,14 @@
 // choose returns the server for a request, nil when there is none. While a rollout
 // progresses, a request goes to the new version only if the credit allows, or if that
 // version gets all traffic. A retry goes to an old server, as long as these get requests.
-// Once all traffic has shifted, requests wait while the rule is stale or has expired.
+// Once all traffic has shifted, requests wait while the rule is stale or has expired. Bound
+// queries go to their version, unless the rollout bars it.
 func (b *Balancer) choose(now boottime.Instant, p *pool, q *Query) *server {
-	if b.reserved(now, p, q) {
+	if b.reserved(now, p, q) || p.bars(now, q) {
 		return nil
 	}
 	v := &p.versions
-	if !v.active {
+	if !v.active || q.Bound {
 		return b.chooseOnSide(now, p, q)
 	}
 	switch {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
@@ -30,7 +29,7 @@
 		}
 		best = cheaper(best, c)
 	}
-	if best.server == nil && p.allSuspect(now) {
+	if best.server == nil && p.allSuspect(now, q) {
 		return fallback.server
 	}
 	return best.server
@@ -45,10 +44,10 @@
 
 // eligible reports whether the server can accept the request now.
 func (b *Balancer) eligible(now boottime.Instant, p *pool, s *server, q *Query) bool {
-	if !s.usable() || s.paused(now) || now.Before(s.fullUntil) || s.inFlight >= b.inFlightLimit(p, s) {
+	if !s.usableFor(q) || s.paused(now) || now.Before(s.fullUntil) || s.inFlight >= b.inFlightLimit(p, s) {
 		return false
 	}
-	if slices.Contains(q.Tried, s.ID) || !p.versions.permits(s) {
+	if q.tried(s) || !p.versions.permits(s, q) {
 		return false
 	}
 	return b.mayAdd(now, p, s)
@@ -68,7 +67,7 @@
 	var first, second *server
 	var highest, next uint64
 	for _, s := range p.servers {
-		if !s.usable() || !p.versions.permits(s) || s.cold(now) || s.suspect(now) || !set.allows(s) || !b.mayAdd(now, p, s) {
+		if !s.usableFor(q) || !p.versions.permits(s, q) || s.cold(now) || s.suspect(now) || !set.allows(s) || !b.mayAdd(now, p, s) {
 			continue
 		}
 		switch w := rendezvous(key, s.ID); {
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -43,7 +43,7 @@
 }
 
 func (p *pool) demand(now boottime.Instant) presence.Demand {
-	d := presence.Demand{Waiting: p.waiting.Len()}
+	d := presence.Demand{Waiting: p.waitingRequests()}
 	for _, s := range p.servers {
 		d.InFlight += s.inFlight
 	}
--- a/internal/balance/metrics.go
+++ b/internal/balance/metrics.go
@@ -23,7 +23,7 @@
 }
 
 func (p *pool) writeMetrics(w io.Writer, now boottime.Instant) {
-	fmt.Fprintf(w, "hawthornwick_waiting_requests{service=%q} %d\n", p.name, p.waiting.Len())
+	fmt.Fprintf(w, "hawthornwick_waiting_requests{service=%q} %d\n", p.name, p.waitingRequests())
 	fmt.Fprintf(w, "hawthornwick_repeats_total{service=%q,allowed=\"true\"} %d\n", p.name, p.retriesAllowed)
 	fmt.Fprintf(w, "hawthornwick_repeats_total{service=%q,allowed=\"false\"} %d\n", p.name, p.retriesDenied)
 	fmt.Fprintf(w, "hawthornwick_repeats_left{service=%q} %.1f\n", p.name, p.retryWindow.Remaining(time.Duration(now)))
--- a/internal/balance/opening.go
+++ b/internal/balance/opening.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"slices"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
@@ -48,10 +47,10 @@
 func (b *Balancer) openings(now boottime.Instant, p *pool, q *Query) openings {
 	var found openings
 	for _, s := range p.servers {
-		if !s.usable() {
+		if !s.usableFor(q) {
 			continue
 		}
-		tried := slices.Contains(q.Tried, s.ID)
+		tried := q.tried(s)
 		at, closed := b.opening(now, s)
 		if !closed {
 			if !tried {
--- a/internal/balance/types.go
+++ b/internal/balance/types.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
@@ -33,6 +34,11 @@
 	TargetEventInterval time.Duration
 	// Tried holds the IDs of servers that the request was already sent to.
 	Tried []string
+	// Bound is true if only servers whose Version is BoundVersion may run the request, since
+	// it goes on with a run of that version. An empty BoundVersion is that of servers which
+	// state none.
+	Bound        bool
+	BoundVersion string
 	// MaxWait is the maximum wait for a server.
 	MaxWait time.Duration
 }
@@ -55,6 +61,9 @@
 	return shared[len(shared)-1].ID, true
 }
 
+// tried reports whether the request was already sent to the server.
+func (q *Query) tried(s *server) bool { return slices.Contains(q.Tried, s.ID) }
+
 // Outcome is the result of an attempt at a server.
 type Outcome int
 
@@ -133,6 +142,7 @@
 	expectedMillis float64 // expected time to the first event, without a relative slowdown
 	prefilled      bool    // the first event arrived, so prefill is done
 	trial          bool    // the server's trial after a pause
+	bound          bool    // the query was bound
 	ended          bool
 }
 
