gateway: a stream goes on only at the software version that began it

Callers saw streams joined from two software versions of a service: a retry after a broken stream, the early continuation of a leaving server's stream and a resumption by the caller (Last-Event-Id) took a server of any version.

Once the first event of a stream was relayed, all further attempts of the exchange are bound to the version of the server that sent it. A resumption is bound from the start: Options.Origins says which version began the stream of the attempt that the caller names in Resumes. Unknown, or no server of the version: refused as not run with 4011 or 4012, with Retry-After only if a return may help. A stream that begins is recorded before its first event is relayed. Before the first event of a run that goes on, the server is asked who it is, since the directory may be late; another process ends the attempt. If the directory lists another version under the server's id, whose process may have sent the first event, nothing goes on.

--- a/internal/balance/answer.go
+++ b/internal/balance/answer.go
@@ -68,7 +68,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	return a.process() != ProcessReplaced && !a.server.leaving() && !a.server.stated.Paused(now) && a.pool.maySend(now, a.server, a.bound)
+	if _, _, replaced := a.successor(); replaced {
+		return false
+	}
+	return !a.server.leaving() && !a.server.stated.Paused(now) && a.pool.maySend(now, a.server, a.bound)
 }
 
 // ownerOf returns the listed server at an address whose ID differs from the given one,
--- a/internal/balance/bound.go
+++ b/internal/balance/bound.go
@@ -94,34 +94,19 @@
 	return n
 }
 
-// ChosenProcess is what the directory now says of the process that was chosen for a request.
-type ChosenProcess int
-
-// Values of ChosenProcess.
-const (
-	// ProcessListed: the process is listed with the version that it had.
-	ProcessListed ChosenProcess = iota
-	// ProcessUnlisted: the server is not listed, and the process may run on.
-	ProcessUnlisted
-	// ProcessReplaced: another process is listed under the server's id, or another version.
-	ProcessReplaced
-)
-
-// Process returns what the directory now says of the process that was chosen.
-func (a *Assignment) Process() ChosenProcess {
-	b := a.balancer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return a.process()
+// Successor returns the version and the start, in Unix milliseconds, of another process than the
+// assigned one that the directory now lists under the server's id. A start of zero is unknown.
+// ok is false if it lists none.
+func (a *Assignment) Successor() (version string, startedMillis int64, ok bool) {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	return a.successor()
 }
 
-func (a *Assignment) process() ChosenProcess {
+func (a *Assignment) successor() (version string, startedMillis int64, ok bool) {
 	listed := a.balancer.servers[a.Server]
-	switch {
-	case listed == nil:
-		return ProcessUnlisted
-	case listed.Version != a.Version || listed.StartedMillis != a.StartedMillis:
-		return ProcessReplaced
+	if listed == nil || listed.Version == a.Version && listed.StartedMillis == a.StartedMillis {
+		return "", 0, false
 	}
-	return ProcessListed
+	return listed.Version, listed.StartedMillis, true
 }
--- a/internal/balance/bound_test.go
+++ b/internal/balance/bound_test.go
@@ -299,12 +299,20 @@
 	b.addVersion("a", "v1")
 	a := b.mustAcquire(boundTo("v1"))
 	is.True(a.MaySend())
-	is.Equal(a.Process(), ProcessListed)
+	successor := func() (string, int64) {
+		version, started, _ := a.Successor()
+		return version, started
+	}
+	version, started := successor()
+	is.Equal(version, "")
+	is.Equal(started, int64(0))
 	listed := b.servers[0]
 	b.SetServers(nil)
-	is.Equal(a.Process(), ProcessUnlisted)
+	is.True(a.MaySend())
 	listed.Version, listed.StartedMillis = "v2", 2
 	b.SetServers([]directory.Server{listed})
-	is.Equal(a.Process(), ProcessReplaced)
+	version, started = successor()
+	is.Equal(version, "v2")
+	is.Equal(started, int64(2))
 	is.True(!a.MaySend())
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,7 +23,7 @@
 
 var (
 	errIsolated = errors.New("the server runs another request that is suspected of crashing servers")
-	errUnwanted = errors.New("the server stated after it was chosen that it wants no requests")
+	errUnwanted = errors.New("the server stated after it was chosen that it wants no requests, or another process is listed in its place")
 )
 
 // attempt is one attempt to run a request on one backend server.
@@ -46,6 +46,7 @@
 	stopsAt    time.Time      // when the server stops work on the request
 	version    versionSampler // for Options.Versions
 	departure  departure      // of the stream, if the server leaves
+	admitted   bool           // events of the run may be relayed
 	// denial is why the request may not be sent after all, or nil. It is set before the
 	// permit is denied.
 	denial error
@@ -140,6 +141,7 @@
 // roundTrip sends the request and relays the answer.
 func (a *attempt) roundTrip() *failure {
 	a.startWatchdog()
+	a.noteOrigin()
 	response, err := a.x.gateway.transports.forRequest(a.x.route.Retryable()).RoundTrip(a.request())
 	if err != nil {
 		return a.connectionFailure(err)
@@ -192,7 +194,7 @@
 
 // describeChoice returns the inputs to the choice of the server as key=value pairs.
 func (a *attempt) describeChoice() string {
-	return a.describeVersion() + fmt.Sprintf("home=%t cold=%t in_flight=%d others=%d unread=%d uncached=%d repeat=%t resume_after=%q",
+	return a.describeVersion() + a.x.describeBinding() + fmt.Sprintf("home=%t cold=%t in_flight=%d others=%d unread=%d uncached=%d repeat=%t resume_after=%q",
 		a.assignment.OnAffinityServer, a.assignment.Cold, a.assignment.InFlight, a.assignment.Others.InFlight,
 		a.assignment.Others.PendingPrefill, a.assignment.Uncached, a.x.sends > 0, a.x.lastEventID)
 }
--- a/internal/gateway/departure_test.go
+++ b/internal/gateway/departure_test.go
@@ -220,3 +220,11 @@
 	is.True(!got.truncated)
 	is.Equal(len(eventIDs(got.body)), 60)
 }
+
+// leaveSoon is like leave for servers that are listed already, of which the second one gets a
+// version.
+func (s *testStack) leaveSoon(version string) {
+	s.servers[1].Version = version
+	s.servers[0].Draining, s.servers[0].LeavesAt = true, boottime.Now().Add(350*time.Millisecond)
+	s.balancer.SetServers(s.servers)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -66,6 +66,10 @@
 	lastEventID     string // of the last event that the caller received; empty if none
 	events          int64  // complete events sent to the caller
 	pauses          pauses // between these events
+
+	origin  OriginRecord        // of a stream that may begin here; nil if none is kept
+	began   *balance.Assignment // of the attempt that sent the first event; nil before that
+	beganAt time.Time           // when that event was relayed
 }
 
 func newExchange(g *Gateway, w http.ResponseWriter, r *http.Request) *exchange {
@@ -82,6 +86,9 @@
 	x.cancel(errEnded)
 	x.cancelDeadline()
 	x.bodyHold.Release()
+	if x.origin != nil {
+		x.origin.Ended()
+	}
 }
 
 // serve answers the request.
@@ -97,6 +104,10 @@
 	x.prepare()
 	x.record(timeline.Event{Kind: timeline.RequestReceived})
 	x.gateway.options.Balancer.CountRequest(x.query.Service)
+	if refusal := x.bindToOrigin(); refusal != nil {
+		x.refuse(refusal)
+		return
+	}
 	x.tryServers()
 }
 
@@ -160,7 +171,7 @@
 	x.suspect = quarantine.Request{Fingerprint: x.digest(), Parts: x.sharedPartIDs()}
 	x.lastEventID = x.head.ResumeAfter
 	x.query = balance.Query{
-		Service: x.route.Choose(x.head.Attempt), Priority: x.table.Rank(x.route, x.organisation), Organisation: x.organisationName(),
+		Service: x.route.Choose(x.serviceSeed()), Priority: x.table.Rank(x.route, x.organisation), Organisation: x.organisationName(),
 		Parts: x.head.Parts, PromptTokens: x.head.PromptTokens, OutputTokens: x.head.OutputTokens,
 		Target: x.route.Target, TargetEventInterval: x.route.TargetEventInterval,
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	Versions func(VersionSample) string
 	// Suspected reports whether the quarantine suspects a request. May be nil.
 	Suspected func(quarantine.Request, time.Time) bool
+	// Origins knows which software version began a stream, so that the caller's next attempt
+	// resumes it at that version only. If nil, any version may resume it.
+	Origins Origins
 	// BufferBytes bounds the bytes of callers' bodies and of unfinished answers and
 	// events that are kept for all requests together. Zero means without limit.
 	BufferBytes int64
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -33,6 +33,7 @@
 	testOrg     = "Test-Organisation"
 	testServer  = "Test-Server"
 	testResume  = "Test-Resume"
+	testResumed = "Test-Resumed" // the attempt that brought the first event
 	testSigned  = "Test-Signed"
 	testNotRun  = "Test-Not-Run"
 	testLeft    = "Test-Left"
@@ -67,7 +68,7 @@
 	return CallerHead{
 		Parts:   parts,
 		Attempt: r.Header.Get(testAttempt), Key: r.Header.Get(testKey), ResumeAfter: r.Header.Get(testResume),
-		MaxWait: time.Duration(left) * time.Millisecond,
+		MaxWait: time.Duration(left) * time.Millisecond, ResumedAttempt: r.Header.Get(testResumed),
 	}
 }
 
--- a/internal/gateway/leaving.go
+++ b/internal/gateway/leaving.go
@@ -110,7 +110,7 @@
 		return false
 	}
 	suspects := x.gateway.options.Suspects
-	return x.endsBeforeStop() && !suspects.Refused(x.suspect, now) && !suspects.Waits(x.suspect, now)
+	return x.endsBeforeStop() && !x.originLost() && !suspects.Refused(x.suspect, now) && !suspects.Waits(x.suspect, now)
 }
 
 // endShare returns the share of the route's kept answers that ended within left after
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -28,6 +28,9 @@
 	// ResumeAfter is the id of the last stream event that the caller received.
 	// Empty means that it received none.
 	ResumeAfter string
+	// ResumedAttempt is the id of the caller's attempt that brought the first event of the
+	// stream that this one resumes. Empty means that the caller did not name it.
+	ResumedAttempt string
 }
 
 // ServerHead holds the request metadata that the router sends to a backend server.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -70,7 +70,7 @@
 	h := x.w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	if e.NotRun() && e.Code.SendsRetryAfter() {
+	if e.NotRun() && (e.Code.SendsRetryAfter() || e.RetryAfter > 0) {
 		h.Set("Retry-After", retryAfter(e.RetryAfter))
 	}
 	x.w.WriteHeader(statusOf(e))
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -122,6 +122,8 @@
 	after := min(none.RetryAfter, time.Duration(maxRetryAfterFraction*float64(x.timeLeft())))
 	code := result.QueueTimeout
 	switch {
+	case none.Bound && none.Down:
+		return x.versionMissing(none)
 	case none.Reserved:
 		code = result.Shed
 	case none.Down || none.RetryAfter > 0:
@@ -173,7 +175,7 @@
 		return false
 	case x.possibleRuns >= attempts || x.sends >= attempts+extraSends:
 		return false
-	case !x.endsBeforeStop():
+	case !x.endsBeforeStop() || x.originLost():
 		return false
 	case !f.sent || f.continues:
 		return true
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -92,7 +92,7 @@
 func (a *attempt) examineEnd(ctx context.Context) (evidence, verdict) {
 	e := a.end()
 	if e.endedAt.Before(e.stopsAt) {
-		e.check = a.checkServer(ctx)
+		e.check = a.checkServer(ctx, a.started)
 	}
 	v := conclude(e)
 	a.recordEndCheck(e, v)
@@ -102,8 +102,9 @@
 // checkServer asks the server who it is, within serverCheckTimeout. A connection that breaks
 // shows nothing, since a server resets those beyond its limit; neither does an answer to an
 // earlier request, which may arrive late on a kept connection. The server is asked again then.
-// It starts no run.
-func (a *attempt) checkServer(ctx context.Context) serverCheck {
+// It starts no run. A process that started before sentAt counts as the known one, although
+// the directory listed an earlier one; if sentAt is zero, it does not.
+func (a *attempt) checkServer(ctx context.Context, sentAt time.Time) serverCheck {
 	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
 	defer cancel()
 	c := serverCheck{askedAt: time.Now(), found: silentServer}
@@ -116,7 +117,7 @@
 	for range serverCheckTries {
 		stated, err := a.x.gateway.identify(ctx, a.assignment.Address, path, header.Clone())
 		if err == nil {
-			c.found = a.compareWithDirectory(known, compareIdentity(known, stated, a.started))
+			c.found = a.compareWithDirectory(known, compareIdentity(known, stated, sentAt), sentAt)
 		}
 		if c.found != silentServer && c.found != unidentified {
 			return c
@@ -134,13 +135,13 @@
 
 // compareWithDirectory corrects what a statement shows that names the server and not its start:
 // the directory may list another process under the server's id by now.
-func (a *attempt) compareWithDirectory(known Identity, found finding) finding {
+func (a *attempt) compareWithDirectory(known Identity, found finding, sentAt time.Time) finding {
 	start := a.assignment.ListedStart()
 	if found != sameServer || start <= 0 {
 		return found
 	}
 	listed := Identity{Server: known.Server, Incarnation: uint64(start), StartedAt: time.UnixMilli(start)}
-	if compareIdentity(known, listed, a.started) == restarted {
+	if compareIdentity(known, listed, sentAt) == restarted {
 		return restarted
 	}
 	return found
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,6 +49,9 @@
 		}
 		a.pacing.received(time.Now())
 		a.recordProgress()
+		if failed := a.admitRun(); failed != nil {
+			return failed
+		}
 		if failed := a.relayEvent(event); failed != nil {
 			return failed
 		}
@@ -97,6 +100,7 @@
 	}
 	x.streamStarted = true
 	x.events++
+	x.bind(a.assignment)
 	x.pauses.record(time.Now())
 	if event.ID != "" {
 		x.lastEventID = event.ID
@@ -109,6 +113,9 @@
 	if failed := a.confirmEnd(); failed != nil {
 		return failed
 	}
+	if failed := a.admitFurtherRun(); failed != nil {
+		return failed
+	}
 	a.writeHead()
 	_ = a.response.Body.Close()
 	a.recordAnswered(a.x.events)
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -30,16 +30,18 @@
 	Preempted        Code = 3004
 	CallerGone       Code = 3005
 
-	NoBackendServer    Code = 4001
-	DependencyDown     Code = 4002
-	ConnectFailed      Code = 4003
-	AttemptTimeout     Code = 4004
-	StreamBroken       Code = 4005
-	AnswerCrossed      Code = 4006
-	BackendServerError Code = 4007
-	RetryBudgetSpent   Code = 4008
-	RequestQuarantined Code = 4009
-	OutcomeUnknown     Code = 4010
+	NoBackendServer          Code = 4001
+	DependencyDown           Code = 4002
+	ConnectFailed            Code = 4003
+	AttemptTimeout           Code = 4004
+	StreamBroken             Code = 4005
+	AnswerCrossed            Code = 4006
+	BackendServerError       Code = 4007
+	RetryBudgetSpent         Code = 4008
+	RequestQuarantined       Code = 4009
+	OutcomeUnknown           Code = 4010
+	StreamOriginUnknown      Code = 4011
+	StreamVersionUnavailable Code = 4012
 
 	LedgerUnavailable   Code = 5001
 	IdempotencyMismatch Code = 5002
@@ -122,6 +124,8 @@
 	{RetryBudgetSpent, "retry_budget_spent", http.StatusServiceUnavailable, RunDepends, "The class's retry budget is empty.", retryLater, "find why attempts fail; the budget refills by itself"},
 	{RequestQuarantined, "request_quarantined", http.StatusUnprocessableEntity, RunDepends, "Backend servers crashed while running this request.", "change the request", "keep the request id and report it to the engine's maker"},
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RunMaybe, "A non-idempotent request was sent and its answer was lost.", "ask the service for the state; a resend will not run again", "see `timeline` for the request"},
+	{StreamOriginUnknown, "stream_origin_unknown", http.StatusServiceUnavailable, RunDepends, "It is not known which software version of the backend servers began the stream.", "retry after Retry-After; without that field, start the stream anew", "check the platform's table service"},
+	{StreamVersionUnavailable, "stream_version_unavailable", http.StatusServiceUnavailable, RunDepends, "No backend server of the software version that began the stream can take the request.", "retry after Retry-After; without that field, start the stream anew", "keep servers of the old version until their streams have ended"},
 
 	{LedgerUnavailable, "ledger_unavailable", http.StatusServiceUnavailable, RunNever, "The idempotency record could not be read or written. Nothing is known of an earlier request with the same Idempotency-Key.", "retry after Retry-After with the same Idempotency-Key", "check the platform's table service"},
 	{IdempotencyMismatch, "idempotency_mismatch", http.StatusUnprocessableEntity, RunNever, "The Idempotency-Key was used with another body.", "use a new key for a new request", nothingToDo},
