gateway: a restarted server is no evidence against its version

A run that is not relayed because another process answers under the server's id counted as broken: as a failure of the version in a rollout, and of the server. The process has done nothing wrong; only the directory was late.

TestRestartedServerOfOtherVersionDoesNotContinue counts such samples: 1 before (the outcome of outcomeOfCheck), 0 now.

--- a/internal/gateway/bound.go
+++ b/internal/gateway/bound.go
@@ -183,10 +183,19 @@
 	case a.ctx.Err() != nil:
 		return a.connectionFailure(context.Cause(a.ctx))
 	}
-	return a.newFailure(result.StreamBroken, outcomeOfCheck(found), fmt.Errorf(
+	return a.newFailure(result.StreamBroken, outcomeOfFurtherRun(found), fmt.Errorf(
 		"the software version of server %q is not certain, and the stream goes on at %q only: check=%s", a.assignment.Server, a.x.query.BoundVersion, found))
 }
 
+// outcomeOfFurtherRun returns the balancer's outcome for a run that was not relayed. A process
+// that the directory does not list yet has done nothing wrong.
+func outcomeOfFurtherRun(found finding) balance.Outcome {
+	if found == restarted {
+		return balance.Abandoned
+	}
+	return outcomeOfCheck(found)
+}
+
 // mayBeChosen reports whether nothing shows that another process than the chosen one answered.
 func (f finding) mayBeChosen() bool {
 	switch f {
--- a/internal/gateway/bound_test.go
+++ b/internal/gateway/bound_test.go
@@ -211,6 +211,8 @@
 	is := is.New(t)
 	s := newTestStack(t)
 	s.gateway.options.Origins = &testOrigins{version: "v1"}
+	log := &sampleLog{}
+	s.gateway.options.Versions = log.observe
 	runs := s.addRestarted(testStarted + 1)
 	s.addVersions(fourEvents, "v1")
 	for n := range 20 {
@@ -219,6 +221,8 @@
 		is.Equal(versionsOf(got.body), map[string]int{"v1": 2})
 	}
 	is.True(runs.Load() > 0) // otherwise nothing was tested
+	_, failed := log.ends()
+	is.Equal(failed, 0) // no evidence against a version
 }
 
 // TestServerReplacedBeforeFirstEventBeginsNoStream guards against a stream that is recorded, or
