--- a/internal/gateway/bound_test.go
+++ b/internal/gateway/bound_test.go
@@ -314,3 +314,19 @@
 	}
 	is.Equal(origins.calls, []string{"track a s", "sending v1", "confirm", "sending v1", "confirm", "ended"})
 }
+
+// TestTakeUpReachesTheServiceOfItsStream guards against a resumption that is refused because the
+// weights of a route lead it to another service than the attempt which began the stream.
+func TestTakeUpReachesTheServiceOfItsStream(t *testing.T) {
+	is := is.New(t)
+	route := &routes.Route{Kind: routes.Stream, Split: []routes.Share{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}}
+	services := map[string]int{}
+	for n := range 100 {
+		first := &exchange{route: route, head: CallerHead{Attempt: fmt.Sprint("first", n)}}
+		resumed := &exchange{route: route, head: CallerHead{Attempt: fmt.Sprint("next", n), ResumeAfter: "2", ResumedAttempt: first.head.Attempt}}
+		service := route.Choose(first.serviceSeed())
+		services[service]++
+		is.Equal(route.Choose(resumed.serviceSeed()), service)
+	}
+	is.Equal(len(services), 2) // otherwise nothing was tested
+}
