--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -116,7 +116,7 @@
 		observeVersions = e.rollouts.observe
 	}
 	e.gateway = gateway.New(gateway.Options{
-		Source: e.view, Balancer: e.balancer, Protocol: p.Protocol, Meter: e.duties.meter,
+		Source: e.view, Balancer: e.balancer, Protocol: p.Protocol, Meter: e.duties.meter, Origins: gatewayOrigins(e.origins),
 		Suspects: dispatch.NewTrackerSuspects(e.suspects),
 		Versions: observeVersions, Suspected: e.suspects.Suspected,
 		Recorder: e.events, Pace: e.pace, Delivery: s.Bounds.Leaving * deliveryShare / 100,
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/hawthornwick/hawthornwick/internal/balance"
+	"github.com/hawthornwick/hawthornwick/internal/gateway"
 	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/streamorigin"
 )
@@ -38,6 +39,14 @@
 	})
 }
 
+// gatewayOrigins returns the registry as the gateway uses it. r may be nil.
+func gatewayOrigins(r *streamorigin.Registry) gateway.Origins {
+	if r == nil {
+		return nil
+	}
+	return r
+}
+
 // holdOrigins decides the base versions while this instance holds the duty, until ctx ends.
 func holdOrigins(origins *streamorigin.Registry) func(context.Context, lease.Guard) error {
 	return func(ctx context.Context, g lease.Guard) error {
