gateway: a test shares the id of the replaced server without a race

go test -race reported the variable of TestServerReplacedBeforeFirstEventBegins- NoStream, which a server's handler writes and the test reads.

--- a/internal/gateway/bound_test.go
+++ b/internal/gateway/bound_test.go
@@ -233,10 +233,10 @@
 			is := is.New(t)
 			s := newTestStack(t)
 			var once sync.Once
-			var replaced string
+			var replaced atomic.Value
 			replace := func(id string) {
 				once.Do(func() {
-					replaced = id
+					replaced.Store(id)
 					n, _ := strconv.Atoi(id)
 					listed := append(s.servers[:0:0], s.servers...)
 					listed[n].Version, listed[n].StartedMillis = "v2", testStarted+1
@@ -270,7 +270,7 @@
 			is.Equal(len(versionsOf(got.body)), 1)
 			before := when == "before the first event"
 			is.Equal(got.truncated, !before)
-			is.Equal(versionsOf(got.body)["server "+replaced] == 0, before)
+			is.Equal(versionsOf(got.body)["server "+replaced.Load().(string)] == 0, before)
 		})
 	}
 }
