soak: the first start of the system is told, and a stream may be lost for want of a record

Trace: the store's bytes to instance-1 arrived late, the version of its server was not acknowledged as recorded within 1.5 s (code 4011), and of the next three servers one was full, one refused the connection and one left out an event. The check allows exactly that, for streams that may be resumed; with one version and no restore, or at an instance in touch, it is as strict as before (TestCheckerAllowsUnrecordedStreams).

Also, the stand-in's settings never said that the system starts for the first time, as the platform does, so that all streams needed a record for two minutes. They do now, until an instance starts again.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,6 +17,8 @@
 	// Settings writes the settings file of an instance that connects to the store at
 	// the address store. It returns the program's arguments and environment.
 	Settings(name, dir, store string) (args, env []string, err error)
+	// Restarting is called before an instance starts again.
+	Restarting(name string) error
 	// StoreAddress returns the address that the store listens on.
 	StoreAddress() string
 	// SetStoreDown makes the store unavailable, or available again.
@@ -298,6 +300,7 @@
 	for _, c := range restores {
 		r.site.SetStoreDown(true)
 		sleep(ctx, c.Away)
+		r.options.Checker.RecordRestored()
 		r.site.RestoreStore(c.Away + c.Age)
 		r.site.SetStoreDown(false)
 		sleep(ctx, c.Then)
@@ -329,6 +332,9 @@
 func (r *run) restart(p *Process) {
 	p.Signal(syscall.SIGCONT) // a process under SIGSTOP does not handle SIGTERM
 	p.Wait(time.Second)
+	if err := r.site.Restarting(p.Name); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
 	if err := p.Start(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -206,7 +206,7 @@
 	if o.TimedOut || o.Status == gatewayTimeout || c.instanceFailed(o) {
 		return true
 	}
-	if c.unknownStart(o, run) {
+	if c.unknownStart(o, run) || c.unrecorded(o) {
 		return true
 	}
 	return slices.ContainsFunc(c.ran.links, func(e serverEnd) bool {
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -132,6 +132,8 @@
 	serving []serving
 	faults  []serverEnd // of backend servers and their links
 	kills   []time.Time // of all instances at once
+	// restoredAt is when the store first came back from an older copy. Zero means never.
+	restoredAt time.Time
 }
 
 // serving is the start of an incarnation of a backend server.
@@ -156,6 +158,30 @@
 	c.versions.faults = append(c.versions.faults, serverEnd{server, from, to})
 }
 
+// RecordRestored records that the store comes back from an older copy, so that instances may not
+// know the versions of streams without a record.
+func (c *Checker) RecordRestored() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.versions.restoredAt.IsZero() {
+		c.versions.restoredAt = time.Now()
+	}
+}
+
+// unrecorded reports whether the version that begins a stream could not be recorded, so that the
+// stream had to begin elsewhere: it needs a record while versions differ and after a restore of
+// the store, and the instance may not have reached the store.
+func (c *Checker) unrecorded(o Outcome) bool {
+	if !o.Resumable || !c.staleWithin(o.Instance, o.Sent, o.Ended) {
+		return false
+	}
+	restored := !c.versions.restoredAt.IsZero() && c.versions.restoredAt.Before(o.Ended)
+	differ := slices.ContainsFunc(c.versions.serving, func(s serving) bool {
+		return s.version != c.versions.serving[0].version && s.from.Before(o.Ended)
+	})
+	return restored || differ
+}
+
 // RecordAllKilled records that all instances have been killed.
 func (c *Checker) RecordAllKilled() {
 	c.mu.Lock()
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -179,3 +179,38 @@
 	is.Equal(o.plan()[:len(without)], without)
 	is.True(len(o.plan()) > len(without))
 }
+
+// TestCheckerAllowsUnrecordedStreams checks that only a stream that needs a record, at an instance
+// that may not reach the store, may be lost for want of it.
+func TestCheckerAllowsUnrecordedStreams(t *testing.T) {
+	two := func(c *Checker) { c.RecordVersion(1, 1); c.RecordVersion(2, 2) }
+	for name, test := range map[string]struct {
+		resumable bool
+		instance  string // that may not reach the store
+		happened  func(*Checker)
+		violation bool
+	}{
+		"two versions":                 {true, "i", two, false},
+		"a restore":                    {true, "", (*Checker).RecordRestored, false},
+		"one version":                  {true, "i", func(c *Checker) { c.RecordVersion(1, 1); c.RecordVersion(2, 1) }, true},
+		"another instance":             {true, "j", two, true},
+		"a request that is no stream":  {false, "i", two, true},
+		"the store is away, no record": {true, "i", func(*Checker) {}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			c := NewChecker(time.Second)
+			c.RecordStale(test.instance, now, now.Add(time.Minute))
+			c.RecordRun("x")
+			c.RecordSound("x", 1, true, now)
+			test.happened(c)
+			c.RecordOutcome(Outcome{ID: "x", Instance: "i", Resumable: test.resumable, Sent: now, Ended: now.Add(time.Second)})
+			for range 100 {
+				c.RecordOutcome(Outcome{ID: "good", Idempotent: true, Sent: now, Status: 200})
+			}
+			_, violations := c.Finish(now.Add(-time.Minute))
+			is.Equal(len(violations) > 0, test.violation)
+		})
+	}
+}
