tally: a late freeze of other counts changes no reported window

Order of events: the holder sends the freeze of counts a and gets no answer, but the store keeps it pending. The holder tries again with newer counts b, which are frozen, told to the others and reported. The store returns from a copy of before b, in which the duty's row has the same number and the window no frozen row, so the pending transaction is performed. The next holder finds a and reports it. The same happens if a was sent in an earlier tenure and the copy is of before the claim of the holder that reported b.

Cause: each attempt summed anew, a frozen row was believed whatever instances knew, and nothing told in which epoch of the store it was written.

Now all attempts of a tenure have the same counts. Counts that an instance knows to be frozen go before the row, which is written again before the report. A row beside it, usage/frozen-epoch/WINDOW, holds the epoch; the frozen value is as before, so older instances read it. A window that an earlier epoch may have frozen is left out if its row is not of the present epoch and no instance knows its counts, or if instances know different ones.

--- a/internal/tally/closer.go
+++ b/internal/tally/closer.go
@@ -20,8 +20,6 @@
 )
 
 const (
-	// frozenPrefix is the key prefix of the frozen windows.
-	frozenPrefix = "usage/frozen/"
 	// minCloseDelay is the minimum time between a window's end and its closing.
 	minCloseDelay = 1200 * time.Millisecond
 	// dueMargin is the time before a report's due time at which its window is closed even
@@ -68,17 +66,25 @@
 	next      int64 // first window that is not closed in this tenure
 	endedRuns []platform.Row
 	epoch     epochState
+	attempt   attempt // last one to freeze a window in this tenure
 
 	unreported atomic.Int64
 }
 
+// attempt is an attempt to freeze a window, whose outcome may be unknown.
+type attempt struct {
+	window int64
+	counts Counts // nil means none
+}
+
 // NewCloser returns a Closer that has closed no window yet.
 func NewCloser(o CloserOptions) *Closer { return &Closer{options: o} }
 
 // Work closes windows under the duty's lease until ctx ends. Windows whose reports are
 // already past due at the start are not reported.
 func (c *Closer) Work(ctx context.Context, g lease.Guard) error {
-	c.next, c.epoch = WindowAt(c.options.Now().Add(-c.options.Due), c.options.Window), epochState{}
+	c.next = WindowAt(c.options.Now().Add(-c.options.Due), c.options.Window)
+	c.epoch, c.attempt = epochState{}, attempt{}
 	for wait.For(ctx, closeInterval) == nil {
 		if err := c.closeDue(ctx, g); err != nil {
 			c.record(timeline.Event{Kind: timeline.UsageDelayed, Detail: err.Error()})
@@ -121,22 +127,22 @@
 // close freezes and reports the next window. It returns false while counts are
 // missing, unless late is set.
 func (c *Closer) close(ctx context.Context, g lease.Guard, end time.Time, late bool) (bool, error) {
-	counts, frozen, err := c.readFrozen(ctx)
+	stored, err := c.readFrozen(ctx)
 	if err != nil {
 		return false, err
 	}
-	if !frozen {
-		var complete bool
-		if counts, complete, err = c.count(ctx, end); err != nil {
-			return false, err
-		}
-		if !complete && !late {
-			return false, nil
-		}
-		if len(counts) == 0 {
-			return true, nil
-		}
-		if err := c.freeze(ctx, g, counts); err != nil {
+	counts, complete, err := c.count(ctx, stored, end)
+	if err != nil {
+		return false, err
+	}
+	if !complete && !late {
+		return false, nil
+	}
+	if len(counts) == 0 {
+		return true, nil
+	}
+	if !maps.Equal(counts, stored.counts) {
+		if err := c.freeze(ctx, g, counts, stored); err != nil {
 			return false, err
 		}
 	}
@@ -146,43 +152,42 @@
 	return true, c.report(ctx, g, counts)
 }
 
-// count returns the counts to freeze for the next window, and whether they are complete. A window
-// that an earlier epoch of the store may have frozen is reported only with the counts that an
-// instance knows to be frozen, since its report may have been sent; without them there are no
-// counts.
-func (c *Closer) count(ctx context.Context, end time.Time) (Counts, bool, error) {
-	if c.next >= c.epoch.openFrom {
-		return c.sum(ctx, end)
-	}
-	if c.options.Heard != nil {
-		if counts, ok := c.options.Heard.sealed(c.next); ok {
-			return counts, true, nil
+// count returns the counts to report for the next window, and whether they are complete. Those that
+// an instance knows to be frozen go before the stored ones, since they may have been reported. All
+// attempts of a tenure have the same counts, since the store may perform an earlier one later.
+func (c *Closer) count(ctx context.Context, stored frozenWindow, end time.Time) (Counts, bool, error) {
+	if counts, known := c.sealed(); known {
+		if counts == nil {
+			c.abandon("instances know different frozen counts")
 		}
+		return counts, true, nil
 	}
-	c.record(timeline.Event{Kind: timeline.UsageAbandoned, Detail: "it may have been reported before the store was restored from an older copy"})
-	return nil, true, nil
-}
-
-// readFrozen returns the counts of the next window if an earlier holder froze them.
-func (c *Closer) readFrozen(ctx context.Context) (Counts, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	rows, err := c.options.Table.Get(ctx, frozenKey(c.next))
-	if err != nil {
-		return nil, false, fmt.Errorf("read the frozen window: %w", err)
+	if c.next < c.epoch.openFrom && !(stored.dated && stored.epoch == c.epoch.epoch) {
+		c.abandon("it may have been reported before the store was restored from an older copy")
+		return nil, true, nil
 	}
-	if rows[0].Version == 0 {
-		return nil, false, nil
+	if stored.version > 0 {
+		return stored.counts, true, nil
 	}
-	var counts Counts
-	if err := json.Unmarshal(rows[0].Value, &counts); err != nil {
-		return nil, false, fmt.Errorf("decode the frozen window: %w", err)
+	if c.attempt.counts != nil && c.attempt.window == c.next {
+		return c.attempt.counts, true, nil
 	}
-	return counts, true, nil
+	return c.sum(ctx, end)
 }
 
-// frozenKey zero-pads the number, so that keys sort by window.
-func frozenKey(window int64) string { return frozenPrefix + fmt.Sprintf("%016d", window) }
+// sealed returns the counts of the next window that an instance knows to be frozen. They are nil if
+// instances know different ones. The result is false if none knows any.
+func (c *Closer) sealed() (Counts, bool) {
+	if c.options.Heard == nil {
+		return nil, false
+	}
+	return c.options.Heard.sealed(c.next)
+}
+
+// abandon records that the next window is not reported.
+func (c *Closer) abandon(reason string) {
+	c.record(timeline.Event{Kind: timeline.UsageAbandoned, Detail: reason})
+}
 
 // sum adds up the stored and the heard counts of the next window. It reports whether at least the
 // expected number of instances has stored all of their counts. Rows of runs that ended
@@ -274,23 +279,23 @@
 	}
 }
 
-// freeze stores the counts of the next window, fenced by the duty's row, and deletes the
-// frozen window past its retention, which no holder reports any more.
-func (c *Closer) freeze(ctx context.Context, g lease.Guard, counts Counts) error {
-	data, err := json.Marshal(counts)
+// freeze stores the counts of the next window in place of stored, fenced by the duty's row, and
+// deletes the frozen window past its retention, which no holder reports any more.
+func (c *Closer) freeze(ctx context.Context, g lease.Guard, counts Counts, stored frozenWindow) error {
+	writes, err := c.frozenWrites(counts)
 	if err != nil {
-		return fmt.Errorf("encode the window: %w", err)
+		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := frozenKey(c.next)
 	txn := platform.Txn{
-		Checks: []platform.Check{g.Fence(), {Key: key}},
-		Writes: []platform.Write{{Key: key, Value: data}, {Key: frozenKey(c.next - retentionWindows), Delete: true}},
+		Checks: []platform.Check{g.Fence(), {Key: frozenKey(c.next), Version: stored.version}},
+		Writes: writes,
 	}
 	if err := c.markEpoch(&txn); err != nil {
 		return err
 	}
+	c.attempt = attempt{window: c.next, counts: counts}
 	if _, err := c.options.Table.Commit(ctx, txn); err != nil {
 		c.epoch.known = false // another holder may have written its row
 		return fmt.Errorf("freeze the window: %w", err)
--- a/internal/tally/exchange.go
+++ b/internal/tally/exchange.go
@@ -114,8 +114,8 @@
 	e.sentAt = time.Time{} // tell it with the next state
 }
 
-// sealed returns the counts of a window that this instance or another one knows to be frozen. It
-// returns false if none does, or if they differ.
+// sealed returns the counts of a window that this instance or another one knows to be frozen, or
+// nil if they know different ones. The result is false if none does.
 func (e *Exchange) sealed(window int64) (Counts, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -128,7 +128,7 @@
 		}
 		other, ok := row.Frozen[window]
 		if ok && known && !maps.Equal(counts, other) {
-			return nil, false
+			return nil, true
 		}
 		if ok {
 			counts, known = other, true
