--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -70,7 +70,7 @@
 	})
 	if d.reportsUsage() {
 		d.closer = tally.NewCloser(tally.CloserOptions{
-			Window: window, Due: s.Usage.Due, Table: p.Duties, Now: clock.Now, Report: p.Report, Heard: u.exchange,
+			Window: window, Due: s.Usage.Due, Table: p.Duties, Now: clock.Now, TimeAgreed: clock.Agreed, Report: p.Report, Heard: u.exchange,
 			Epoch:    func() tally.StoreEpoch { return usageEpoch(p.Epochs, clock) },
 			Expected: func() int { return len(fleet.notLeaving()) }, Duty: controlDuty, Recorder: recorder, Logger: logger,
 		})
--- a/internal/tally/closer.go
+++ b/internal/tally/closer.go
@@ -24,8 +24,10 @@
 	minCloseDelay = 1200 * time.Millisecond
 	// dueMargin is the time before a report's due time at which its window is closed even
 	// if some instances have not stored all of their counts.
-	dueMargin        = 3 * time.Second
-	closeInterval    = 500 * time.Millisecond
+	dueMargin     = 3 * time.Second
+	closeInterval = 500 * time.Millisecond
+	// maxTimeWait bounds how long a tenure waits at its start for the agreed time of day.
+	maxTimeWait      = 5 * time.Second
 	listPageSize     = 500
 	maxDeletesPerTxn = 40
 	// retentionWindows is the age, in windows, at which frozen windows and the counts of
@@ -41,10 +43,13 @@
 type CloserOptions struct {
 	Window time.Duration
 	// Due is how long after a window's end its report is due.
-	Due    time.Duration
-	Table  platform.Table
-	Now    func() time.Time // true time
-	Report Report
+	Due   time.Duration
+	Table platform.Table
+	Now   func() time.Time // true time
+	// TimeAgreed reports whether Now returns the time of day that the instances agree on. If
+	// nil, it always does.
+	TimeAgreed func() bool
+	Report     Report
 	// Heard holds the counts that other instances have told this one. If nil, only the
 	// rows in the store count.
 	Heard *Exchange
@@ -83,6 +88,7 @@
 // Work closes windows under the duty's lease until ctx ends. Windows whose reports are
 // already past due at the start are not reported.
 func (c *Closer) Work(ctx context.Context, g lease.Guard) error {
+	c.awaitTime(ctx)
 	c.next = WindowAt(c.options.Now().Add(-c.options.Due), c.options.Window)
 	c.epoch, c.attempt = epochState{}, attempt{}
 	for wait.For(ctx, closeInterval) == nil {
@@ -93,6 +99,23 @@
 	return ctx.Err()
 }
 
+// awaitTime waits until the time of day is agreed, at most maxTimeWait: an instance whose wall
+// clock is wrong would skip windows or close them early.
+func (c *Closer) awaitTime(ctx context.Context) {
+	if c.options.TimeAgreed == nil {
+		return
+	}
+	for left := maxTimeWait; !c.options.TimeAgreed(); left -= closeInterval {
+		if left <= 0 {
+			c.options.Logger.Warn("the instances' time of day is unknown; closing windows by this machine's clock", "after", maxTimeWait)
+			return
+		}
+		if wait.For(ctx, closeInterval) != nil {
+			return
+		}
+	}
+}
+
 // Unreported returns the number of windows that have ended but were not reported in this
 // tenure. It is meaningful only while the lease is held.
 func (c *Closer) Unreported() int64 { return c.unreported.Load() }
--- a/internal/truetime/truetime.go
+++ b/internal/truetime/truetime.go
@@ -106,11 +106,22 @@
 	c.offset = sorted[(len(sorted)-1)/2]
 }
 
+// Agreed reports whether Now returns the time of day that the instances agree on, rather than the
+// machine's wall clock.
+func (c *Clock) Agreed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.agreed()
+}
+
+// agreed is Agreed. The caller must hold c.mu.
+func (c *Clock) agreed() bool { return c.synced && c.offsetKnown }
+
 // Now returns the estimated time of day.
 func (c *Clock) Now() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.synced || !c.offsetKnown {
+	if !c.agreed() {
 		return c.options.Wall()
 	}
 	return time.Unix(0, int64(c.storeNow()+c.offset))
