edge: an instance starts while the store fails if nothing tells of a restore

Users would see 503 from an instance that starts while the store is failing, for as long as that lasts, although nothing was ever restored.

Order of events: an instance reads the configuration and the servers, and then the store falls silent; or only the instances' rows can't be read. In another one, an instance that isn't serving yet writes its row, and those that start after it wait for the end of a restore that is long past.

Cause: the hold at a start ended by the instant at which the store's rows were last current, which doesn't move while the store is silent; rows that were not read counted as a sign of a restore; and a row written before its instance served stated the epoch as one that is not settled.

Now in epoch 0 rows that were not read hold nothing. Otherwise the hold ends with an answer of after the grace time, which is asked for in time, or 3.2 s after the first rows by the instance's own clock. In the latter case keys are not fresh until the store answers, since they may be of a copy. The epoch is stated in the row only while serving, and the row is written again at the release if it was written before.

--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -18,6 +18,9 @@
 	restoreGrace = 2500 * time.Millisecond
 	// settleMargin is the time from the end of the grace time to the answer that ends it.
 	settleMargin = 100 * time.Millisecond
+	// maxStartHold bounds the hold of an instance that has just started while the store does not
+	// answer.
+	maxStartHold = restoreGrace + feedTimeout
 	// maxRepublishDelay bounds the random delay after which an instance writes its row again
 	// to a restored store. It spreads the writes of all instances.
 	maxRepublishDelay = time.Second
@@ -68,15 +71,50 @@
 // startHold keeps an instance that has just started from acting on the operators' rows of a store
 // that was restored shortly before.
 type startHold struct {
-	readAt boottime.Instant // when the operators' rows were read first; zero means not yet
+	readAt   boottime.Instant // when the operators' rows were read first; zero means not yet
+	settling *settling        // of rows that may be of a copy
 }
 
-// over reports whether the hold has ended. asOf is the latest instant at which the operators' rows
-// were current, rows are those of the instances, and read is false before those were read.
-func (h startHold) over(asOf boottime.Instant, rows map[string]presence.Row, read bool, epoch, config uint64) bool {
-	waited := asOf.Sub(h.readAt) >= restoreGrace
+// beginHold starts the hold with the first operators' rows. The caller must hold v.mu.
+func (v *storeView) beginHold(now boottime.Instant) {
+	if !v.start.readAt.IsZero() {
+		return
+	}
+	v.start = startHold{readAt: now, settling: &settling{until: now.Add(restoreGrace)}}
+	v.settling.CompareAndSwap(nil, v.start.settling)
+}
+
+// release ends the start hold if it is over. An instance that the store leaves after the first
+// answers goes on as in any outage, but doesn't take keys as fresh that may be of a copy. The caller
+// must hold v.mu.
+func (v *storeView) release() {
+	table := v.table.Load()
+	if v.serving.Load() || table == nil {
+		return
+	}
+	switch {
+	case v.mayServe(table.Version, v.start.settling.over(v.operators.CurrentAsOf())):
+		v.settling.CompareAndSwap(v.start.settling, nil)
+	case boottime.Now().Sub(v.start.readAt) < maxStartHold || !v.mayServe(table.Version, true):
+		return
+	}
+	v.serving.Store(true)
+	if v.epochWithheld {
+		v.rowOutdated.Notify()
+	}
+}
+
+// mayServe reports whether the operators' rows may be acted on. config is the version of their
+// configuration, and waited is true once the time in which operators write again is over. If the
+// store was never restored, instances' rows that were not read hold nothing.
+func (v *storeView) mayServe(config uint64, waited bool) bool {
+	store, epoch := currentEpoch(v.platform.Epochs), v.epoch.Load()
+	if !store.Stated {
+		return true
+	}
+	rows, read := v.instances()
 	if !read {
-		return waited
+		return waited || store.Number == 0 && epoch == 0
 	}
 	return presence.MayServe(rows, epoch, config, waited)
 }
@@ -102,9 +140,14 @@
 }
 
 // setEpoch sets the fields of this instance's row that tell others how far they may rely on the
-// operators' rows.
+// operators' rows. Before it serves, this instance knows no more than others that start.
 func (v *storeView) setEpoch(row *presence.Row) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	table := v.table.Load()
+	if v.epochWithheld = !v.serving.Load(); v.epochWithheld {
+		return
+	}
 	if table == nil || !currentEpoch(v.platform.Epochs).Stated {
 		return
 	}
--- a/internal/edge/storeview.go
+++ b/internal/edge/storeview.go
@@ -49,7 +49,7 @@
 	servers   *tablefeed.Follower
 	table     atomic.Pointer[routes.Table]
 
-	settling atomic.Pointer[settling] // nil before the first restore of the store
+	settling atomic.Pointer[settling] // nil if the operators' rows are not of a copy
 	serving  atomic.Bool              // the start hold is over
 	epoch    atomic.Uint64            // of the operators' rows
 	// instances returns the live rows of the instances, and false before they were read. Set
@@ -58,13 +58,14 @@
 	// rowOutdated is notified when the others should soon see a change of what setEpoch states.
 	rowOutdated *wait.Signal
 
-	mu         sync.Mutex
-	start      startHold
-	restoring  bool // settling is not over
-	zones      *drainedZones
-	directory  *directory.Directory
-	unreadable map[string]bool // entries already recorded as unreadable
-	notices    chan struct{}   // receives after a preemptible server stated that it leaves
+	mu            sync.Mutex
+	start         startHold
+	epochWithheld bool // this instance's row was last written before it served
+	restoring     bool // settling is not over
+	zones         *drainedZones
+	directory     *directory.Directory
+	unreadable    map[string]bool // entries already recorded as unreadable
+	notices       chan struct{}   // receives after a preemptible server stated that it leaves
 }
 
 var _ gateway.Source = (*storeView)(nil)
@@ -189,9 +190,7 @@
 		v.restoring = true
 		v.settling.Store(v.settling.Load().begin(now, v.operators.CurrentAsOf()))
 	}
-	if v.start.readAt.IsZero() {
-		v.start.readAt = now
-	}
+	v.beginHold(now)
 	v.epoch.Store(platform.EpochOf(u.Version))
 	if u.Full {
 		v.zones.clear(v.restoring)
@@ -251,18 +250,6 @@
 	v.rowOutdated.Notify()
 }
 
-// release ends the start hold if it is over. The caller must hold v.mu.
-func (v *storeView) release() {
-	table := v.table.Load()
-	if v.serving.Load() || table == nil {
-		return
-	}
-	rows, read := v.instances()
-	if !currentEpoch(v.platform.Epochs).Stated || v.start.over(v.operators.CurrentAsOf(), rows, read, v.epoch.Load(), table.Version) {
-		v.serving.Store(true)
-	}
-}
-
 // applyConfig applies a configuration unless an equal or newer version is in force.
 func (v *storeView) applyConfig(c routes.Config) {
 	current := v.table.Load()
