tally: the first tenure of an epoch states its windows when it starts

Users would see usage of a window not reported although its counts are stored and the store was never restored, or long ago.

Order of events: all instances are killed before the first window of the store's epoch is frozen. They come back, learn of the epoch only then, and take the windows that ended before for ones that an earlier epoch may have frozen.

Cause: the row usage/epoch was written with the first freeze, and epoch 0 was treated as one that follows another.

Now the first tenure of an epoch writes the row when it starts, and in epoch 0 all windows are open, without a row.

--- a/internal/tally/closer.go
+++ b/internal/tally/closer.go
@@ -123,7 +123,7 @@
 // closeDue closes the windows that have ended, oldest first, up to the first one with
 // missing counts. Windows past their due time are skipped.
 func (c *Closer) closeDue(ctx context.Context, g lease.Guard) error {
-	if err := c.learnEpoch(ctx); err != nil {
+	if err := c.learnEpoch(ctx, g); err != nil {
 		return err
 	}
 	for {
@@ -315,15 +315,10 @@
 		Checks: []platform.Check{g.Fence(), {Key: frozenKey(c.next), Version: stored.version}},
 		Writes: writes,
 	}
-	if err := c.markEpoch(&txn); err != nil {
-		return err
-	}
 	c.attempt = attempt{window: c.next, counts: counts}
 	if _, err := c.options.Table.Commit(ctx, txn); err != nil {
-		c.epoch.known = false // another holder may have written its row
 		return fmt.Errorf("freeze the window: %w", err)
 	}
-	c.epoch.written = true
 	c.recordCounts(timeline.UsageFrozen, g, counts)
 	return nil
 }
--- a/internal/tally/restore.go
+++ b/internal/tally/restore.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"github.com/hawthornwick/hawthornwick/internal/lease"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 )
 
@@ -20,8 +21,8 @@
 }
 
 const (
-	// epochKey is the key of the row that a closer writes with the first window that it
-	// freezes in an epoch.
+	// epochKey is the key of the row that the first closer in an epoch writes when its tenure
+	// starts.
 	epochKey = "usage/epoch"
 	// maxClockSkew bounds how far the agreed time of day of two instances differs.
 	maxClockSkew = 500 * time.Millisecond
@@ -37,9 +38,7 @@
 type epochState struct {
 	known    bool
 	epoch    uint64
-	openFrom int64  // first window that no earlier epoch can have frozen
-	written  bool   // the row states openFrom
-	version  uint64 // of the row
+	openFrom int64 // first window that no earlier epoch can have frozen
 }
 
 // firstOpen returns the first window that no earlier epoch can have frozen: a window is frozen at
@@ -49,9 +48,10 @@
 	return WindowAt(since.Add(maxClockSkew-minCloseDelay), window)
 }
 
-// learnEpoch reads which windows an earlier epoch of the store may have frozen. The frozen counts
-// may have been reported, and be lost.
-func (c *Closer) learnEpoch(ctx context.Context) error {
+// learnEpoch learns which windows an earlier epoch of the store may have frozen. The frozen counts
+// may have been reported, and be lost. The first closer in an epoch states them in a row, since one
+// that starts later knows less. A store of epoch 0 was never restored.
+func (c *Closer) learnEpoch(ctx context.Context, g lease.Guard) error {
 	if c.epoch.known {
 		return nil
 	}
@@ -59,41 +59,54 @@
 	if c.options.Epoch != nil {
 		e = c.options.Epoch()
 	}
-	if !e.Stated {
-		c.epoch = epochState{known: true, openFrom: math.MinInt64, written: true}
+	if !e.Stated || e.Number == 0 {
+		c.epoch = epochState{known: true, openFrom: math.MinInt64}
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rows, err := c.options.Table.Get(ctx, epochKey)
+	row, version, err := c.readEpochRow(ctx)
 	if err != nil {
-		return fmt.Errorf("read the epoch of the windows: %w", err)
+		return err
 	}
-	var row epochRow
-	if rows[0].Version > 0 {
-		if err := json.Unmarshal(rows[0].Value, &row); err != nil {
-			return fmt.Errorf("decode the epoch of the windows: %w", err)
+	if version == 0 || row.Epoch != e.Number {
+		row = epochRow{Epoch: e.Number, OpenFrom: firstOpen(e.Since, c.options.Window)}
+		if err := c.writeEpochRow(ctx, g, row, version); err != nil {
+			return err
 		}
 	}
-	c.epoch = epochState{known: true, epoch: e.Number, version: rows[0].Version}
-	if rows[0].Version > 0 && row.Epoch == e.Number {
-		c.epoch.openFrom, c.epoch.written = row.OpenFrom, true
-		return nil
-	}
-	c.epoch.openFrom = firstOpen(e.Since, c.options.Window)
+	c.epoch = epochState{known: true, epoch: e.Number, openFrom: row.OpenFrom}
 	return nil
 }
 
-// markEpoch adds the row of the epoch to the first transaction that freezes a window in it.
-func (c *Closer) markEpoch(txn *platform.Txn) error {
-	if c.epoch.written {
-		return nil
+// readEpochRow returns the row of the epoch and its version, which is zero if there is none.
+func (c *Closer) readEpochRow(ctx context.Context) (epochRow, uint64, error) {
+	rows, err := c.options.Table.Get(ctx, epochKey)
+	if err != nil {
+		return epochRow{}, 0, fmt.Errorf("read the epoch of the windows: %w", err)
 	}
-	data, err := json.Marshal(epochRow{Epoch: c.epoch.epoch, OpenFrom: c.epoch.openFrom})
+	if rows[0].Version == 0 {
+		return epochRow{}, 0, nil
+	}
+	var row epochRow
+	if err := json.Unmarshal(rows[0].Value, &row); err != nil {
+		return epochRow{}, 0, fmt.Errorf("decode the epoch of the windows: %w", err)
+	}
+	return row, rows[0].Version, nil
+}
+
+// writeEpochRow writes the row of the epoch in place of a version, fenced by the duty's row.
+func (c *Closer) writeEpochRow(ctx context.Context, g lease.Guard, row epochRow, version uint64) error {
+	data, err := json.Marshal(row)
 	if err != nil {
 		return fmt.Errorf("encode the epoch of the windows: %w", err)
 	}
-	txn.Checks = append(txn.Checks, platform.Check{Key: epochKey, Version: c.epoch.version})
-	txn.Writes = append(txn.Writes, platform.Write{Key: epochKey, Value: data})
+	txn := platform.Txn{
+		Checks: []platform.Check{g.Fence(), {Key: epochKey, Version: version}},
+		Writes: []platform.Write{{Key: epochKey, Value: data}},
+	}
+	if _, err := c.options.Table.Commit(ctx, txn); err != nil {
+		return fmt.Errorf("write the epoch of the windows: %w", err)
+	}
 	return nil
 }
