tally: a former closer stops telling its frozen windows

Users would see nothing but needless traffic: an instance that once held the duty sent the same frozen windows to all others each second for as long as it ran.

Cause: frozen windows were dropped only when a later one was frozen by the same instance. Now they are dropped once they are older than maxWindows (6) windows, as the states heard from others are. With windows of 5 s that are due 10 s after their end, a window is told for 20 s after its end at least, so that a closer whose clock is behind by 5 s still knows it; the three newest were kept before.

--- a/internal/tally/exchange.go
+++ b/internal/tally/exchange.go
@@ -71,6 +71,7 @@
 	if since := now.Sub(e.sentAt); since >= 0 && since < exchangeInterval {
 		return nil
 	}
+	e.dropFrozen(now)
 	windows := e.meter.newest(exchangedWindows)
 	if len(windows) == 0 && len(e.frozen) == 0 {
 		return nil
@@ -110,10 +111,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.frozen[window] = counts
-	maps.DeleteFunc(e.frozen, func(n int64, _ Counts) bool { return n <= window-exchangedWindows })
+	e.dropFrozen(e.now())
 	e.sentAt = time.Time{} // tell it with the next state
 }
 
+// dropFrozen forgets frozen windows that are too old to be reported. The caller must hold e.mu.
+func (e *Exchange) dropFrozen(now time.Time) {
+	oldest := WindowAt(now, e.meter.window) - maxWindows
+	maps.DeleteFunc(e.frozen, func(n int64, _ Counts) bool { return n <= oldest })
+}
+
 // sealed returns the counts of a window that this instance or another one knows to be frozen, or
 // nil if they know different ones. The result is false if none does.
 func (e *Exchange) sealed(window int64) (Counts, bool) {
--- a/internal/tally/norestore_test.go
+++ b/internal/tally/norestore_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/reports"
 )
 
 // TestWindowOfCrashedHolderWithoutRestore guards against a window that is left out although the
@@ -60,3 +61,34 @@
 	w.work(second)
 	is.Equal(w.reported[200], Counts{"org": 1})
 }
+
+// TestFormerCloserStopsTelling guards against an instance that sends the counts of long reported
+// windows to all others each second for good, since it once held the duty.
+func TestFormerCloserStopsTelling(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{now: time.Unix(1000, 0)}
+	e := NewExchange(NewMeter(window, clock.Now), "i/1", clock.Now)
+	e.seal(200, Counts{"org": 1})
+	is.True(e.Collect() != nil)
+	clock.add(time.Hour)
+	_ = e.Collect()
+	clock.add(time.Minute)
+	is.True(e.Collect() == nil)
+}
+
+// TestFrozenCountsAreToldWhileDue guards against a next holder, whose clock is behind, that may
+// still report a window and was not told its frozen counts.
+func TestFrozenCountsAreToldWhileDue(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{now: time.Unix(1000, 0)} // start of window 200
+	e := NewExchange(NewMeter(window, clock.Now), "i/1", clock.Now)
+	next := NewExchange(NewMeter(window, clock.Now), "i/2", clock.Now)
+	clock.add(window + minCloseDelay)
+	e.seal(200, Counts{"org": 1})
+	const due, behind = 10 * time.Second, 5 * time.Second
+	clock.add(due + behind - minCloseDelay)
+	is.NoErr(next.Apply(reports.Origin{Instance: "i"}, e.Collect()))
+	counts, known := next.sealed(200)
+	is.True(known)
+	is.Equal(counts, Counts{"org": 1})
+}
