directory: a living server that a restored store still lists is used again

Users would see a server that is alive and gets no requests until it restarts.

Order of events: a server's entry lapses, so that instances take it as gone. The store returns from a copy that lists it with an older sequence, which instances ignore, since the server may have left. It lives, but its later writes change its sequence only, of which the store need tell nobody.

Cause: the ignored entry was dropped, and nothing brought it back.

Now it is kept and applied after the grace period of a restore, unless the store has removed it by then. The view compares the servers themselves, since one may be added as another is removed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -94,16 +94,19 @@
 	holdUntil boottime.Instant
 	departed  map[string]departure
 	restored  bool // the store was restored since the oldest of departed
+	// deferred are the changes by which a restored store lists departed servers again. They are
+	// applied once their servers may be alive; see Expire.
+	deferred map[string]Change
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{servers: map[string]*Server{}, missing: map[string]bool{}, departed: map[string]departure{}}
+	return &Directory{servers: map[string]*Server{}, missing: map[string]bool{}, departed: map[string]departure{}, deferred: map[string]Change{}}
 }
 
 // Restored must be called before Apply with the first rows after the store was restored from an
 // older copy. Servers that the copy lacks are kept until they can have registered again, and
-// entries that were removed since the copy are ignored.
+// entries that were removed since the copy are ignored for a while.
 func (d *Directory) Restored(now boottime.Instant) {
 	d.holdUntil = now.Add(reregistrationGrace)
 	d.restored = true
@@ -127,6 +130,7 @@
 }
 
 func (d *Directory) removeUnlisted(now boottime.Instant, listed map[string]bool) {
+	maps.DeleteFunc(d.deferred, func(id string, _ Change) bool { return !listed[id] })
 	for id := range d.servers {
 		if !listed[id] {
 			d.applyChange(now, Change{ID: id})
@@ -136,11 +140,16 @@
 
 func (d *Directory) applyChange(now boottime.Instant, c Change) {
 	known := d.servers[c.ID]
+	delete(d.deferred, c.ID)
 	if c.Entry == nil {
 		d.remove(now, c.ID)
 		return
 	}
-	if known != nil && c.Entry.olderThan(&known.Entry) || known == nil && d.hasDeparted(c.Entry) {
+	if known != nil && c.Entry.olderThan(&known.Entry) {
+		return
+	}
+	if known == nil && d.hasDeparted(c.Entry) {
+		d.deferred[c.ID] = c
 		return
 	}
 	delete(d.missing, c.ID)
@@ -192,7 +201,7 @@
 }
 
 // hasDeparted reports whether a restored store lists an entry again that was removed. A server
-// that is alive writes a later one.
+// that is alive writes a later one, but of writes that change the sequence only no event need tell.
 func (d *Directory) hasDeparted(e *Entry) bool {
 	before, known := d.departed[e.ID]
 	return d.restored && known && !before.entry.olderThan(e)
@@ -204,10 +213,30 @@
 	d.restored = d.restored && len(d.departed) > 0
 }
 
+// Waiting reports whether Expire may remove or add a server now or later.
+func (d *Directory) Waiting() bool { return len(d.missing) > 0 || len(d.deferred) > 0 }
+
+// readmit applies the entries that a restored store still lists after the grace period, of servers
+// that may be alive. Those that were draining stay away until their departure is forgotten.
+func (d *Directory) readmit(now boottime.Instant) {
+	d.forgetDeparted(now)
+	if now.Before(d.holdUntil) {
+		return
+	}
+	for id, c := range d.deferred {
+		if d.hasDeparted(c.Entry) && d.departed[id].entry.Draining {
+			continue
+		}
+		delete(d.departed, id)
+		d.applyChange(now, c)
+	}
+}
+
 // Expire removes the servers that have not registered again within the grace period
-// after an outage. It returns the end of a running grace period; the result is false
+// after an outage, and adds those that a restored store still lists then. It returns the end of a running grace period; the result is false
 // if no server is missing.
 func (d *Directory) Expire(now boottime.Instant) (boottime.Instant, bool) {
+	d.readmit(now)
 	if len(d.missing) == 0 {
 		return 0, false
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -140,3 +140,40 @@
 	d.Apply(start, []Change{entry("a", 7), restarted}, true, 0)
 	is.Equal(len(d.Servers()), 2)
 }
+
+// TestLivingServerOfCopyIsUsed guards against a server that lapsed before a restore and lives, and
+// is never used again, since its writes after the restore change nothing but its sequence.
+func TestLivingServerOfCopyIsUsed(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	d.Apply(start, []Change{entry("a", 7), entry("b", 7)}, true, 0)
+	d.Apply(start.Add(time.Second), []Change{{ID: "a"}}, false, 0) // lapsed while the store was away
+	d.Restored(start.Add(2 * time.Second))
+	d.Apply(start.Add(2*time.Second), []Change{entry("a", 3), entry("b", 3)}, true, 0)
+	for s := 3; s < 120; s++ { // the store lists a all the while
+		now := start.Add(time.Duration(s) * time.Second)
+		d.Apply(now, []Change{entry("b", int64(5+s))}, false, 0)
+		d.Expire(now)
+	}
+	is.Equal(len(d.Servers()), 2)
+}
+
+// TestDrainedServerOfCopyStaysAway guards against requests to a server that has left, since the
+// store still lists it after the grace period.
+func TestDrainedServerOfCopyStaysAway(t *testing.T) {
+	is := is.New(t)
+	d := New()
+	draining := entry("a", 7)
+	draining.Entry.Draining = true
+	d.Apply(start, []Change{draining, entry("b", 7)}, true, 0)
+	d.Apply(start, []Change{{ID: "a"}, {ID: "b"}}, false, 0)
+	d.Restored(start)
+	d.Apply(start, []Change{entry("a", 3), entry("b", 3)}, true, 0)
+	d.Apply(start, []Change{{ID: "b"}}, false, 0) // it lapses
+	d.Expire(start.Add(departedRetention))
+	is.Equal(len(d.Servers()), 0)
+	is.True(d.Waiting())
+	d.Expire(start.Add(departedRetention + 1))
+	is.Equal(len(d.Servers()), 1)
+	is.True(!d.Waiting())
+}
--- a/internal/edge/storeview.go
+++ b/internal/edge/storeview.go
@@ -392,14 +392,43 @@
 	v.release()
 }
 
-// expire removes servers that did not register again after an outage. The caller must hold v.mu.
+// expire removes servers that did not register again after an outage, and adds those that a restored
+// store still lists. The caller must hold v.mu.
 func (v *storeView) expire(now boottime.Instant) {
-	before := len(v.directory.Servers())
+	if !v.directory.Waiting() {
+		return
+	}
+	before := entriesByID(v.directory.Servers())
 	v.directory.Expire(now)
-	if after := len(v.directory.Servers()); after != before {
-		v.recorder.Record(timeline.Event{Kind: timeline.ServersExpired, Count: int64(before - after)})
-		v.balancer.SetServers(v.directory.Servers())
+	servers := v.directory.Servers()
+	after := entriesByID(servers)
+	expired := 0
+	for id := range before {
+		if after[id] == nil {
+			expired++
+		}
+	}
+	if expired > 0 {
+		v.recorder.Record(timeline.Event{Kind: timeline.ServersExpired, Count: int64(expired)})
+	}
+	added := 0
+	for id, entry := range after {
+		if before[id] == nil {
+			added++
+			v.recordServer(directory.Change{ID: id, Entry: entry})
+		}
+	}
+	if expired+added > 0 {
+		v.balancer.SetServers(servers)
+	}
+}
+
+func entriesByID(servers []directory.Server) map[string]*directory.Entry {
+	entries := make(map[string]*directory.Entry, len(servers))
+	for i := range servers {
+		entries[servers[i].ID] = &servers[i].Entry
 	}
+	return entries
 }
 
 // routesOf returns the names of the routes that lead to a service.
