tally: the history of restores has transactions that are performed late

TestWindowIsReportedWithOneCount now keeps a quarter of the transactions that freeze a window pending without an answer, and performs them at a restore or later if their conditions hold by number.

--- a/internal/tally/restore_test.go
+++ b/internal/tally/restore_test.go
@@ -102,7 +102,8 @@
 // for one of the row that the holder wrote, of which the store compares the number only.
 type heldTable struct {
 	*restorable
-	claim uint64 // number of the row
+	claim  uint64                  // number of the row
+	defers func(platform.Txn) bool // keeps the transaction for later; may be nil
 }
 
 // Commit implements platform.Table.
@@ -112,6 +113,9 @@
 			txn.Checks[i] = platform.Check{Key: dutyRow, Version: h.version(h.claim)}
 		}
 	}
+	if h.defers != nil && h.defers(txn) {
+		return nil, platform.ErrUnavailable
+	}
 	return h.restorable.Commit(ctx, txn)
 }
 
@@ -162,6 +166,8 @@
 	delayed   bool // the store is restored between freezing and reporting
 	lost      bool // responses to reports are lost
 	reports   int
+	pending   []platform.Txn // that the store performs later, with numbers as versions
+	performed int            // of pending
 }
 
 func newSealedWorld(t *testing.T, g lease.Guard, seed uint64) *sealedWorld {
@@ -211,7 +217,7 @@
 	}
 	w.freeAt = now.Add(leaseWait)
 	versions, _ := w.store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: dutyRow}}})
-	table := heldTable{restorable: w.store, claim: platform.NumberOf(versions[0])}
+	table := heldTable{restorable: w.store, claim: platform.NumberOf(versions[0]), defers: w.deferTxn}
 	i.closer = NewCloser(CloserOptions{
 		Window: window, Due: 10 * time.Second, Table: table, Now: w.clock.Now, Report: w.report, Heard: i.exchange,
 		Epoch: func() StoreEpoch { return i.epoch }, Expected: func() int { return 1 }, Duty: "duty",
@@ -236,6 +242,32 @@
 	return nil
 }
 
+// deferTxn keeps some of the transactions that freeze a window for later.
+func (w *sealedWorld) deferTxn(txn platform.Txn) bool {
+	if w.random == nil || !strings.HasPrefix(txn.Writes[0].Key, frozenPrefix) || w.random.IntN(4) > 0 {
+		return false
+	}
+	late := platform.Txn{Writes: txn.Writes}
+	for _, c := range txn.Checks {
+		late.Checks = append(late.Checks, platform.Check{Key: c.Key, Version: platform.NumberOf(c.Version)})
+	}
+	w.pending = append(w.pending, late)
+	return true
+}
+
+// performPending performs the oldest pending transaction if its conditions hold, of which the store
+// compares the numbers only.
+func (w *sealedWorld) performPending() {
+	if len(w.pending) == 0 {
+		return
+	}
+	txn := w.pending[0]
+	w.pending = w.pending[1:]
+	if _, err := w.store.table.Commit(context.Background(), txn); err == nil {
+		w.performed++
+	}
+}
+
 func (w *sealedWorld) restore() {
 	w.store.restore(time.Duration((500 + w.random.IntN(7500))) * time.Millisecond)
 }
@@ -272,8 +304,11 @@
 // fault restores the store, or lets an instance crash.
 func (w *sealedWorld) fault(n int) {
 	switch w.random.IntN(30) {
+	case 5, 6, 7:
+		w.performPending()
 	case 0, 1:
 		w.restore()
+		w.performPending()
 	case 2, 3:
 		w.delayed = true
 	case 4:
@@ -298,7 +333,7 @@
 // the store has lost the frozen ones, over series of restores, crashes and changes of the holder.
 func TestWindowIsReportedWithOneCount(t *testing.T) {
 	guard := holdDuty(t)
-	windows, sent := 0, 0
+	windows, sent, late := 0, 0, 0
 	for seed := range uint64(200) {
 		w := newSealedWorld(t, guard, seed)
 		for range 500 {
@@ -306,9 +341,12 @@
 		}
 		windows += len(w.reported)
 		sent += w.reports
+		late += w.performed
 	}
-	t.Logf("%d windows in %d reports", windows, sent)
-	is.New(t).True(sent > windows)
+	t.Logf("%d windows in %d reports, %d late transactions", windows, sent, late)
+	is := is.New(t)
+	is.True(sent > windows)
+	is.True(late > 0)
 }
 
 // restoredCloser returns an instance that holds the duty of a store that was restored, and the
