--- a/internal/tally/closers_test.go
+++ b/internal/tally/closers_test.go
@@ -52,15 +52,15 @@
 	}
 }
 
-// lateTable is a table whose first write of a frozen window gets no response and is performed
+// unansweredTable is a table whose first write of a frozen window gets no response and is performed
 // later.
-type lateTable struct {
+type unansweredTable struct {
 	*memoryTable
 	late *platform.Txn
 }
 
 // Commit implements platform.Table.
-func (l *lateTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
+func (l *unansweredTable) Commit(ctx context.Context, txn platform.Txn) ([]uint64, error) {
 	if l.late == nil && strings.HasPrefix(txn.Writes[0].Key, frozenPrefix) {
 		l.late = &txn
 		return nil, platform.ErrUnavailable
@@ -77,7 +77,7 @@
 			table := newTable()
 			clock := &fakeClock{now: time.Unix(1000, 0)}
 			r := &reportLog{got: map[int64][]Counts{}}
-			late := &lateTable{memoryTable: table}
+			late := &unansweredTable{memoryTable: table}
 			withLease(t, table, "holder", func(ctx context.Context, g lease.Guard) {
 				saveCounts(table, clock, "a/1", "org", 3)
 				clock.add(window + 2*time.Second)
