soak: after the store was down, instances are in touch three seconds later

Trace: the store was down at 11.3 s for 0.7 s and hung the call with which instance-0 read the servers' table, which gave it up at 15.1 s. At 11.4 s server-2-85 had started again with another version under its id, so at 14.7 s the identity of the server was found to be another one and the stream was broken off, as it must be. The other faults stay as they are.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -288,7 +288,9 @@
 		r.options.Checker.RecordServerFault(server, from, now)
 	case StoreSilent, StoreOneWay, StoreSlow, StoreReset, StoreHeld:
 		r.options.Checker.RecordStale(instance, from, now.Add(faultAftermath))
-	case StoreDown, StoreCompact:
+	case StoreDown:
+		r.options.Checker.RecordStale("", from, now.Add(contactTime))
+	case StoreCompact:
 		r.options.Checker.RecordStale("", from, now.Add(faultAftermath))
 	case StoreRestored:
 		r.options.Checker.RecordStale("", from, now.Add(faultAftermath+MaxRewriteDelay))
@@ -311,6 +313,10 @@
 // the backend servers write again.
 const MaxRewriteDelay = 2 * time.Second
 
+// contactTime is the time after the store was down within which an instance may not be in touch
+// with it: a call that it held is given up only by a timeout.
+const contactTime = 3 * time.Second
+
 // faultAftermath is the time after the end of a fault in server it may still cut off
 // responses.
 const faultAftermath = 2 * time.Second
