tablefeed: a table is not read anew without a pause

Found by a reviewer: a source that knows a later epoch than the store states answers a follower's position with 409, the follower reads all rows from the store and is refused again, without a pause: 15,494 full reads in 2 s. The third of such reads within a second now waits for a second or more. TestSourceOfLaterEpochThanStore failed before and passes now; a restore, which takes up to two reads, is as quick as before.

--- a/internal/tablefeed/follower.go
+++ b/internal/tablefeed/follower.go
@@ -131,6 +131,9 @@
 	scan     *scan  // the unfinished read of all rows; nil if there is none
 	version  uint64 // of the rows
 	failing  bool   // the last call failed
+	// reloads counts the last reloads that followed one another closely, reloadedAt is the last one.
+	reloads    int
+	reloadedAt boottime.Instant
 }
 
 // scan is an unfinished read of all rows. If the read of a page fails, only that page
@@ -236,7 +239,7 @@
 		case errors.Is(err, ErrHistoryGone):
 			f.complete, f.scan = false, nil
 			f.options.Recorder.Record(timeline.Event{Kind: timeline.TableReloaded, Subject: f.options.Name})
-			continue
+			f.pauseReloads(ctx, started)
 		case err != nil && ctx.Err() != nil:
 			return
 		case err != nil:
@@ -254,6 +257,26 @@
 	}
 }
 
+const (
+	// quickReloads is the number of times in a row that all rows are read anew at once. More of them
+	// within reloadInterval of each other wait for that long at least.
+	quickReloads   = 2
+	reloadInterval = time.Second
+)
+
+// pauseReloads waits if the rows are read anew again and again, since the store and the source do
+// not agree on what is the newest version.
+func (f *Follower) pauseReloads(ctx context.Context, now boottime.Instant) {
+	if now.Sub(f.reloadedAt) >= reloadInterval {
+		f.reloads = 0
+	}
+	f.reloads++
+	f.reloadedAt = now
+	if f.reloads > quickReloads {
+		_ = wait.For(ctx, reloadInterval+rand.N(reloadInterval/2))
+	}
+}
+
 // step makes one call and applies its answer.
 func (f *Follower) step(ctx context.Context) error {
 	ctx, cancelCall := context.WithCancel(ctx)
