--- a/internal/storeepoch/storeepoch_test.go
+++ b/internal/storeepoch/storeepoch_test.go
@@ -4,10 +4,12 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/knownred"
 )
 
 func reasonOf(err error) Reason {
@@ -66,3 +68,25 @@
 	is.True(strings.Contains(text.String(), "hawthornwick_store_epoch 5\nhawthornwick_store_restores_total 2\n"))
 	is.True(strings.Contains(text.String(), `hawthornwick_store_answers_discarded_total{reason="earlier"} 1`))
 }
+
+// TestOneOddEpochDoesNotLast guards against an instance that discards all answers for good after
+// one that stated a higher epoch, first or later.
+func TestOneOddEpochDoesNotLast(t *testing.T) {
+	for name, before := range map[string][]uint64{"first answer": {70_000}, "later answer": {1, 40}} {
+		t.Run(name, func(t *testing.T) {
+			knownred.Skip(t)
+			var tr Tracker
+			at := boottime.Instant(1)
+			for _, epoch := range before {
+				_ = tr.Observe(epoch, at)
+			}
+			for range 600 { // one answer in 100 ms, and none of the other epoch
+				at = at.Add(100 * time.Millisecond)
+				if tr.Observe(1, at) == nil {
+					return
+				}
+			}
+			t.Fatal("answers of a minute were discarded")
+		})
+	}
+}
