gateway, streamorigin: a stream whose server was replaced as it began has an unknown origin

Only attempts of the same exchange looked at the directory again.

The directory is now looked at after each event of a stream that began here and at its end.

TestOriginBecomesUnknownWhenServerWasReplaced (gateway; without the call it fails) and TestLostOriginIsUnknownEverywhere (streamorigin).

--- a/internal/gateway/bound.go
+++ b/internal/gateway/bound.go
@@ -118,6 +118,16 @@
 	return replaced && version != x.began.Version && started < x.beganAt.Add(startMargin).UnixMilli()
 }
 
+// noteLostOrigin makes the origin of a stream that began here unknown to all instances once it is
+// not certain any more.
+func (x *exchange) noteLostOrigin() {
+	if x.origin == nil || x.originNoted || !x.originLost() {
+		return
+	}
+	x.originNoted = true
+	x.origin.Lost()
+}
+
 // describeBinding returns the version to which the next attempt is bound as a key=value pair,
 // or "".
 func (x *exchange) describeBinding() string {
--- a/internal/gateway/bound_test.go
+++ b/internal/gateway/bound_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,6 +57,8 @@
 	return err
 }
 
+func (o *testOrigins) Lost() { o.note("lost") }
+
 func (o *testOrigins) Ended() { o.note("ended") }
 
 // versionEvents streams up to last events that name the version. A run from the start breaks
@@ -275,6 +278,36 @@
 	}
 }
 
+// TestOriginBecomesUnknownWhenServerWasReplaced guards against a stream that others take for one of
+// the version that was chosen, although another process under the server's id began it.
+func TestOriginBecomesUnknownWhenServerWasReplaced(t *testing.T) {
+	for _, started := range []int64{testStarted + 1, time.Now().Add(time.Hour).UnixMilli()} {
+		t.Run(fmt.Sprint("started ", started), func(t *testing.T) {
+			is := is.New(t)
+			s := newTestStack(t)
+			origins := &testOrigins{}
+			s.gateway.options.Origins = origins
+			s.addServer("0", func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				for i := 1; i <= 3; i++ {
+					fmt.Fprintf(w, "id: %d\ndata: version v2\n\n", i)
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(50 * time.Millisecond)
+					if i == 1 {
+						listed := slices.Clone(s.servers)
+						listed[0].Version, listed[0].StartedMillis = "v2", started
+						s.balancer.SetServers(listed)
+					}
+				}
+			})
+			s.servers[0].Version = "v1"
+			s.balancer.SetServers(s.servers)
+			s.call(http.MethodPost, "/stream/x", "ask")
+			is.Equal(slices.Contains(origins.calls, "lost"), started == testStarted+1)
+		})
+	}
+}
+
 // TestLeavingServerKeepsStreamWithoutOtherOfItsVersion guards against a stream that is taken from
 // a server that still writes it, although only another version could go on with it.
 func TestLeavingServerKeepsStreamWithoutOtherOfItsVersion(t *testing.T) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -67,9 +67,10 @@
 	events          int64  // complete events sent to the caller
 	pauses          pauses // between these events
 
-	origin  OriginRecord        // of a stream that may begin here; nil if none is kept
-	began   *balance.Assignment // of the attempt that sent the first event; nil before that
-	beganAt time.Time           // when that event was relayed
+	origin      OriginRecord        // of a stream that may begin here; nil if none is kept
+	originNoted bool                // noteLostOrigin has called Lost
+	began       *balance.Assignment // of the attempt that sent the first event; nil before that
+	beganAt     time.Time           // when that event was relayed
 }
 
 func newExchange(g *Gateway, w http.ResponseWriter, r *http.Request) *exchange {
@@ -87,6 +88,7 @@
 	x.cancelDeadline()
 	x.bodyHold.Release()
 	if x.origin != nil {
+		x.noteLostOrigin()
 		x.origin.Ended()
 	}
 }
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -26,6 +26,9 @@
 	// Confirm returns nil once every instance can find the version of the last Sending. It must
 	// be called before the first event is relayed.
 	Confirm(ctx context.Context) error
+	// Lost notes, after Confirm, that it is not certain any more which version began the stream.
+	// It does not block.
+	Lost()
 	// Ended releases what the record holds. Nothing may be called after it.
 	Ended()
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,6 +56,7 @@
 			return failed
 		}
 		a.pacing.relayed(time.Now())
+		a.x.noteLostOrigin()
 		if failed := a.leaveServer(event); failed != nil {
 			return failed
 		}
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -59,6 +59,10 @@
 
 // recorded returns the version of a record, if it is of the service.
 func (r *Registry) recorded(o originRow, service, result string) (string, error) {
+	if o.Unknown {
+		r.countLookup("unknown")
+		return "", &gateway.OriginUnknownError{Reason: "another process took the place of the server that was chosen while the stream began"}
+	}
 	if o.Service != service {
 		r.countLookup("other_service")
 		return "", &gateway.OriginUnknownError{Reason: fmt.Sprintf("the stream began at service %q", o.Service)}
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -17,6 +17,7 @@
 	item     *item  // record of version, nil if there is none
 	next     int    // ordinal of the next record
 	failure  error  // why there is no record although one is needed
+	lost     bool   // Lost was called
 	ended    bool
 }
 
@@ -58,7 +59,7 @@
 		c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "the version is too long, or the attempt used too many"}
 		return
 	}
-	value, err := json.Marshal(originRow{Service: c.service, Version: c.version})
+	value, err := json.Marshal(c.row())
 	if err != nil {
 		c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "cannot encode the record", Err: err}
 		return
@@ -76,7 +77,7 @@
 func (c *record) Confirm(ctx context.Context) error {
 	if c.item == nil && c.failure == nil {
 		if c.registry.mayOmit(c.service, c.version) && c.next == 0 {
-			c.registry.remember(c.attempt, c.service, c.version)
+			c.registry.remember(c.attempt, c.row())
 			return nil
 		}
 		c.submit()
@@ -85,7 +86,7 @@
 		select {
 		case <-c.item.done:
 			if c.registry.holds(c.item) {
-				c.registry.remember(c.attempt, c.service, c.version)
+				c.registry.remember(c.attempt, c.row())
 				return nil
 			}
 			// The store was restored since, and may have lost the record.
@@ -99,6 +100,24 @@
 	return c.failure
 }
 
+// row returns what the record says now.
+func (c *record) row() originRow {
+	return originRow{Service: c.service, Version: c.version, Unknown: c.lost}
+}
+
+// Lost implements gateway.OriginRecord. The record of it is written also after Ended. If that
+// fails, take-ups at other instances still find the version that was believed.
+func (c *record) Lost() {
+	c.lost = true
+	c.withdraw()
+	c.registry.remember(c.attempt, c.row())
+	c.submit()
+	if c.failure != nil {
+		c.registry.countFailure(c.failure)
+	}
+	c.item = nil
+}
+
 // Ended implements gateway.OriginRecord.
 func (c *record) Ended() {
 	if c.ended {
@@ -145,8 +164,8 @@
 }
 
 // remember keeps the origin of a stream that this instance begins.
-func (r *Registry) remember(attempt digest, service, version string) {
+func (r *Registry) remember(attempt digest, origin originRow) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.own.add(attempt, originRow{Service: service, Version: version})
+	r.own.add(attempt, origin)
 }
--- a/internal/streamorigin/rows.go
+++ b/internal/streamorigin/rows.go
@@ -39,6 +39,8 @@
 type originRow struct {
 	Service string `json:"service"`
 	Version string `json:"version"`
+	// Unknown is true if it is not certain which version began the stream.
+	Unknown bool `json:"unknown,omitempty"`
 }
 
 // digest identifies an attempt whose id a caller has chosen.
