streamorigin: resumptions share the store's reads

Found by a reviewer: each resumption reads four parts and the base row, without a limit. After a kill of all instances clients come back at once, and a caller that sends resumptions can do the same: past the store's rate all its readers get 429, the operators' feed and the leases too.

All instances together now use at most half of the reads that the settings state. An instance lets the resumptions of a second of rest pass at once, then one after the other, at most two seconds late; others are refused as not run, with Retry-After.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -9,6 +9,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/gateway"
 	"github.com/hawthornwick/hawthornwick/internal/lease"
+	"github.com/hawthornwick/hawthornwick/internal/routes"
 	"github.com/hawthornwick/hawthornwick/internal/streamorigin"
 )
 
@@ -34,8 +35,9 @@
 	}
 	return streamorigin.New(streamorigin.Options{
 		Instance: s.Instance, Tables: p.Streams, View: view.versions, Instances: b.Instances,
-		Rate: streamorigin.Rate(writes, partWrites, len(p.Streams)), LongestTimeout: view.longestTimeout,
-		Bootstrap: s.Bootstrap, Epoch: func() uint64 { return currentEpoch(p.Epochs).Number }, Logger: logger,
+		Rate: streamorigin.Rate(writes, partWrites, len(p.Streams)), ReadRate: streamorigin.ReadRate(s.Store.Reads, len(p.Streams)),
+		LongestTimeout: view.longestTimeout,
+		Bootstrap:      s.Bootstrap, Epoch: func() uint64 { return currentEpoch(p.Epochs).Number }, Logger: logger,
 	})
 }
 
@@ -81,7 +83,8 @@
 	return view
 }
 
-// longestTimeout returns the longest timeout of a route, and zero before the first configuration.
+// longestTimeout returns the longest timeout of a route with streams, and zero before the first
+// configuration.
 func (v *storeView) longestTimeout() time.Duration {
 	table := v.table.Load()
 	if table == nil {
@@ -89,6 +92,9 @@
 	}
 	longest := time.Duration(0)
 	for i := range table.Routes {
+		if table.Routes[i].Kind != routes.Stream {
+			continue
+		}
 		timeout := table.Routes[i].Timeout
 		if timeout <= 0 {
 			timeout = noTimeout
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -74,6 +74,7 @@
 // StoreRates are the calls per second that the store takes from all instances together. Zero means
 // unknown.
 type StoreRates struct {
+	Reads      float64 // calls that read
 	Writes     float64 // calls that write
 	PartWrites float64 // transactions of one part
 }
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -47,6 +47,9 @@
 	if ok {
 		return r.recorded(own, service, "local")
 	}
+	if err := r.awaitTurn(ctx); err != nil {
+		return "", err
+	}
 	f, err := r.readTries(ctx, service, d.prefix())
 	if err != nil {
 		return "", err
@@ -85,6 +88,9 @@
 // it: no other version is listed, and either there are no records at all or no other version was
 // listed for as long as a stream may last.
 func (r *Registry) findUnnamed(ctx context.Context, service string) (string, error) {
+	if err := r.awaitTurn(ctx); err != nil {
+		return "", err
+	}
 	f, err := r.readTries(ctx, service, originPrefix)
 	if err != nil {
 		return "", err
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -13,7 +13,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 )
 
-// Options configure a Registry. All fields but Bootstrap, Epoch and Now are required.
+// Options configure a Registry. All fields but ReadRate, Bootstrap, Epoch and Now are required.
 type Options struct {
 	// Instance is the name of this instance.
 	Instance string
@@ -26,7 +26,10 @@
 	Instances func() int
 	// Rate is the number of transactions a second that all instances together may use.
 	Rate float64
-	// LongestTimeout returns the longest timeout of a route.
+	// ReadRate is the number of take-ups a second that all instances together may look up. Zero
+	// means without limit.
+	ReadRate float64
+	// LongestTimeout returns the longest timeout of a route with streams.
 	LongestTimeout func() time.Duration
 	// Bootstrap is true if the whole system starts for the first time.
 	Bootstrap bool
@@ -50,6 +53,7 @@
 	mu          sync.Mutex
 	queue       *queue
 	own         *ownOrigins
+	reads       readPace
 	known       *knownBases
 	watch       *watch
 	view        View
--- a/internal/streamorigin/rows.go
+++ b/internal/streamorigin/rows.go
@@ -16,7 +16,7 @@
 	basePrefix   = "base/"
 	originPrefix = "origin/"
 	// maxVersionBytes bounds the text of a version that can be recorded.
-	maxVersionBytes = 200
+	maxVersionBytes = 256
 	// maxOrdinals bounds the versions that one attempt may use before its first event.
 	maxOrdinals = 64
 )
