gateway: streams that may not be resumed are not recorded

Nobody takes such a stream up, so nobody asks for its record.

Streams are recorded only on routes that may be resumed. TestStreamThatMayNotBeResumedNeedsNoRecord failed before.

--- a/internal/gateway/bound.go
+++ b/internal/gateway/bound.go
@@ -47,7 +47,7 @@
 }
 
 // bindToOrigin binds a request that resumes a stream to the version that began it. It returns
-// a refusal if that is not known. For a stream that begins here, it starts a record.
+// a refusal if that is not known. For a stream that begins here and may be resumed, it starts a record.
 func (x *exchange) bindToOrigin() *result.Error {
 	origins := x.gateway.options.Origins
 	switch {
@@ -55,7 +55,7 @@
 		return nil
 	case x.resumes():
 		return x.findOrigin(origins)
-	case x.head.Attempt != "":
+	case x.head.Attempt != "" && x.route.Resumable:
 		x.origin = origins.Track(x.head.Attempt, x.query.Service)
 	}
 	return nil
--- a/internal/gateway/bound_test.go
+++ b/internal/gateway/bound_test.go
@@ -363,3 +363,19 @@
 	}
 	is.Equal(len(services), 2) // otherwise nothing was tested
 }
+
+// TestStreamThatMayNotBeResumedNeedsNoRecord guards against a stream that does not begin since the
+// store is away, although nobody may resume it.
+func TestStreamThatMayNotBeResumedNeedsNoRecord(t *testing.T) {
+	is := is.New(t)
+	s := newTestStack(t)
+	origins := &testOrigins{confirms: []error{errors.New("no store")}}
+	s.gateway.options.Origins = origins
+	s.addServer("0", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "id: 1\ndata: version v1\n\n")
+	})
+	got := s.call(http.MethodPost, "/plain-stream/x", "ask")
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(len(origins.calls), 0)
+}
