--- a/internal/edge/platform.go
+++ b/internal/edge/platform.go
@@ -65,7 +65,7 @@
 	// RolloutStatus is where the states of rollouts are written. May be zero.
 	RolloutStatus RolloutStatus
 	// Streams are the tables with the origins of streams, best in different parts of the store.
-	// All instances must have the same ones. If empty, streams are taken up at any version.
+	// All instances must have the same ones. If empty, streams are resumed at any version.
 	Streams []platform.Table
 	// Report sends the usage of one window. It must be idempotent for equal counts.
 	Report tally.Report
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -238,7 +238,7 @@
 }
 
 // checkVersions finds streams with pieces of servers of two versions, and whether streams
-// that were taken up went on.
+// that were resumed went on.
 func (c *Checker) checkVersions(s *VersionSummary) {
 	streams := map[string][]span{} // by the request that brought the first piece
 	var order []string
@@ -305,7 +305,7 @@
 }
 
 const (
-	// Of minTakeUps or more streams that are taken up while minServing servers of their
+	// Of minTakeUps or more streams that are resumed while minServing servers of their
 	// version serve, the share that goes on must be at least minContinued of the share of new
 	// streams that begin.
 	minTakeUps   = 12
--- a/internal/soak/versions_test.go
+++ b/internal/soak/versions_test.go
@@ -30,7 +30,7 @@
 	return pieces(name, from, to)
 }
 
-// request records a request for a stream of 10 pieces. A take-up names the origin.
+// request records a request for a stream of 10 pieces. A resumption names the origin.
 func (t versionTest) request(id, origin string, after int, list []Piece) {
 	sent := t.started.Add(time.Minute)
 	o := Outcome{ID: id, Idempotent: true, Instance: "a", Sent: sent, Ended: sent.Add(time.Second), Resumable: true, Origin: origin, After: after}
@@ -40,7 +40,7 @@
 	t.RecordOutcome(o)
 }
 
-// takeUps records streams of version 1, and as many take-ups, of which some went on.
+// takeUps records streams of version 1, and as many resumptions, of which some went on.
 func (t versionTest) takeUps(count, goneOn int) {
 	for n := range count {
 		id := fmt.Sprint("s", n)
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// findTimeout bounds the first read of the store for a take-up, and findTries their number.
+	// findTimeout bounds the first read of the store for a resumption, and findTries their number.
 	// Each further one gets findTimeout/2 more, since the store may be slow.
 	findTimeout = 300 * time.Millisecond
 	findTries   = 3
--- a/internal/streamorigin/model_test.go
+++ b/internal/streamorigin/model_test.go
@@ -235,7 +235,7 @@
 	m.say("restore to %+v", m.store.row)
 }
 
-// joined returns a stream that a take-up would join with another version.
+// joined returns a stream that a resumption would join with another version.
 func (m *model) joined() (int, bool) {
 	for id, s := range m.streams {
 		if m.now.Sub(s.began) > m.times.life {
@@ -326,7 +326,7 @@
 	m.now = m.now.Add(modelStep)
 }
 
-// run returns whether a take-up would have joined two versions.
+// run returns whether a resumption would have joined two versions.
 func (m *model) run(steps int) bool {
 	behind, cutHolder := false, false
 	for range steps {
--- a/internal/streamorigin/pace.go
+++ b/internal/streamorigin/pace.go
@@ -16,7 +16,7 @@
 	return min(storeShare*writes, partShare*partWrites*float64(parts))
 }
 
-// writeInterval returns the least time between two transactions, or two take-ups, of one instance.
+// writeInterval returns the least time between two transactions, or two resumptions, of one instance.
 func writeInterval(instances int, rate float64) time.Duration {
 	return time.Duration(float64(max(1, instances)) / rate * float64(time.Second))
 }
--- a/internal/streamorigin/readpace.go
+++ b/internal/streamorigin/readpace.go
@@ -11,23 +11,23 @@
 
 const (
 	// readShare is the share of the store's calls that read that all instances together use for
-	// take-ups.
+	// resumptions.
 	readShare = 0.5
-	// findBurst is the time of rest after which the take-ups of as long a time may read at once.
+	// findBurst is the time of rest after which the resumptions of as long a time may read at once.
 	findBurst = time.Second
-	// maxFindWait bounds the time that a take-up waits for its turn to read.
+	// maxFindWait bounds the time that a resumption waits for its turn to read.
 	maxFindWait = 2 * time.Second
 )
 
-// ReadRate returns the take-ups a second that all instances together may look up, where the store
-// takes reads calls a second that read, and each take-up reads parts parts and a base row.
+// ReadRate returns the resumptions a second that all instances together may look up, where the store
+// takes reads calls a second that read, and each resumption reads parts parts and a base row.
 func ReadRate(reads float64, parts int) float64 { return readShare * reads / float64(parts+1) }
 
-// readPace spaces the take-ups that read the store, since clients come back all at once after a
+// readPace spaces the resumptions that read the store, since clients come back all at once after a
 // crash of many instances. The zero value has had none. It is not safe for concurrent use.
 type readPace struct{ next boottime.Instant }
 
-// turn returns how long the next take-up has to wait, if one may read each interval. The result is
+// turn returns how long the next resumption has to wait, if one may read each interval. The result is
 // false if that is longer than maxFindWait.
 func (p *readPace) turn(now boottime.Instant, interval time.Duration) (time.Duration, bool) {
 	at := max(p.next, now.Add(-findBurst))
@@ -39,7 +39,7 @@
 	return delay, true
 }
 
-// awaitTurn waits until a take-up may read the store. The error is an *OriginUnknownError, or the
+// awaitTurn waits until a resumption may read the store. The error is an *OriginUnknownError, or the
 // cause for which ctx ended.
 func (r *Registry) awaitTurn(ctx context.Context) error {
 	if r.options.ReadRate <= 0 {
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -106,7 +106,7 @@
 }
 
 // Lost implements gateway.OriginRecord. The record of it is written also after Ended. If that
-// fails, take-ups at other instances still find the version that was believed.
+// fails, resumptions at other instances still find the version that was believed.
 func (c *record) Lost() {
 	c.lost = true
 	c.withdraw()
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -26,7 +26,7 @@
 	Instances func() int
 	// Rate is the number of transactions a second that all instances together may use.
 	Rate float64
-	// ReadRate is the number of take-ups a second that all instances together may look up. Zero
+	// ReadRate is the number of resumptions a second that all instances together may look up. Zero
 	// means without limit.
 	ReadRate float64
 	// LongestTimeout returns the longest timeout of a route with streams.
--- a/internal/streamorigin/registry_test.go
+++ b/internal/streamorigin/registry_test.go
@@ -337,7 +337,7 @@
 }
 
 // TestStoreAway checks that streams at the base version begin without the store for the time of
-// trust, that others fail before their first event, and that take-ups may come again.
+// trust, that others fail before their first event, and that resumptions may come again.
 func TestStoreAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
