--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hawthornwick/hawthornwick/internal/gateway"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
+	"github.com/hawthornwick/hawthornwick/internal/routes"
 )
 
 // newStreamsPlatform returns a platform with a table for the origins of streams.
@@ -89,5 +90,26 @@
 	one := w.startReady("one")
 	eventually(t, 3*time.Second, "both servers are listed", func() bool { return one.view.versions().Services["s"][""] == 2 })
 	is.True(!one.view.versions().AsOf.IsZero())
-	is.Equal(one.view.longestTimeout(), noTimeout)
+}
+
+// TestLongestTimeoutIsOfStreams guards against a plain route without a timeout that makes records
+// of streams live for long.
+func TestLongestTimeoutIsOfStreams(t *testing.T) {
+	is := is.New(t)
+	split := []routes.Share{{Service: "s", Weight: 1}}
+	route := func(kind routes.Kind, prefix string, timeout time.Duration) routes.Route {
+		return routes.Route{Name: prefix, Host: "test", Prefix: prefix, Kind: kind, Split: split, Timeout: timeout}
+	}
+	longest := func(list ...routes.Route) time.Duration {
+		table, err := routes.Compile(routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}}, Routes: list})
+		is.NoErr(err)
+		v := &storeView{}
+		v.table.Store(table)
+		return v.longestTimeout()
+	}
+	plain := route(routes.Idempotent, "/plain/", 0)
+	is.Equal((&storeView{}).longestTimeout(), time.Duration(0))
+	is.Equal(longest(plain), time.Duration(0))
+	is.Equal(longest(plain, route(routes.Stream, "/a/", time.Second), route(routes.Stream, "/b/", 2*time.Second)), 2*time.Second)
+	is.Equal(longest(plain, route(routes.Stream, "/a/", 0)), noTimeout)
 }
