member: measure the traffic over twenty seconds

Cause: the instances start at the same moment and probe each second with a jitter of 10 %, so that their rounds stay close together. A window of 5 s holds four, five or six whole rounds of all of them at once.

The mean of the traffic is what the bound is about, so the window was wrong, not the bound, which stays. A fleet whose true mean is over the bound fails more surely than before.

--- a/internal/member/service_test.go
+++ b/internal/member/service_test.go
@@ -180,7 +180,8 @@
 			fleet, _, _ := startFleet(t, n)
 			time.Sleep(12 * time.Second)
 			messages, bytes := total(fleet)
-			const seconds = 5
+			// Whole rounds of probes are counted, of instances that started together.
+			const seconds = 20
 			time.Sleep(seconds * time.Second)
 			moreMessages, moreBytes := total(fleet)
 			per := float64(n * seconds)
