streamorigin: a record of before a restore counts only once the base is valid

What callers saw: nothing yet; found by playing rewritten records in the model. An attempt was tried at v2 (record acknowledged) and began its stream at v1 (record acknowledged). The store was restored from a copy of in between, and the instance was killed. A resumption then found the record of v2 and joined two versions (ORDER).

Cause: the record with the highest ordinal counts, but the highest one may be lost while a lower one is in the copy, or is performed late after the restore.

Change: a record holds the store's epoch in which it was handed over. One of another epoch counts only while the service has a valid base row: that is written once all streams of before the restore have ended, or if no two versions served. Until then the resumption is refused with a time to come back. The epoch is that of the moment at which the transaction is taken, so that a record that waited over a restore is one of the new epoch.

Price: streams with a record, of instances that were killed before a restore, are refused for life after it, as those without a record already were. Records of one version only would be safe, but a reader cannot tell that there was no second one.

--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -34,6 +34,13 @@
 // hasBase reports whether the service has a base version now.
 func (f found) hasBase() bool { return f.base.version > 0 && f.base.row.Epoch == f.epoch }
 
+// outdated reports whether a restore of the store may have lost a later record of the attempt. Once
+// the service has a base version again, the streams of before the restore have ended, or no two
+// versions served.
+func (f found) outdated() bool {
+	return f.hasRecord && f.record.Epoch != f.epoch && !f.hasBase()
+}
+
 // Find implements gateway.Origins. Only what this instance itself began is known without a read
 // of the store.
 func (r *Registry) Find(ctx context.Context, attempt, service string) (string, error) {
@@ -54,6 +61,10 @@
 	if err != nil {
 		return "", err
 	}
+	if f.outdated() {
+		r.countLookup("unknown")
+		return "", &gateway.OriginUnknownError{Reason: "its record is of before a restore of the store, which may have lost a later one", RetryAfter: findRetryAfter}
+	}
 	if f.hasRecord {
 		return r.recorded(f.record, service, "record")
 	}
--- a/internal/streamorigin/queue.go
+++ b/internal/streamorigin/queue.go
@@ -1,6 +1,8 @@
 package streamorigin
 
 import (
+	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -23,7 +25,8 @@
 // item is a record that is to be written.
 type item struct {
 	id        originID
-	value     []byte
+	origin    originRow
+	value     []byte        // of origin
 	sent      bool          // handed to a transaction, which may take effect
 	abandoned bool          // nobody waits for it
 	table     int           // that it was handed to last
@@ -79,8 +82,24 @@
 	}
 }
 
+// encode sets the value for the store's epoch in which the item is handed to a transaction.
+func (i *item) encode(epoch uint64) error {
+	if i.value != nil && i.origin.Epoch == epoch {
+		return nil
+	}
+	origin := i.origin
+	origin.Epoch = epoch
+	value, err := json.Marshal(origin)
+	if err != nil {
+		return fmt.Errorf("encode a record: %w", err)
+	}
+	i.origin, i.value = origin, value
+	return nil
+}
+
 // batch is one transaction.
 type batch struct {
+	epoch   uint64 // of the store when it was taken
 	table   int
 	items   []*item
 	deletes []originID
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"github.com/hawthornwick/hawthornwick/internal/gateway"
 )
@@ -59,12 +58,11 @@
 		c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "the version is too long, or the attempt used too many"}
 		return
 	}
-	value, err := json.Marshal(c.row())
-	if err != nil {
+	i := &item{id: originID{attempt: c.attempt, ordinal: uint8(c.next)}, origin: c.row(), done: make(chan struct{})}
+	if err := i.encode(c.registry.epoch()); err != nil {
 		c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "cannot encode the record", Err: err}
 		return
 	}
-	i := &item{id: originID{attempt: c.attempt, ordinal: uint8(c.next)}, value: value, done: make(chan struct{})}
 	if !c.registry.submit(i) {
 		c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "too many records wait to be written"}
 		return
--- a/internal/streamorigin/rows.go
+++ b/internal/streamorigin/rows.go
@@ -41,6 +41,8 @@
 	Version string `json:"version"`
 	// Unknown is true if it is not certain which version began the stream.
 	Unknown bool `json:"unknown,omitempty"`
+	// Epoch is the store's epoch in which the record was handed to it.
+	Epoch uint64 `json:"epoch,omitempty"`
 }
 
 // digest identifies an attempt whose id a caller has chosen.
--- a/internal/streamorigin/writer.go
+++ b/internal/streamorigin/writer.go
@@ -71,8 +71,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b, ok := r.queue.take(r.now(), r.table)
+	b.epoch = r.epoch()
 	for _, i := range b.items {
 		i.table = b.table
+		if err := i.encode(b.epoch); err != nil {
+			r.options.Logger.Error("cannot encode a record; it counts as one of before the last restore of the store", "error", err)
+		}
 	}
 	return b, ok
 }
@@ -82,7 +86,6 @@
 func (r *Registry) write(ctx context.Context, b batch, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	epoch := r.epoch() // the transaction may come before a restore that is learned of meanwhile
 	_, err := r.options.Tables[b.table].Commit(ctx, b.txn())
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -96,7 +99,7 @@
 	r.counts.written += uint64(len(b.items))
 	r.counts.deleted += uint64(len(b.deletes))
 	for _, i := range b.items {
-		i.epoch = epoch
+		i.epoch = b.epoch // the transaction may have come before a restore that was learned of since
 		close(i.done)
 	}
 	return nil
