streamorigin: no recorded stream begins by a list of servers older than trust

An instance reaches the store, but its list of servers is 100 s old. It begins a stream at v2, with a record. The store is restored and loses the record. The duty's holder has seen v1 only for quiet (120 s), makes it the base 3 s after the restore, and a resumption joins v1 to v2.

Cause: quiet covers trust and life, but only streams without a record needed a list younger than trust. With a record the age of the list was not looked at, and the record may be lost.

Evidence: TestOldListBeginsNoStream fails without the change ("not true: errors.As ..."). Result: it and the package's tests pass.

--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -37,6 +37,10 @@
 	if c.next == 0 && c.registry.mayOmit(c.service, version) {
 		return
 	}
+	if !c.registry.listRecent() {
+		c.failure = &NotRecordedError{Service: c.service, Version: c.version, Reason: "the list of servers is too old"}
+		return
+	}
 	c.submit()
 }
 
@@ -161,6 +165,14 @@
 	return i.epoch == r.epoch()
 }
 
+// listRecent reports whether the list of servers, if one was read, is younger than trust. A version
+// that has not been listed for longer must begin no stream.
+func (r *Registry) listRecent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.AsOf.IsZero() || r.now().Sub(r.view.AsOf) <= r.times().trust
+}
+
 // remember keeps the origin of a stream that this instance begins.
 func (r *Registry) remember(attempt digest, origin originRow) {
 	r.mu.Lock()
