--- a/internal/streamorigin/queue.go
+++ b/internal/streamorigin/queue.go
@@ -1,6 +1,8 @@
 package streamorigin
 
 import (
+	"encoding/json"
+	"fmt"
 	"slices"
 	"time"
 
@@ -23,12 +25,14 @@
 // item is a record that is to be written.
 type item struct {
 	id        originID
-	value     []byte
+	origin    originRow
+	value     []byte        // of origin
 	sent      bool          // handed to a transaction, which may take effect
 	abandoned bool          // nobody waits for it
 	table     int           // that it was handed to last
 	epoch     uint64        // of the store when it was written
-	done      chan struct{} // closed once it is written
+	again     bool          // lost in a restore; nobody waits for it
+	done      chan struct{} // closed once it is written; nil if again is true
 }
 
 // expiring is a record that is deleted at a time.
@@ -39,8 +43,10 @@
 
 // queue holds what is to be written, in order. It is not safe for concurrent use.
 type queue struct {
-	items   []*item
-	expired [][]expiring // by table
+	items      []*item
+	again      []*item          // lost in a restore, written after items
+	againSince boottime.Instant // when the restore was noticed
+	expired    [][]expiring     // by table
 }
 
 func newQueue(tables int) *queue { return &queue{expired: make([][]expiring, tables)} }
@@ -79,28 +85,53 @@
 	}
 }
 
+// encode sets the value for the store's epoch in which the item is handed to a transaction.
+func (i *item) encode(epoch uint64) error {
+	if i.value != nil && i.origin.Epoch == epoch {
+		return nil
+	}
+	origin := i.origin
+	origin.Epoch = epoch
+	value, err := json.Marshal(origin)
+	if err != nil {
+		return fmt.Errorf("encode a record: %w", err)
+	}
+	i.origin, i.value = origin, value
+	return nil
+}
+
 // batch is one transaction.
 type batch struct {
+	epoch   uint64 // of the store when it was taken
 	table   int
 	items   []*item
 	deletes []originID
 }
 
-// take removes the next batch for a table. Deletions fill up a batch with items; without items
-// they are taken once there are enough of them, or they have waited for deleteDelay.
-func (q *queue) take(now boottime.Instant, table int) (batch, bool) {
-	q.dropAbandoned()
-	b := batch{table: table}
+// fill moves items to the batch while there is room, and returns the others.
+func (b *batch) fill(items []*item) (rest []*item) {
 	bytes := 0
-	for len(b.items) < min(maxBatchRows, len(q.items)) {
-		next := q.items[len(b.items)]
+	for _, i := range b.items {
+		bytes += len(i.value)
+	}
+	for len(items) > 0 && len(b.items) < maxBatchRows {
+		next := items[0]
 		if bytes += len(next.value); bytes > maxBatchBytes && len(b.items) > 0 {
 			break
 		}
 		next.sent = true
-		b.items = append(b.items, next)
+		b.items, items = append(b.items, next), items[1:]
 	}
-	q.items = q.items[len(b.items):]
+	return items
+}
+
+// take removes the next batch for a table. Deletions fill up a batch with items; without items
+// they are taken once there are enough of them, or they have waited for deleteDelay.
+func (q *queue) take(now boottime.Instant, table int) (batch, bool) {
+	q.dropAbandoned()
+	b := batch{table: table}
+	q.items = b.fill(q.items)
+	q.again = b.fill(q.again)
 	if len(b.items) > 0 {
 		b.deletes = q.takeExpired(now, table, maxBatchRows-len(b.items))
 		return b, true
@@ -124,16 +155,20 @@
 	return ids
 }
 
-// putBack returns the items of a failed batch to the front. The deletions are put back too,
+// putBack returns the items of a failed batch to the front of their lists. The deletions are put back too,
 // since they are harmless if they took effect.
 func (q *queue) putBack(now boottime.Instant, b batch) {
-	var items []*item
+	var items, again []*item
 	for _, i := range b.items {
-		if !i.abandoned {
+		switch {
+		case i.again:
+			again = append(again, i)
+		case !i.abandoned:
 			items = append(items, i)
 		}
 	}
 	q.items = append(items, q.items...)
+	q.again = append(again, q.again...)
 	due := make([]expiring, 0, len(b.deletes))
 	for _, id := range b.deletes {
 		due = append(due, expiring{at: now, id: id})
--- a/internal/streamorigin/writer.go
+++ b/internal/streamorigin/writer.go
@@ -71,8 +71,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b, ok := r.queue.take(r.now(), r.table)
+	b.epoch = r.epoch()
 	for _, i := range b.items {
 		i.table = b.table
+		if err := i.encode(b.epoch); err != nil {
+			r.options.Logger.Error("cannot encode a record; it counts as one of before the last restore of the store", "error", err)
+		}
 	}
 	return b, ok
 }
@@ -82,7 +86,6 @@
 func (r *Registry) write(ctx context.Context, b batch, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	epoch := r.epoch() // the transaction may come before a restore that is learned of meanwhile
 	_, err := r.options.Tables[b.table].Commit(ctx, b.txn())
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -95,11 +98,26 @@
 	r.counts.txns++
 	r.counts.written += uint64(len(b.items))
 	r.counts.deleted += uint64(len(b.deletes))
+	r.noteWritten(b)
+	return nil
+}
+
+// noteWritten notes the items of a batch that was written. The transaction may have come before
+// a restore that was learned of since it was taken. The caller must hold r.mu.
+func (r *Registry) noteWritten(b batch) {
+	now, again := r.now(), 0
 	for _, i := range b.items {
-		i.epoch = epoch
+		i.epoch = b.epoch
+		if i.again {
+			r.rewritten(now, i)
+			again++
+			continue
+		}
 		close(i.done)
 	}
-	return nil
+	if again > 0 && len(r.queue.again) == 0 {
+		r.options.Logger.Info("the origins of recent streams have been written again", "after", now.Sub(r.queue.againSince))
+	}
 }
 
 // countFailure counts a stream that could not begin, and warns about them from time to time.
