storeepoch: a new epoch of the store is confirmed before it is believed

What callers saw: nothing yet.

Cause: the tracker adopted the epoch of each answer at once, and epochs never go back, since the versions of all rows hold them.

Change: a new epoch, the first one included, is in doubt until an answer to a call that was sent after the doubt had arisen states it too. Until then answers to earlier calls are believed in neither epoch. A rise by one is treated like any other: a false one would last as well. The client asks again at once (one row), so that the call that met the new epoch goes on one round trip later; if the question has no answer, the call fails as if the store had not answered, a write with an unknown outcome. The stand-in store's connections do the same. Rows of another instance are adopted at once, since it has confirmed their epoch. SeenAt, from which all waits after a restore are counted, is the instant of the confirmation, so no wait gets shorter.

Tests changed: TestEarlierEpochIsDiscarded, TestUnstatedEpoch, TestImplausibleEpoch and TestChangesAreReported asked that one answer is believed. They now ask that the first one is not (reason "unconfirmed", the known epoch unchanged), and that the second one is; all else is as before.

The calls of 300 instances after a restore were not measured again: the emulation does not count the questions.

--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -67,11 +67,11 @@
 	return boottime.Now().Sub(epoch.SeenAt), epoch.Stated
 }
 
-// observeEpoch tells the tracker, which may be nil, of the epoch of rows that another instance
-// has read.
+// observeEpoch tells the tracker, which may be nil, of the epoch of rows that were read. That of
+// another instance's rows was confirmed there.
 func observeEpoch(t *storeepoch.Tracker, version uint64) {
 	if epoch := platform.EpochOf(version); t != nil && epoch > 0 {
-		_ = t.Observe(epoch, boottime.Now()) // the follower has discarded rows of an earlier one
+		_ = t.Adopt(epoch, boottime.Now()) // the follower has discarded rows of an earlier one
 	}
 }
 
--- a/internal/standin/store/conn.go
+++ b/internal/standin/store/conn.go
@@ -46,9 +46,18 @@
 	return v
 }
 
+// observe tracks the epoch of an answer. A new one is asked for once more.
+func (c *Conn) observe(epoch uint64) error {
+	now := boottime.Now()
+	return c.epochs.Confirm(epoch, now, now, func() error {
+		sent := boottime.Now()
+		return c.epochs.ObserveAnswer(c.store.Epoch(), sent, boottime.Now())
+	})
+}
+
 // page converts an answer.
 func (c *Conn) page(a Answer) (tablefeed.Page, error) {
-	if err := c.epochs.Observe(a.Epoch, boottime.Now()); err != nil {
+	if err := c.observe(a.Epoch); err != nil {
 		return tablefeed.Page{}, err
 	}
 	var err error
@@ -108,7 +117,7 @@
 }
 
 func (t *table) rows(epoch uint64, rows []platform.Row) ([]platform.Row, error) {
-	if err := t.conn.epochs.Observe(epoch, boottime.Now()); err != nil {
+	if err := t.conn.observe(epoch); err != nil {
 		return nil, errors.Join(platform.ErrUnavailable, err)
 	}
 	for i := range rows {
@@ -147,7 +156,7 @@
 	if err != nil && !errors.As(err, &conflict) {
 		return nil, err
 	}
-	if stale := t.conn.epochs.Observe(epoch, boottime.Now()); stale != nil {
+	if stale := t.conn.observe(epoch); stale != nil {
 		return nil, errors.Join(platform.ErrUnavailable, stale)
 	}
 	switch {
--- a/internal/storeepoch/metrics.go
+++ b/internal/storeepoch/metrics.go
@@ -12,7 +12,7 @@
 	defer t.mu.Unlock()
 	fmt.Fprintf(w, "hawthornwick_store_epoch %d\n", t.current.Number)
 	fmt.Fprintf(w, "hawthornwick_store_restores_total %d\n", t.restores)
-	for _, reason := range []Reason{Earlier, Unstated, Implausible} {
+	for _, reason := range []Reason{Earlier, Unstated, Implausible, Unconfirmed} {
 		fmt.Fprintf(w, "hawthornwick_store_answers_discarded_total{reason=%q} %d\n", reason, t.stale[reason])
 	}
 }
--- a/internal/storeepoch/storeepoch_test.go
+++ b/internal/storeepoch/storeepoch_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
-	"github.com/hawthornwick/hawthornwick/internal/knownred"
 )
 
 func reasonOf(err error) Reason {
@@ -20,13 +19,24 @@
 	return stale.Reason
 }
 
+// believe observes two answers with a new epoch, of which the second one confirms it.
+func believe(t *testing.T, tr *Tracker, epoch uint64, at boottime.Instant) {
+	t.Helper()
+	is := is.New(t)
+	before := tr.Current()
+	is.Equal(reasonOf(tr.Observe(epoch, at)), Unconfirmed)
+	is.Equal(tr.Current(), before)
+	is.NoErr(tr.Observe(epoch, at))
+	is.Equal(tr.Current().Number, epoch)
+}
+
 // TestEarlierEpochIsDiscarded guards against an answer of before a restore that arrives late and
 // is believed.
 func TestEarlierEpochIsDiscarded(t *testing.T) {
 	is := is.New(t)
 	var tr Tracker
-	is.NoErr(tr.Observe(3, 10))
-	is.NoErr(tr.Observe(4, 20))
+	believe(t, &tr, 3, 10)
+	believe(t, &tr, 4, 20)
 	is.Equal(reasonOf(tr.Observe(3, 30)), Earlier)
 	is.Equal(tr.Current(), Epoch{Number: 4, SeenAt: 20, Stated: true})
 	is.NoErr(tr.Observe(4, 40))
@@ -40,7 +50,7 @@
 	is.NoErr(tr.ObserveUnstated(5))
 	is.NoErr(tr.ObserveUnstated(6))
 	is.Equal(tr.Current(), Epoch{SeenAt: 5})
-	is.NoErr(tr.Observe(0, 7))
+	believe(t, &tr, 0, 7)
 	is.Equal(reasonOf(tr.ObserveUnstated(8)), Unstated)
 }
 
@@ -48,10 +58,10 @@
 func TestImplausibleEpoch(t *testing.T) {
 	is := is.New(t)
 	var tr Tracker
-	is.NoErr(tr.Observe(1, 1))
+	believe(t, &tr, 1, 1)
 	is.Equal(reasonOf(tr.Observe(1_000_000, 2)), Implausible)
 	is.NoErr(tr.Observe(1, 3))
-	is.NoErr(tr.Observe(1+maxRise, 4)) // an instance that was cut off for long
+	believe(t, &tr, 1+maxRise, 4) // an instance that was cut off for long
 }
 
 func TestChangesAreReported(t *testing.T) {
@@ -59,7 +69,7 @@
 	var tr Tracker
 	var changes [][2]uint64
 	tr.OnChange(func(old, now Epoch) { changes = append(changes, [2]uint64{old.Number, now.Number}) })
-	for i, epoch := range []uint64{2, 2, 3, 2, 5} {
+	for i, epoch := range []uint64{2, 2, 3, 3, 2, 5, 5} {
 		_ = tr.Observe(epoch, boottime.Instant(i+1))
 	}
 	is.Equal(changes, [][2]uint64{{2, 3}, {3, 5}})
@@ -74,7 +84,6 @@
 func TestOneOddEpochDoesNotLast(t *testing.T) {
 	for name, before := range map[string][]uint64{"first answer": {70_000}, "later answer": {1, 40}} {
 		t.Run(name, func(t *testing.T) {
-			knownred.Skip(t)
 			var tr Tracker
 			at := boottime.Instant(1)
 			for _, epoch := range before {
