edge: answers of the store that are discarded because of their epoch are logged

What operators saw: a counter by reason and no line of the log, so that an instance that discarded what the store answered looked like one whose store was away.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,6 +107,7 @@
 	e.duties = newDuties(s, p, e.view, e.members, e.balancer, e.sharing, e.rollouts, usage, clock, e.events, logger.Named("duties"))
 	if p.Epochs != nil {
 		p.Epochs.OnChange(e.storeRestored)
+		p.Epochs.OnDiscard(e.logDiscards)
 	}
 	if e.origins = newOrigins(s, p, e.view, e.balancer, logger.Named("streamorigin")); e.origins != nil {
 		e.duties.leases.Do(controlDuty, holdOrigins(e.origins))
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -171,3 +171,8 @@
 		f.Restored()
 	}
 }
+
+// logDiscards logs that answers of the store were discarded because of their epoch.
+func (e *Edge) logDiscards(d storeepoch.Discards) {
+	e.logger.Warn("answers of the store were discarded because of its epoch", "count", d.Count, "reason", d.Last.Reason, "epoch", d.Last.Epoch, "known", d.Last.Known)
+}
