gateway: the first run of a stream is relayed only once its process is known

What callers saw: a stream of two software versions, in one answer or over their tries (ORDER), if its first run reached a server that had started again under its id with another version and whose row was not read yet.

Cause: the version at which a stream begins was that of the directory's entry for the chosen server. Only runs that go on with a stream were asked who they are.

Evidence: TestRestartedServerOfOtherVersionBeginsNoStreamAsTheFormer (events of v2, confirmed as v1) and TestStreamOfRestartedServerIsNotJoined (2 versions in one answer) failed on with their skip removed.

Change: a connection belongs to one process, and a process that was listed and answers a question asked after a request got its connection ran all the while. So one answer tells whose the connection is, for good; no clock is compared. The question is asked beside the prefill and awaited before the first event; one answer confirms all requests of the process that got their connection before, and an answer on a confirmed connection counts like one to a question. Runs that go on with a stream use the same evidence, so a kept connection is not asked again. A run of a later process is dropped as abandoned, unless the directory lists that process by then with the same version.

Tests: TestServerGetsOneAttemptOfRequest counted every request to its stand-in as an attempt, the question who it is too, which starts no run. It counts all others as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,6 +47,7 @@
 	version    versionSampler // for Options.Versions
 	departure  departure      // of the stream, if the server leaves
 	admitted   bool           // events of the run may be relayed
+	run        runProcess
 	// denial is why the request may not be sent after all, or nil. It is set before the
 	// permit is denied.
 	denial error
@@ -154,6 +155,7 @@
 	a.observe(balance.Answer{
 		Status: response.StatusCode, Misdirected: a.answer.Misdirected, Partial: a.answer.Attempt != a.x.head.Attempt,
 	}, response.Header)
+	a.noteProcess()
 	if failed := a.checkHead(); failed != nil {
 		return failed
 	}
@@ -247,6 +249,7 @@
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	a.reused = info.Reused
 	a.permit.Attach(info)
+	a.beginProcessCheck(info)
 }
 
 // newFailure returns the failure of an attempt whose request was sent.
--- a/internal/gateway/bound.go
+++ b/internal/gateway/bound.go
@@ -149,7 +149,7 @@
 	if a.admitted {
 		return nil
 	}
-	if failed := a.admitFurtherRun(); failed != nil {
+	if failed := a.admitProcess(); failed != nil {
 		return failed
 	}
 	a.admitted = true
@@ -178,28 +178,36 @@
 	return a.newFailure(result.StreamOriginUnknown, balance.Abandoned, fmt.Errorf("record the software version that begins the stream: %w", err))
 }
 
-// admitFurtherRun asks, before anything of a run that goes on with a stream is relayed, whether
-// the process that was chosen still answers at the server's address. The directory may be
-// late, so that the run may be one of a later process, of another version.
-func (a *attempt) admitFurtherRun() *failure {
+// admitEnd decides at the end of a run whether it may go on with a stream. One that has ended without
+// an event was not admitted yet.
+func (a *attempt) admitEnd() *failure {
 	if a.admitted || !a.x.query.Bound {
 		return nil
 	}
-	found := a.checkServer(a.ctx, time.Time{}).found
-	a.x.gateway.counters.furtherRunChecked(found)
+	return a.admitProcess()
+}
+
+// admitProcess decides, before anything of a run is relayed, whether the process that was chosen
+// runs it. The directory may be late, so that the run may be one of a later process, of another
+// version.
+func (a *attempt) admitProcess() *failure {
+	if !a.needsProcess() {
+		return nil
+	}
+	found := a.findProcess()
 	switch {
 	case found.mayBeChosen():
 		return nil
 	case a.ctx.Err() != nil:
 		return a.connectionFailure(context.Cause(a.ctx))
 	}
-	return a.newFailure(result.StreamBroken, outcomeOfFurtherRun(found), fmt.Errorf(
-		"the software version of server %q is not certain, and the stream goes on at %q only: check=%s", a.assignment.Server, a.x.query.BoundVersion, found))
+	return a.newFailure(result.StreamBroken, outcomeOfRun(found), fmt.Errorf(
+		"the software version of server %q is not certain: %scheck=%s", a.assignment.Server, a.x.describeBinding(), found))
 }
 
-// outcomeOfFurtherRun returns the balancer's outcome for a run that was not relayed. A process
-// that the directory does not list yet has done nothing wrong.
-func outcomeOfFurtherRun(found finding) balance.Outcome {
+// outcomeOfRun returns the balancer's outcome for a run that was not relayed. A process that the
+// directory does not list yet has done nothing wrong.
+func outcomeOfRun(found finding) balance.Outcome {
 	if found == restarted {
 		return balance.Abandoned
 	}
@@ -220,8 +228,3 @@
 func (c *counters) resumptionRefused(x *exchange, reason string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_resumptions_refused_total{route=%q,reason=%q}`, x.routeName(), reason)).Inc()
 }
-
-// furtherRunChecked counts a run that goes on with a stream by what a check of its server found.
-func (c *counters) furtherRunChecked(found finding) {
-	c.set.GetOrCreateCounter(fmt.Sprintf(`hawthornwick_further_runs_total{server=%q}`, found)).Inc()
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	options    Options
 	transports *transports
 	probes     *prober
+	processes  *processes
 	active     atomic.Int64
 	stopping   context.Context // ends when requests in flight are to be aborted
 	stop       context.CancelFunc
@@ -88,7 +89,7 @@
 	if o.Delivery == 0 {
 		o.Delivery = guardconn.DefaultDelivery
 	}
-	g := &Gateway{options: o, transports: newTransports(), probes: newProber(), counters: newCounters(), answerTimes: newAnswerTimes(), buffers: bytebudget.New(o.BufferBytes)}
+	g := &Gateway{options: o, transports: newTransports(), probes: newProber(), processes: newProcesses(), counters: newCounters(), answerTimes: newAnswerTimes(), buffers: bytebudget.New(o.BufferBytes)}
 	g.stopping, g.stop = context.WithCancel(context.Background())
 	return g
 }
--- a/internal/gateway/open_test.go
+++ b/internal/gateway/open_test.go
@@ -15,7 +15,6 @@
 // TestRestartedServerOfOtherVersionBeginsNoStreamAsTheFormer guards against a stream that is noted
 // at the version of the directory's entry, while a later process of another version began it.
 func TestRestartedServerOfOtherVersionBeginsNoStreamAsTheFormer(t *testing.T) {
-	knownred.Skip(t)
 	is := is.New(t)
 	s := newTestStack(t)
 	origins := &testOrigins{}
@@ -39,7 +38,6 @@
 // TestStreamOfRestartedServerIsNotJoined guards against an answer whose first events come from a
 // process that the directory does not list yet, and whose others come from the listed version.
 func TestStreamOfRestartedServerIsNotJoined(t *testing.T) {
-	knownred.Skip(t)
 	is := is.New(t)
 	s := newTestStack(t)
 	s.gateway.options.Origins = &testOrigins{}
--- a/internal/gateway/servercheck.go
+++ b/internal/gateway/servercheck.go
@@ -99,38 +99,60 @@
 	return e, v
 }
 
-// checkServer asks the server who it is, within serverCheckTimeout. A connection that breaks
-// shows nothing, since a server resets those beyond its limit; neither does an answer to an
-// earlier request, which may arrive late on a kept connection. The server is asked again then.
-// It starts no run. A process that started before sentAt counts as the known one, although
-// the directory listed an earlier one; if sentAt is zero, it does not.
+// checkServer asks the server who it is, within serverCheckTimeout. It starts no run. A process that
+// started before sentAt counts as the known one, although the directory listed an earlier one; if
+// sentAt is zero, it does not.
 func (a *attempt) checkServer(ctx context.Context, sentAt time.Time) serverCheck {
+	c := serverCheck{askedAt: time.Now()}
+	known := a.knownIdentity()
+	c.found = a.askServer(ctx, known, sentAt).found
+	return c
+}
+
+// statement is what a server has answered to the question who it is.
+type statement struct {
+	found  finding
+	stated Identity        // as long as found is not unidentified
+	conn   *guardconn.Conn // on which it was stated; nil if there was none
+}
+
+// askServer asks the server who it is, within serverCheckTimeout, and compares the answer with what
+// is known of it. A connection that breaks shows nothing, since a server resets those beyond its
+// limit; neither does an answer to an earlier request, which may arrive late on a kept connection.
+// The server is asked again then.
+func (a *attempt) askServer(ctx context.Context, known Identity, sentAt time.Time) statement {
 	ctx, cancel := context.WithTimeout(ctx, serverCheckTimeout)
 	defer cancel()
-	c := serverCheck{askedAt: time.Now(), found: silentServer}
-	known := a.knownIdentity()
 	path, header := a.x.gateway.options.Protocol.IdentityRequest(known)
 	if path == "" {
-		c.found = findingOfProbe(a.x.gateway.probes.probe(a.assignment.Address))
-		return c
+		return statement{found: findingOfProbe(a.x.gateway.probes.probe(a.assignment.Address))}
 	}
+	s := statement{found: silentServer}
 	for range serverCheckTries {
-		stated, err := a.x.gateway.identify(ctx, a.assignment.Address, path, header.Clone())
+		stated, conn, err := a.x.gateway.identify(ctx, a.assignment.Address, path, header.Clone())
+		s = statement{found: findingOfError(err)}
 		if err == nil {
-			c.found = a.compareWithDirectory(known, compareIdentity(known, stated, sentAt), sentAt)
+			s = statement{found: a.compareWithDirectory(known, compareIdentity(known, stated, sentAt), sentAt), stated: stated, conn: conn}
 		}
-		if c.found != silentServer && c.found != unidentified {
-			return c
-		}
-		if reachabilityOf(err) == refused {
-			c.found = gone
-			return c
+		if !s.found.unanswered() {
+			return s
 		}
 		if wait.For(ctx, serverCheckPause) != nil {
-			return c
+			return s
 		}
 	}
-	return c
+	return s
+}
+
+// unanswered reports whether the server may be asked again, since nothing was learned.
+func (f finding) unanswered() bool { return f == silentServer || f == unidentified }
+
+// findingOfError returns what it shows that a server was asked in vain.
+func findingOfError(err error) finding {
+	if reachabilityOf(err) == refused {
+		return gone
+	}
+	return silentServer
 }
 
 // compareWithDirectory corrects what a statement shows that names the server and not its start:
@@ -168,20 +190,27 @@
 	return known
 }
 
-// identify asks the process at the address who it is.
-func (g *Gateway) identify(ctx context.Context, address, path string, header http.Header) (Identity, error) {
+// identify asks the process at the address who it is. conn is the connection on which it was asked,
+// or nil if there was none.
+func (g *Gateway) identify(ctx context.Context, address, path string, header http.Header) (stated Identity, conn *guardconn.Conn, err error) {
 	permit := guardconn.NewPermit(func() guardconn.Grant { return guardconn.Allow(serverCheckTimeout) })
 	defer permit.End()
+	gotConn := func(info httptrace.GotConnInfo) {
+		permit.Attach(info)
+		if guarded, ok := info.Conn.(*guardconn.Conn); ok {
+			conn = guarded
+		}
+	}
 	r := (&http.Request{
 		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: path}, Header: header,
-	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: permit.Attach}))
+	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: gotConn}))
 	response, err := g.transports.pooled.RoundTrip(r)
 	if err != nil {
-		return Identity{}, err
+		return Identity{}, conn, err
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxIdentityBytes))
 	err = errors.Join(err, response.Body.Close())
-	return g.options.Protocol.ReadIdentity(response, body), err
+	return g.options.Protocol.ReadIdentity(response, body), conn, err
 }
 
 // recordEndCheck records what is known of an answer whose end is in doubt, and what was
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -114,7 +114,7 @@
 	if failed := a.confirmEnd(); failed != nil {
 		return failed
 	}
-	if failed := a.admitFurtherRun(); failed != nil {
+	if failed := a.admitEnd(); failed != nil {
 		return failed
 	}
 	a.writeHead()
--- a/internal/gateway/tworuns_test.go
+++ b/internal/gateway/tworuns_test.go
@@ -94,7 +94,9 @@
 				attempts := [2]atomic.Int64{}
 				for i, id := range []string{"0", "1"} {
 					s.addConnServer(id, func(r *http.Request, _, _ int64) string {
-						attempts[i].Add(1)
+						if r.URL.Path != testIdentityPath {
+							attempts[i].Add(1)
+						}
 						return answer(r)
 					})
 				}
--- a/internal/guardconn/guardconn.go
+++ b/internal/guardconn/guardconn.go
@@ -43,6 +43,7 @@
 	// after that.
 	requested atomic.Bool
 	heads     headScanner // used by Read only
+	peer      atomic.Pointer[Peer]
 
 	mu        sync.Mutex
 	delivery  time.Duration // limit on unacknowledged bytes that is set on the socket
@@ -50,6 +51,26 @@
 	expiry    *time.Timer // runs clearDelivery; nil before the first limit
 }
 
+// Peer is the process at the other end of a connection. The zero value is unknown.
+type Peer struct {
+	// Server is the id of the server.
+	Server string
+	// StartedMillis is the start of its process in Unix milliseconds.
+	StartedMillis int64
+}
+
+// SetPeer records which process is known to have the other end. A connection belongs to one
+// process as long as it lasts.
+func (c *Conn) SetPeer(p Peer) { c.peer.Store(&p) }
+
+// Peer returns the process that SetPeer has recorded last, or the zero Peer.
+func (c *Conn) Peer() Peer {
+	if p := c.peer.Load(); p != nil {
+		return *p
+	}
+	return Peer{}
+}
+
 // Close implements net.Conn. It discards written bytes that may not have been delivered
 // and resets the connection. If the peer has answered, it closes it normally.
 func (c *Conn) Close() error {
