gateway: a run does not wait for a question that nobody has asked

What callers would see: a stream that stalls before its first event until its watchdog ends the attempt.

Cause: nothing is asked if the connection is known to be the chosen process's when the request gets it. If a check that had used the connection names another process after that, the run waited for an answer to no question (a nil channel). A process that keeps its connections over a restart, as a stand-in may, is enough.

Change: such a run asks the server itself before its first event.

Result: the test passes, with one question.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -172,25 +172,31 @@
 // findProcess returns what is known of the process that runs the request, if need be by the answer
 // to the question that beginProcessCheck has asked.
 func (a *attempt) findProcess() finding {
-	if a.assignment.StartedMillis <= 0 {
-		found := a.checkServer(a.ctx, time.Time{}).found
-		a.countProcess(found.String())
-		return found
-	}
-	if a.ownsConn() || a.x.gateway.processes.ranAt(a.process(), a.run.connAt) {
+	if a.knowsProcess() {
 		a.countProcess("known")
 		return a.confirmProcess()
 	}
-	found := a.awaitProcess()
+	var found finding
+	if a.run.check == nil {
+		found = a.checkServer(a.ctx, time.Time{}).found
+	} else {
+		found = a.awaitProcess()
+	}
 	a.countProcess(found.String())
 	return found
 }
 
+// knowsProcess reports whether nothing need be asked.
+func (a *attempt) knowsProcess() bool {
+	if a.assignment.StartedMillis <= 0 || a.run.conn == nil {
+		return false
+	}
+	return a.ownsConn() || a.x.gateway.processes.ranAt(a.process(), a.run.connAt)
+}
+
 // confirmProcess notes that the connection is that of the process that was chosen.
 func (a *attempt) confirmProcess() finding {
-	if a.run.conn != nil {
-		a.run.conn.SetPeer(a.process().peer)
-	}
+	a.run.conn.SetPeer(a.process().peer)
 	return sameProcess
 }
 
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hawthornwick/hawthornwick/internal/balance"
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
 	"github.com/hawthornwick/hawthornwick/internal/guardconn"
 )
@@ -139,3 +140,20 @@
 	got := p.check(who, 3, func() processCheck { asked++; return processCheck{askedAt: asked} })
 	is.Equal(got.askedAt, boottime.Instant(3))
 }
+
+// TestRunWithoutCheckDoesNotWaitForOne guards against a run that waits for the answer to a question
+// that nobody has asked, since its connection was taken for that of its process at first.
+func TestRunWithoutCheckDoesNotWaitForOne(t *testing.T) {
+	is := is.New(t)
+	s := newTestStack(t)
+	s.gateway.options.Origins = &testOrigins{}
+	asked := s.addAsked(identity(statesStart(testStarted)))
+	assignment, err := s.balancer.Acquire(t.Context(), &balance.Query{Service: "s"})
+	is.NoErr(err)
+	defer assignment.End(balance.Abandoned)
+	a := &attempt{x: &exchange{gateway: s.gateway, route: &s.source.table.Routes[0]}, assignment: assignment, ctx: t.Context()}
+	a.run.conn = &guardconn.Conn{}
+	a.run.conn.SetPeer(guardconn.Peer{Server: "0", StartedMillis: testStarted + 1})
+	is.Equal(a.findProcess(), sameProcess)
+	is.Equal(asked.Load(), int64(1))
+}
