--- a/internal/gateway/open_test.go
+++ b/internal/gateway/open_test.go
@@ -8,14 +8,11 @@
 	"testing"
 
 	"github.com/matryer/is"
-
-	"github.com/hawthornwick/hawthornwick/internal/knownred"
 )
 
 // TestRestartedServerOfOtherVersionBeginsNoStreamAsTheFormer guards against a stream that is noted
 // at the version of the directory's entry, while a later process of another version began it.
 func TestRestartedServerOfOtherVersionBeginsNoStreamAsTheFormer(t *testing.T) {
-	knownred.Skip(t)
 	is := is.New(t)
 	s := newTestStack(t)
 	origins := &testOrigins{}
@@ -39,7 +36,6 @@
 // TestStreamOfRestartedServerIsNotJoined guards against an answer whose first events come from a
 // process that the directory does not list yet, and whose others come from the listed version.
 func TestStreamOfRestartedServerIsNotJoined(t *testing.T) {
-	knownred.Skip(t)
 	is := is.New(t)
 	s := newTestStack(t)
 	s.gateway.options.Origins = &testOrigins{}
@@ -55,7 +51,6 @@
 // TestTakeUpAtServerWithoutFreeConnection guards against a sound take-up that is dropped because the
 // server, at its limit of connections, resets the one on which it is asked who it is.
 func TestTakeUpAtServerWithoutFreeConnection(t *testing.T) {
-	knownred.Skip(t)
 	is := is.New(t)
 	s := newTestStack(t)
 	s.gateway.options.Origins = &testOrigins{version: "v1"}
