streamorigin: a stream without a record goes on at the service that began it

Callers saw: a stream that broke off and whose route had moved to another service meanwhile was taken up at that service, at its base version, and joined with what the former service had sent.

Cause: a stream without a record counts as one of the base version of whatever service its route leads to at the take-up. Nothing kept which service began it. No instance can know that from its configuration alone: one that started after the move has seen the newest version only.

Change: the services of a route are followed like the versions of a service. A base row for each route with streams names the service of its streams without a record; it is closed, moved and made invalid by a restore by the decisions that exist (watch, knownBases, nextBase), so that the model that plays those covers it. A stream begins without a record only if the bases of its route and of its service are both relied on. A take-up without a record goes on only if both rows are valid and the route's row names the service. Routes are identified by host and prefix. A route that came after the first list waits for quiet, also at the first start. The configuration may be at most 10 s older than the age of the list says, for which quiet has 20 s of room. A caller of the registry that names no route is served without a record only while there is one service. Base rows are read in pages, since there are more of them now; no call is added to a take-up.

Weighed: recording each stream of routes that may move (all of them); keeping it in each instance's memory (lost when all instances are killed at once). The cost: one row a route, records for quiet and 10 s after a move, and for the smaller shares of a split route.

Evidence: TestUnrecordedStreamOfOtherServiceIsRefused failed on ("not true: refused // any other one") and passes.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -18,6 +18,11 @@
 	noTimeout = 5 * time.Minute
 	// defaultStoreWrites is the store's rate if the settings do not state one.
 	defaultStoreWrites = 200
+	// maxConfigurationLag is how much older than the list of servers the configuration may be without
+	// making the list count as older. Streamorigin's quiet time has room for it.
+	maxConfigurationLag = 10 * time.Second
+	// weightScale turns weights of shares into whole numbers.
+	weightScale = 1_000_000
 )
 
 // newOrigins returns the registry of the origins of streams, or nil if the platform has no tables
@@ -56,14 +61,16 @@
 	}
 }
 
-// versions returns the number of servers by version of each service of the configuration.
-// Draining servers are listed and not counted.
+// versions returns the number of servers by version of each service of the configuration, and the
+// services of each route with streams. Draining servers are listed and not counted.
 func (v *storeView) versions() streamorigin.View {
+	configured := v.operators.CurrentAsOf()
 	table := v.table.Load()
-	if table == nil {
+	if table == nil || configured.IsZero() {
 		return streamorigin.View{}
 	}
-	view := streamorigin.View{AsOf: v.servers.CurrentAsOf(), Services: make(map[string]map[string]int, len(table.Services))}
+	asOf := min(v.servers.CurrentAsOf(), configured.Add(maxConfigurationLag))
+	view := streamorigin.View{AsOf: asOf, Services: servicesOfRoutes(table)}
 	for _, s := range table.Services {
 		view.Services[s.Name] = map[string]int{}
 	}
@@ -83,6 +90,29 @@
 	return view
 }
 
+// servicesOfRoutes returns the weights by service of each route with streams, by
+// streamorigin.RouteGroup.
+func servicesOfRoutes(table *routes.Table) map[string]map[string]int {
+	groups := make(map[string]map[string]int, len(table.Routes)+len(table.Services))
+	for i := range table.Routes {
+		route := &table.Routes[i]
+		if route.Kind != routes.Stream {
+			continue
+		}
+		services := map[string]int{}
+		for _, s := range route.Split {
+			if s.Weight > 0 {
+				services[s.Service] += 1 + int(s.Weight*weightScale)
+			}
+		}
+		if len(services) == 0 {
+			services[route.Split[len(route.Split)-1].Service] = 1 // as Route.Choose does
+		}
+		groups[streamorigin.RouteGroup(route.Pattern())] = services
+	}
+	return groups
+}
+
 // longestTimeout returns the longest timeout of a route with streams, and zero before the first
 // configuration.
 func (v *storeView) longestTimeout() time.Duration {
--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -11,6 +11,7 @@
 	"github.com/hawthornwick/hawthornwick/internal/gateway"
 	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/routes"
+	"github.com/hawthornwick/hawthornwick/internal/streamorigin"
 )
 
 // newStreamsPlatform returns a platform with a table for the origins of streams.
@@ -113,3 +114,25 @@
 	is.Equal(longest(plain, route(routes.Stream, "/a/", time.Second), route(routes.Stream, "/b/", 2*time.Second)), 2*time.Second)
 	is.Equal(longest(plain, route(routes.Stream, "/a/", 0)), noTimeout)
 }
+
+// TestServicesOfRoutes checks which services the streams of a route may reach.
+func TestServicesOfRoutes(t *testing.T) {
+	is := is.New(t)
+	route := func(kind routes.Kind, prefix string, split ...routes.Share) routes.Route {
+		return routes.Route{Name: prefix, Host: "Test", Prefix: prefix, Kind: kind, Split: split}
+	}
+	table, err := routes.Compile(routes.Config{Version: 1, Services: []routes.Service{{Name: "s"}, {Name: "s2"}}, Routes: []routes.Route{
+		route(routes.Idempotent, "/plain/", routes.Share{Service: "s", Weight: 1}),
+		route(routes.Stream, "/one/", routes.Share{Service: "s", Weight: 0}),
+		route(routes.Stream, "/split/", routes.Share{Service: "s", Weight: 0.2}, routes.Share{Service: "s2", Weight: 0.8}),
+		route(routes.Stream, "/moved/", routes.Share{Service: "s", Weight: 1}, routes.Share{Service: "s2", Weight: 0}),
+	}})
+	is.NoErr(err)
+	groups := servicesOfRoutes(table)
+	is.Equal(len(groups), 3)
+	is.Equal(groups[streamorigin.RouteGroup("test/one/")], map[string]int{"s": 1})
+	is.Equal(groups[streamorigin.RouteGroup("test/moved/")], map[string]int{"s": 1 + weightScale})
+	split := groups[streamorigin.RouteGroup("test/split/")]
+	is.Equal(len(split), 2)
+	is.True(split["s"] < split["s2"])
+}
--- a/internal/gateway/bound.go
+++ b/internal/gateway/bound.go
@@ -54,9 +54,9 @@
 	case origins == nil || x.route.Kind != routes.Stream:
 		return nil
 	case x.resumes():
-		return x.findOrigin(origins)
+		return x.findOrigin(origins.ForRoute(x.route.Pattern()))
 	case x.head.Attempt != "" && x.route.Resumable:
-		x.origin = origins.Track(x.head.Attempt, x.query.Service)
+		x.origin = origins.ForRoute(x.route.Pattern()).Track(x.head.Attempt, x.query.Service)
 	}
 	return nil
 }
--- a/internal/gateway/bound_test.go
+++ b/internal/gateway/bound_test.go
@@ -35,6 +35,8 @@
 	o.calls = append(o.calls, fmt.Sprintf(format, args...))
 }
 
+func (o *testOrigins) ForRoute(string) Origins { return o }
+
 func (o *testOrigins) Track(attempt, service string) OriginRecord {
 	o.note("track %s %s", attempt, service)
 	return o
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -9,6 +9,9 @@
 // Origins knows which version of a service's software began a stream, over all instances and
 // their restarts. Implementations must be safe for concurrent use.
 type Origins interface {
+	// ForRoute returns the Origins for the requests of the route with a pattern, whose services
+	// may change.
+	ForRoute(pattern string) Origins
 	// Track returns the record of a caller's attempt that may bring the first event of a stream.
 	Track(attempt, service string) OriginRecord
 	// Find returns the version that began the stream whose first event the caller's attempt
--- a/internal/routes/config.go
+++ b/internal/routes/config.go
@@ -5,6 +5,7 @@
 package routes
 
 import (
+	"strings"
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/config"
@@ -76,6 +77,9 @@
 	Weight float64
 }
 
+// Pattern names the requests that the route takes: those of two routes with equal patterns are the same.
+func (r *Route) Pattern() string { return strings.ToLower(r.Host) + r.Prefix }
+
 // Retryable reports whether a request of the route may be retried after a server
 // may have run it.
 func (r *Route) Retryable() bool {
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -28,17 +28,32 @@
 	record    originRow
 	hasRecord bool
 	base      heldRow
-	records   bool // there are records of other attempts, if the attempt is not named
+	route     heldRow // base service of the route, if one is named
+	records   bool    // there are records of other attempts, if the attempt is not named
 }
 
 // hasBase reports whether the service has a base version now.
-func (f found) hasBase() bool { return f.base.version > 0 && f.base.row.Epoch == f.epoch }
+func (f found) hasBase() bool { return f.isValid(f.base) }
+
+// isValid reports whether a base row counts.
+func (f found) isValid(h heldRow) bool { return h.version > 0 && h.row.Epoch == f.epoch }
+
+// lookup is a resumption whose origin is looked up.
+type lookup struct {
+	group   string // of the route, "" if it is not known
+	service string // that the route leads to now
+	prefix  string // of the keys of the attempt's records
+}
 
 // Find implements gateway.Origins. Only what this instance itself began is known without a read
 // of the store.
 func (r *Registry) Find(ctx context.Context, attempt, service string) (string, error) {
+	return r.find(ctx, "", attempt, service)
+}
+
+func (r *Registry) find(ctx context.Context, group, attempt, service string) (string, error) {
 	if attempt == "" {
-		return r.findUnnamed(ctx, service)
+		return r.findUnnamed(ctx, lookup{group: group, service: service, prefix: originPrefix})
 	}
 	d := digestOf(attempt)
 	r.mu.Lock()
@@ -50,14 +65,15 @@
 	if err := r.awaitTurn(ctx); err != nil {
 		return "", err
 	}
-	f, err := r.readTries(ctx, service, d.prefix())
+	l := lookup{group: group, service: service, prefix: d.prefix()}
+	f, err := r.readTries(ctx, l)
 	if err != nil {
 		return "", err
 	}
 	if f.hasRecord {
 		return r.recorded(f.record, service, "record")
 	}
-	return r.atBase(f)
+	return r.atBase(f, l)
 }
 
 // recorded returns the version of a record, if it is of the service.
@@ -67,15 +83,45 @@
 		return "", &gateway.OriginUnknownError{Reason: "another process took the place of the server that was chosen while the stream began"}
 	}
 	if o.Service != service {
-		r.countLookup("other_service")
-		return "", &gateway.OriginUnknownError{Reason: fmt.Sprintf("the stream began at service %q", o.Service)}
+		return "", r.otherService(o.Service)
 	}
 	r.countLookup(result)
 	return o.Version, nil
 }
 
+// otherService returns the error of a stream that began at another service than the one that its route
+// leads to now.
+func (r *Registry) otherService(began string) error {
+	r.countLookup("other_service")
+	return &gateway.OriginUnknownError{Reason: fmt.Sprintf("the stream began at service %q", began)}
+}
+
+// checkService returns an error unless a stream without a record began at the service that its route
+// leads to now.
+func (r *Registry) checkService(f found, l lookup) error {
+	switch {
+	case l.group == "":
+		r.mu.Lock()
+		only := r.view.isOnlyService(l.service)
+		r.mu.Unlock()
+		if !only {
+			r.countLookup("unknown")
+			return &gateway.OriginUnknownError{Reason: "it has no record, and may have begun at several services"}
+		}
+	case !f.isValid(f.route):
+		r.countLookup("unknown")
+		return &gateway.OriginUnknownError{Reason: "it has no record, and the route has no base service now", RetryAfter: findRetryAfter}
+	case f.route.row.Version != l.service:
+		return r.otherService(f.route.row.Version)
+	}
+	return nil
+}
+
 // atBase returns the base version for a stream without a record.
-func (r *Registry) atBase(f found) (string, error) {
+func (r *Registry) atBase(f found, l lookup) (string, error) {
+	if err := r.checkService(f, l); err != nil {
+		return "", err
+	}
 	if !f.hasBase() {
 		r.countLookup("unknown")
 		return "", &gateway.OriginUnknownError{Reason: "it has no record, and the service has no base version now", RetryAfter: findRetryAfter}
@@ -87,19 +133,20 @@
 // findUnnamed returns the base version if all streams of the service that may still run began at
 // it: no other version is listed, and either there are no records at all or no other version was
 // listed for as long as a stream may last.
-func (r *Registry) findUnnamed(ctx context.Context, service string) (string, error) {
+func (r *Registry) findUnnamed(ctx context.Context, l lookup) (string, error) {
 	if err := r.awaitTurn(ctx); err != nil {
 		return "", err
 	}
-	f, err := r.readTries(ctx, service, originPrefix)
+	f, err := r.readTries(ctx, l)
 	if err != nil {
 		return "", err
 	}
-	if f.hasBase() && !r.isOnly(service, f.base.row.Version, f.records) {
+	several := l.group != "" && !r.isOnly(l.group, l.service, f.records)
+	if f.hasBase() && (several || !r.isOnly(l.service, f.base.row.Version, f.records)) {
 		r.countLookup("unnamed")
 		return "", &gateway.OriginUnknownError{Reason: "the caller did not name the attempt that brought its first event, and it may have begun at several versions"}
 	}
-	return r.atBase(f)
+	return r.atBase(f, l)
 }
 
 // isOnly reports whether no stream of the service can have begun at another version, where
@@ -114,10 +161,10 @@
 }
 
 // readTries reads the store until it answers, findTries times at most.
-func (r *Registry) readTries(ctx context.Context, service, prefix string) (found, error) {
+func (r *Registry) readTries(ctx context.Context, l lookup) (found, error) {
 	var last error
 	for try := range findTries {
-		f, err := r.readOnce(ctx, service, prefix, findTimeout+time.Duration(try)*findTimeout/2)
+		f, err := r.readOnce(ctx, l, findTimeout+time.Duration(try)*findTimeout/2)
 		if err == nil {
 			return f, nil
 		}
@@ -128,34 +175,30 @@
 		}
 	}
 	r.countLookup("failed")
-	r.options.Logger.Debug("the origin of a stream was not found; the caller may ask again", "service", service, "tries", findTries, "retry_after", findRetryAfter, "error", last)
+	r.options.Logger.Debug("the origin of a stream was not found; the caller may ask again", "service", l.service, "tries", findTries, "retry_after", findRetryAfter, "error", last)
 	return found{}, &gateway.OriginUnknownError{Reason: "the store does not answer", RetryAfter: findRetryAfter}
 }
 
-// readOnce reads the records with a prefix of all tables and the base row at the same time. If the
-// prefix is originPrefix, it only finds out whether there are records.
-func (r *Registry) readOnce(ctx context.Context, service, prefix string, timeout time.Duration) (found, error) {
+// readOnce reads the records of all tables and the base rows at the same time. If the prefix is
+// originPrefix, it only finds out whether there are records.
+func (r *Registry) readOnce(ctx context.Context, l lookup, timeout time.Duration) (found, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	f := found{epoch: r.epoch()}
 	limit := maxOrdinals
-	if prefix == originPrefix {
+	if l.prefix == originPrefix {
 		limit = 1
 	}
 	listed := make([][]platform.Row, len(r.options.Tables))
 	for i, table := range r.options.Tables {
 		group.Go(func() (err error) {
-			listed[i], err = table.List(ctx, prefix, "", limit)
+			listed[i], err = table.List(ctx, l.prefix, "", limit)
 			return err
 		})
 	}
-	group.Go(func() error {
-		rows, err := r.options.Tables[0].Get(ctx, basePrefix+service)
-		if err != nil {
-			return err
-		}
-		f.base, err = decodeBase(rows[0])
+	group.Go(func() (err error) {
+		f.base, f.route, err = r.readBaseRows(ctx, l)
 		return err
 	})
 	if err := group.Wait(); err != nil {
@@ -168,11 +211,28 @@
 	for _, list := range listed {
 		rows = append(rows, list...)
 	}
-	if prefix == originPrefix {
+	if l.prefix == originPrefix {
 		f.records = len(rows) > 0
 		return f, nil
 	}
 	var err error
-	f.record, f.hasRecord, err = lastOrigin(rows, prefix)
+	f.record, f.hasRecord, err = lastOrigin(rows, l.prefix)
 	return f, err
 }
+
+// readBaseRows reads the base row of a service and, if the route is known, that of the route.
+func (r *Registry) readBaseRows(ctx context.Context, l lookup) (base, route heldRow, err error) {
+	keys := []string{basePrefix + l.service}
+	if l.group != "" {
+		keys = append(keys, basePrefix+l.group)
+	}
+	rows, err := r.options.Tables[0].Get(ctx, keys...)
+	if err != nil {
+		return heldRow{}, heldRow{}, err
+	}
+	if base, err = decodeBase(rows[0]); err != nil || l.group == "" {
+		return base, heldRow{}, err
+	}
+	route, err = decodeBase(rows[1])
+	return base, route, err
+}
--- a/internal/streamorigin/follow.go
+++ b/internal/streamorigin/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/hawthornwick/hawthornwick/internal/boottime"
+	"github.com/hawthornwick/hawthornwick/internal/platform"
 	"github.com/hawthornwick/hawthornwick/internal/wait"
 )
 
@@ -14,8 +15,8 @@
 	tickInterval = 500 * time.Millisecond
 	// callTimeout bounds one call of the store.
 	callTimeout = time.Second
-	// maxBaseRows bounds the base rows that are read.
-	maxBaseRows = 500
+	// baseRowsPage is the number of base rows that one call reads.
+	baseRowsPage = 500
 )
 
 // baseLoop looks at the list of servers, and reads the base rows while one of them is not known,
@@ -103,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	epoch := r.epoch()
-	listed, err := r.options.Tables[0].List(ctx, basePrefix, "", maxBaseRows)
+	listed, err := r.listAllBases(ctx)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -121,3 +122,20 @@
 	}
 	return rows, epoch, nil
 }
+
+// listAllBases reads the base rows page by page.
+func (r *Registry) listAllBases(ctx context.Context) ([]platform.Row, error) {
+	var all []platform.Row
+	after := ""
+	for {
+		page, err := r.options.Tables[0].List(ctx, basePrefix, after, baseRowsPage)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, page...)
+		if len(page) < baseRowsPage {
+			return all, nil
+		}
+		after = page[len(page)-1].Key
+	}
+}
--- a/internal/streamorigin/hold.go
+++ b/internal/streamorigin/hold.go
@@ -103,7 +103,7 @@
 		trusted, isTrusted := r.trusted[service]
 		row, changes := nextBase(baseInputs{
 			service: service, held: h.rows[service], epoch: h.epoch, servers: servers, watch: r.watch, times: r.times(),
-			bootstrap: r.bootstrapped(), epochSeen: r.epochSeen, closedSeen: h.closed[service], trusted: trusted, isTrusted: isTrusted,
+			bootstrap: r.neverBegan(service), epochSeen: r.epochSeen, closedSeen: h.closed[service], trusted: trusted, isTrusted: isTrusted,
 		})
 		if changes {
 			next[service] = row
--- a/internal/streamorigin/open_test.go
+++ b/internal/streamorigin/open_test.go
@@ -79,7 +79,6 @@
 // TestUnrecordedStreamOfOtherServiceIsRefused guards against a stream that goes on at the base
 // version of a service that did not begin it, after its route has moved.
 func TestUnrecordedStreamOfOtherServiceIsRefused(t *testing.T) {
-	knownred.Skip(t)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWorld(t, "v1")
--- a/internal/streamorigin/record.go
+++ b/internal/streamorigin/record.go
@@ -11,6 +11,7 @@
 type record struct {
 	registry *Registry
 	attempt  digest
+	group    string // of the route, "" if it is not known
 	service  string
 	version  string // of the last Sending
 	sending  bool   // Sending was called
@@ -25,7 +26,11 @@
 
 // Track implements gateway.Origins.
 func (r *Registry) Track(attempt, service string) gateway.OriginRecord {
-	return &record{registry: r, attempt: digestOf(attempt), service: service}
+	return r.track("", attempt, service)
+}
+
+func (r *Registry) track(group, attempt, service string) *record {
+	return &record{registry: r, attempt: digestOf(attempt), group: group, service: service}
 }
 
 // Sending implements gateway.OriginRecord.
@@ -35,7 +40,7 @@
 	}
 	c.withdraw()
 	c.sending, c.version, c.failure = true, version, nil
-	if c.next == 0 && c.registry.mayOmit(c.service, version) {
+	if c.next == 0 && c.registry.mayOmit(c.group, c.service, version) {
 		return
 	}
 	c.submit()
@@ -76,7 +81,7 @@
 // Confirm implements gateway.OriginRecord. The error is a *NotRecordedError.
 func (c *record) Confirm(ctx context.Context) error {
 	if c.item == nil && c.failure == nil {
-		if c.registry.mayOmit(c.service, c.version) && c.next == 0 {
+		if c.registry.mayOmit(c.group, c.service, c.version) && c.next == 0 {
 			c.registry.remember(c.attempt, c.row())
 			return nil
 		}
--- a/internal/streamorigin/registry.go
+++ b/internal/streamorigin/registry.go
@@ -110,12 +110,19 @@
 	return r.options.Bootstrap && r.started && r.seenEpoch == r.firstEpoch
 }
 
-// mayOmit reports whether a stream may begin at a version without a record.
-func (r *Registry) mayOmit(service, version string) bool {
+// neverBegan reports whether no stream of a service, or of a route, without a base row can have begun.
+// The requests of a route that came later may have been those of another one. The caller must hold
+// r.mu.
+func (r *Registry) neverBegan(service string) bool {
+	return r.bootstrapped() && (!isRouteGroup(service) || r.watch.sinceFirst(service))
+}
+
+// mayOmit reports whether a stream of a route may begin at a version without a record.
+func (r *Registry) mayOmit(group, service, version string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	age := r.now().Sub(r.view.AsOf)
-	return !r.view.AsOf.IsZero() && age <= r.times().trust && r.known.relied(service, version, r.epoch())
+	return !r.view.AsOf.IsZero() && age <= r.times().trust && r.known.relied(service, version, r.epoch()) && r.leadsOnlyTo(group, service)
 }
 
 func (r *Registry) signal() {
--- a/internal/streamorigin/watch.go
+++ b/internal/streamorigin/watch.go
@@ -14,7 +14,8 @@
 	// AsOf is an instant at which the list was current. Zero means that it was not read yet.
 	AsOf boottime.Instant
 	// Services holds the number of servers that take new requests by service and version. A
-	// version whose servers all leave has zero.
+	// version whose servers all leave has zero. A RouteGroup has the services that the route
+	// leads to in place of versions, and their weights in place of numbers.
 	Services map[string]map[string]int
 }
 
@@ -34,7 +35,8 @@
 
 // watch remembers which versions were listed when. It is not safe for concurrent use.
 type watch struct {
-	asOf boottime.Instant
+	asOf  boottime.Instant
+	first boottime.Instant // when the first list was seen
 	// whole is when the watch began without an interruption.
 	whole boottime.Instant
 	// fromStart is true if nothing was missed since the first start of the system at created,
@@ -56,7 +58,7 @@
 		return
 	}
 	if w.whole.IsZero() {
-		w.whole = now
+		w.first, w.whole = now, now
 		w.fromStart = w.fromStart && now.Sub(w.created) <= settling
 	} else if v.AsOf.Sub(w.asOf) > maxGap {
 		w.interrupt(now)
@@ -117,6 +119,9 @@
 	delete(seen, oldest)
 }
 
+// sinceFirst reports whether a service was in all lists so far.
+func (w *watch) sinceFirst(service string) bool { return w.began[service] == w.first }
+
 // missingFor returns for how long the version was missing up to the last list. It is zero if the
 // version is listed.
 func (w *watch) missingFor(service, version string) time.Duration {
@@ -130,12 +135,17 @@
 	return max(0, w.asOf.Sub(p.since))
 }
 
-// onlyFor reports whether no version but one was listed for a time up to the last list.
+// onlyFor reports whether no version but one was listed for a time up to the last list. The requests
+// of a route that came later may have been those of another one, with other services.
 func (w *watch) onlyFor(service, version string, d time.Duration) bool {
+	fromStart, whole := w.fromStart, w.whole
+	if isRouteGroup(service) {
+		fromStart, whole = fromStart && w.sinceFirst(service), max(whole, w.began[service])
+	}
 	for other := range w.services[service] {
-		if other != version && (w.fromStart || w.missingFor(service, other) < d) {
+		if other != version && (fromStart || w.missingFor(service, other) < d) {
 			return false
 		}
 	}
-	return w.fromStart || w.asOf.Sub(w.whole) >= d
+	return fromStart || w.asOf.Sub(whole) >= d
 }
