streamorigin: an unreadable base row leaves recorded streams alone

Callers saw: while another writer's bytes stood in place of a service's base row, every resumption of that service was refused with "the store does not answer", also that of a stream with a record.

Cause: an error in decoding the base row failed the whole lookup, and counted as a store that does not answer: three tries, then a refusal.

Change: such a row counts as valid in no epoch, as it does where base rows are listed. A record is found; without one the resumption is refused at once, with a time to come back, since the holder of the duty writes the row again.

Evidence: TestUnreadableBaseLeavesRecords failed before ("the store does not answer") and passes; TestUnreadableBaseIsNotValid still does.

Measured: package tests, and 20 times the two: passed.

--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -234,9 +234,19 @@
 	if err != nil {
 		return heldRow{}, heldRow{}, err
 	}
-	if base, err = decodeBase(rows[0]); err != nil || l.group == "" {
-		return base, heldRow{}, err
+	base = r.decodeBaseOrInvalid(rows[0])
+	if l.group != "" {
+		route = r.decodeBaseOrInvalid(rows[1])
+	}
+	return base, route, nil
+}
+
+// decodeBaseOrInvalid decodes a base row. One that cannot be read is valid in no epoch.
+func (r *Registry) decodeBaseOrInvalid(row platform.Row) heldRow {
+	held, err := decodeBase(row)
+	if err == nil {
+		return held
 	}
-	route, err = decodeBase(rows[1])
-	return base, route, err
+	r.options.Logger.Debug("cannot decode a base version; streams without a record are not resumed until it is written again", "row", row.Key, "error", err)
+	return heldRow{version: row.Version, row: baseRow{Epoch: noEpoch}}
 }
