streamorigin: a cancelled resumption gives its turn back

Callers saw: after many callers had left while they waited for their turn to read the store, others were refused with "too many streams are resumed at once", for up to two seconds, though nobody read.

Cause: a turn was taken when a resumption began to wait, and kept when its caller left.

Change: whoever leaves before reading gives one turn back. Those that wait keep their times, so that a later one may read at the same time as one of them; the mean rate is the same.

Evidence: TestCancelledResumptionsLeaveTheirTurns failed before (refused) and passes.

Measured: package tests, and 20 times the tests of the pace: passed.

--- a/internal/streamorigin/readpace.go
+++ b/internal/streamorigin/readpace.go
@@ -39,6 +39,9 @@
 	return delay, true
 }
 
+// giveBack returns a turn that was not used.
+func (p *readPace) giveBack(interval time.Duration) { p.next = p.next.Add(-interval) }
+
 // awaitTurn waits until a resumption may read the store. The error is an *OriginUnknownError, or the
 // cause for which ctx ended.
 func (r *Registry) awaitTurn(ctx context.Context) error {
@@ -54,6 +57,9 @@
 		return &gateway.OriginUnknownError{Reason: "too many streams are resumed at once", RetryAfter: delay}
 	}
 	if wait.For(ctx, delay) != nil {
+		r.mu.Lock()
+		r.reads.giveBack(interval)
+		r.mu.Unlock()
 		r.countLookup("failed")
 		return context.Cause(ctx)
 	}
