streamorigin: the world of the routes' tests looks at the servers in one step

TestMovedRouteNeedsNoRecordsInTheEnd failed once in a run of the package: "version "v1" of service "s" was not recorded for the stream".

Cause, in the test's stand-in: an instance's list was built in two steps, and one that was cut off between them got a list without its routes, so that it relied on no base service any more. Now one lock is held throughout. No check or bound is changed.

--- a/internal/streamorigin/route_test.go
+++ b/internal/streamorigin/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,19 +52,19 @@
 }
 
 func (w *routedWorld) look(n *node) View {
-	v := w.world.look(n)
-	v.Services["s2"] = map[string]int{"w1": 3}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.cut {
-		return v
+		return n.view
 	}
+	n.link.follow()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	n.view = View{AsOf: w.now(), Services: map[string]map[string]int{"s": maps.Clone(w.servers), "s2": {"w1": 3}}}
 	for pattern, services := range w.routes {
-		v.Services[RouteGroup(pattern)] = services
+		n.view.Services[RouteGroup(pattern)] = services
 	}
-	return v
+	return n.view
 }
 
 // beginRouted begins a stream of a route at a service. It returns whether that took a record.
