--- a/internal/streamorigin/sweep.go
+++ b/internal/streamorigin/sweep.go
@@ -11,7 +11,13 @@
 const (
 	// sweepInterval is the interval between two pages of a table that the sweep looks at.
 	sweepInterval = 5 * time.Second
-	sweepRows     = 500
+	// busySweepInterval is the same after old records were found, until a whole pass finds none.
+	busySweepInterval = 500 * time.Millisecond
+	sweepRows         = 500
+	// maxSweepTxns bounds the transactions of one step of the duty, of which there are two a second, and
+	// maxSweepTime the time after which no further one begins.
+	maxSweepTxns = 10
+	maxSweepTime = 500 * time.Millisecond
 	// sweepLifetimes is how many lifetimes of a record the sweep leaves to who wrote it.
 	sweepLifetimes = 2
 	// maxMarks bounds the marks of one table.
@@ -59,6 +65,8 @@
 	after    string // key in that table after which the next page begins
 	marks    []marks
 	highest  []uint64 // highest version seen in each table
+	busy     bool     // old records were found in this pass or the one before
+	found    bool     // old records were found in this pass
 }
 
 // step looks at the next page if that is due.
@@ -69,24 +77,52 @@
 		tables := len(r.options.Tables)
 		s.epoch, s.marks, s.highest, s.after = epoch, make([]marks, tables), make([]uint64, tables), ""
 	}
-	if !s.last.IsZero() && now.Sub(s.last) < sweepInterval {
+	if !s.last.IsZero() && now.Sub(s.last) < s.interval() {
 		return
 	}
 	s.last = now
-	if err := s.page(ctx, now); err != nil {
-		r.options.Logger.Debug("the sweep of old records failed; trying again", "error", err)
+	deleted := 0
+	for range maxSweepTxns {
+		n, err := s.page(ctx, now)
+		if err != nil {
+			r.options.Logger.Debug("the sweep of old records failed; trying again", "error", err)
+			break
+		}
+		deleted += n
+		if n < maxBatchRows || r.now().Sub(now) >= maxSweepTime {
+			break
+		}
+	}
+	if deleted > 0 {
+		r.options.Logger.Info("deleted old records of streams", "records", deleted)
+	}
+}
+
+func (s *sweeper) interval() time.Duration {
+	if s.busy {
+		return busySweepInterval
+	}
+	return sweepInterval
+}
+
+// nextTable goes on to the first page of the next table.
+func (s *sweeper) nextTable() {
+	s.after, s.table = "", (s.table+1)%len(s.marks)
+	if s.table == 0 {
+		s.busy, s.found = s.found, false
 	}
 }
 
-// page deletes the old records of one page, in one transaction of at most maxBatchRows rows.
-func (s *sweeper) page(ctx context.Context, now boottime.Instant) error {
+// page deletes the old records of one page, in one transaction of at most maxBatchRows rows. It returns
+// how many it deleted.
+func (s *sweeper) page(ctx context.Context, now boottime.Instant) (int, error) {
 	r := s.registry
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	table := r.options.Tables[s.table]
 	rows, err := table.List(ctx, originPrefix, s.after, sweepRows)
 	if err != nil || r.epoch() != s.epoch {
-		return err
+		return 0, err
 	}
 	r.mu.Lock()
 	lifetime := r.times().recordLifetime()
@@ -109,14 +145,14 @@
 	}
 	s.marks[s.table].add(now, s.highest[s.table], lifetime/8)
 	if s.after = last; len(rows) < sweepRows && len(txn.Writes) < maxBatchRows {
-		s.after, s.table = "", (s.table+1)%len(s.marks)
+		s.nextTable()
 	}
 	if len(txn.Writes) == 0 {
-		return nil
+		return 0, nil
 	}
+	s.busy, s.found = true, true
 	if _, err := table.Commit(ctx, txn); err != nil {
-		return err
+		return 0, err
 	}
-	r.options.Logger.Info("deleted old records of streams", "records", len(txn.Writes))
-	return nil
+	return len(txn.Writes), nil
 }
