storeepoch: rows of the known epoch from another instance end no doubt

A reviewer's find, not seen in a run: epoch 1 is known and one answer states 2. Rows of epoch 1 arrive from an instance that has not noticed the restore; Adopt ended the doubt, and an answer of epoch 1 that was sent before the restore was believed. With such rows between each question and its answer a restore was not believed in 5 calls.

Change: rows of the known epoch say nothing about a doubt. TestPeerOfEarlierEpochEndsNoDoubt and TestRestoreIsConfirmedBesidePeersOfEarlierEpoch failed before and pass. In the second one the rows that arrive after the restore is believed are discarded, as they should be, which its first form took for a failure.

--- a/internal/storeepoch/storeepoch.go
+++ b/internal/storeepoch/storeepoch.go
@@ -182,6 +182,10 @@
 // not believed.
 func (t *Tracker) Adopt(epoch uint64, at boottime.Instant) error {
 	t.mu.Lock()
+	if t.current.Stated && epoch == t.current.Number {
+		t.mu.Unlock()
+		return nil // it may be older than a doubt
+	}
 	reason := t.reasonAgainst(epoch, at)
 	if reason == "" || reason == Unconfirmed {
 		notify := t.adopt(epoch, at)
