gateway: a run whose process is in doubt waits for the list of servers, within its time

A reviewer's finds, each with a test that failed before:

- All servers crash and come back at their version: until the list showed it, each first run was dropped at once, and the request ended with 502 after 2 to 3 ms (TestRestartAtTheSameVersionIsAwaited; 200 before the check existed).
Such a run now waits until another process is listed.
- The wait used up the time of the request, so that another server, which was free, was not tried: 0 of 6 with 1.4 s left (TestWaitForListLeavesTimeForAnotherServer).
It now ends after half of the remaining time.
- A garbled or missing statement who the server is was believed, so that a later process began a stream as the former one (TestUnreadableIdentityBeginsNoStreamAsTheFormer, 3 of 3).
It now counts as no answer: a later list decides.
- One more sight of a known process dropped all others at the limit of the map (TestManyProcessesStayKnown).

The first three are one wait, awaitList, so they come together.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -28,9 +28,11 @@
 	// registrationDelay is the time after its start within which a server has registered if its
 	// way to the store is sound.
 	registrationDelay = 200 * time.Millisecond
-	// maxListWait bounds the wait for a list of servers that was read after a run began. A server
-	// may pause for longer in the middle of a stream; see minPauseTimeout.
-	maxListWait = time.Second
+	// maxListWait bounds the wait for a list of servers that was read after a run began, as does
+	// listWaitFraction of the remaining time, which leaves some for another server. A server may
+	// pause for longer in the middle of a stream; see minPauseTimeout.
+	maxListWait      = time.Second
+	listWaitFraction = 0.5
 	// listPollInterval is the interval at which the age of the list is read.
 	listPollInterval = 20 * time.Millisecond
 )
@@ -65,7 +67,7 @@
 	if at.Before(p.seen[who]) {
 		return
 	}
-	if len(p.seen) >= maxSeenProcesses {
+	if _, known := p.seen[who]; !known && len(p.seen) >= maxSeenProcesses {
 		p.forget(at)
 	}
 	p.seen[who] = at
@@ -208,39 +210,57 @@
 		return silentServer
 	}
 	a.watchdog.progress()
-	switch {
-	case c.found == sameProcess:
+	switch c.found {
+	case sameProcess:
 		return a.confirmProcess()
-	case c.found == restarted && a.succeededBy(c.stated):
-		return sameServer
-	case (c.found == resets || c.found == silentServer) && a.listedAfterwards():
-		return sameServer
+	case restarted:
+		if a.listedAsSuccessor(c.stated) {
+			return sameServer
+		}
+	case resets, silentServer, sameServer, unidentified:
+		if a.listedAfterwards() {
+			return sameServer
+		}
+		return silentServer
+	case notAsked, listens, otherServer, gone:
 	}
 	return c.found
 }
 
-// succeededBy reports whether the process that has stated its identity is one of the chosen
-// version, as the directory lists it by now, so that it does not matter which of the two ran the request.
-func (a *attempt) succeededBy(stated Identity) bool {
-	version, started, replaced := a.assignment.Successor()
-	return replaced && version == a.assignment.Version && uint64(max(started, 0)) == stated.Incarnation
+// listedAsSuccessor reports whether the process that has stated its identity is one of the chosen
+// version, as the directory lists it, so that it does not matter which of the two ran the request.
+// It waits until the directory lists another process than the chosen one.
+func (a *attempt) listedAsSuccessor(stated Identity) bool {
+	listed := a.awaitList(func() bool {
+		_, _, replaced := a.assignment.Successor()
+		return replaced
+	})
+	version, started, _ := a.assignment.Successor()
+	return listed && version == a.assignment.Version && uint64(max(started, 0)) == stated.Incarnation
 }
 
 // listedAfterwards reports whether a list of servers that was read after the request got its
-// connection still has the process that was chosen. It waits for such a list, at most maxListWait.
+// connection still has the process that was chosen. It waits for such a list.
 func (a *attempt) listedAfterwards() bool {
 	asOf := a.x.gateway.options.ServersAsOf
-	if asOf == nil {
-		return a.assignment.ListedStart() == a.assignment.StartedMillis
+	registered := a.run.connAt.Add(registrationDelay)
+	if asOf != nil && !a.awaitList(func() bool { return !asOf().Before(registered) }) {
+		return false
 	}
+	return a.assignment.ListedStart() == a.assignment.StartedMillis
+}
+
+// awaitList waits until the list of servers meets a condition. The result is false if that takes
+// longer than maxListWait or listWaitFraction of the remaining time.
+func (a *attempt) awaitList(met func() bool) bool {
 	defer a.watchdog.progress()
-	registered := a.run.connAt.Add(registrationDelay)
-	for end := boottime.Now().Add(maxListWait); asOf().Before(registered); {
+	limit := min(maxListWait, time.Duration(listWaitFraction*float64(a.x.timeLeft())))
+	for end := boottime.Now().Add(limit); !met(); {
 		if !boottime.Now().Before(end) || wait.For(a.ctx, listPollInterval) != nil {
 			return false
 		}
 	}
-	return a.assignment.ListedStart() == a.assignment.StartedMillis
+	return true
 }
 
 // countProcess counts a run of a stream by what is known of the process that runs it.
