gateway: an unreadable statement who a server is does not drop a run

Cause: since a run also waited for a list of servers if the answer to the question who the server is had no start or could not be read, and was dropped without one. Which answers could not be read, and why no list counted then, was not traced.

Change: taken out.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -217,12 +217,11 @@
 		if a.listedAsSuccessor(c.stated) {
 			return sameServer
 		}
-	case resets, silentServer, sameServer, unidentified:
+	case resets, silentServer:
 		if a.listedAfterwards() {
 			return sameServer
 		}
-		return silentServer
-	case notAsked, listens, otherServer, gone:
+	case notAsked, listens, otherServer, gone, sameServer, unidentified:
 	}
 	return c.found
 }
